--- /dev/null
+++ b/adapter/src/tariff.rs
@@ -0,0 +1,94 @@
+//! Reads the settings that come with an instance's start. Keys that it does not know are skipped.
+
+use serde_json::Value;
+use ternpick::types::{Gauge, IndexRow, Micros, Repeat, Reporting, Tariff, ZoneNo};
+
+use crate::frame::BadFrame;
+
+fn num(from: &Value, key: &str) -> Option<f64> {
+    from[key].as_f64()
+}
+
+fn time(from: &Value, key: &str) -> Option<Micros> {
+    num(from, key).map(|micros| Micros(micros.max(0.0) as u64))
+}
+
+fn flag(from: &Value, key: &str) -> bool {
+    from[key].as_bool().unwrap_or(false)
+}
+
+fn rows<'a>(from: &'a Value, key: &str) -> &'a [Value] {
+    from[key].as_array().map_or(&[], Vec::as_slice)
+}
+
+pub fn read(text: &[u8]) -> Result<Tariff, BadFrame> {
+    let all: Value = serde_json::from_slice(text).map_err(|e| format!("settings that are not JSON: {e}"))?;
+    if !all.is_object() {
+        return Err("settings that are not a JSON object".into());
+    }
+    let (limits, rules, extra) = (&all["ceilings"], &all["rules"], &all["extra"]);
+    let indexes = rows(&all, "classes").iter().enumerate().map(|(at, row)| index(at, row, extra)).collect();
+    Ok(Tariff {
+        indexes,
+        quotas: rows(&all, "projects")
+            .iter()
+            .map(|row| num(row, "quotaPerS").unwrap_or(f64::INFINITY))
+            .collect(),
+        over_share_gain: num(&all, "overShareWorth").unwrap_or(1.0),
+        routers: num(&all, "balancers").unwrap_or(1.0).max(1.0),
+        zone: ZoneNo(num(&all, "zone").unwrap_or(0.0) as u16),
+        cells: num(extra, "positions").map_or(1, |n| n as u32).max(1),
+        reach: num(extra, "reach").map_or(1, |n| n as u32),
+        call_cost: time(extra, "callCost").unwrap_or_default(),
+        gauges: rows(&all["report"], "columns").iter().map(gauge).collect(),
+        reporting: match all["report"]["via"].as_str() {
+            Some("inline") => Reporting::InAnswers,
+            Some("on_probe") => Reporting::OnProbe,
+            _ => Reporting::Off,
+        },
+        probing: flag(limits, "probing"),
+        roster_on_request: all["discovery"] == "on_request",
+        most_calls: num(limits, "attemptsCap").map(|n| n as usize),
+        second_copies: flag(limits, "secondCopies"),
+        cancels: flag(limits, "cancel"),
+        longest_advice: flag(limits, "retryAfter").then(|| time(limits, "maxRetryAfter").unwrap_or_default()),
+        tick: time(&all, "tick").unwrap_or_default(),
+        cold_share: num(rules, "coldFrom").unwrap_or(1.0),
+        warm_within: time(rules, "warmWithin").unwrap_or_default(),
+        fall_multiple: num(rules, "fallMultiple").unwrap_or(f64::INFINITY),
+        fall_window: time(rules, "fall").unwrap_or_default(),
+        extra_spare: num(rules, "spareAttempts").unwrap_or(0.0),
+        extra_ratio: num(rules, "extraRatio").unwrap_or(0.0),
+        extra_window: time(rules, "countedOver"),
+    })
+}
+
+fn index(at: usize, row: &Value, extra: &Value) -> IndexRow {
+    let of_extra = |key: &str| extra[key].get(at).and_then(Value::as_f64);
+    let hard = time(row, "deadline").unwrap_or(Micros(u64::MAX));
+    let need = of_extra("classNeed").unwrap_or(1.0);
+    IndexRow {
+        soft: time(row, "onTime").unwrap_or(hard),
+        hard,
+        gain: num(row, "worth").unwrap_or(1.0),
+        late_share: num(row, "lateValue").unwrap_or(0.0),
+        repeat: match row["semantics"].as_str() {
+            Some("idempotent") => Repeat::Idempotent,
+            Some("deduplicated") => Repeat::Fingerprinted(time(row, "window").unwrap_or_default()),
+            // What is not said to bear a repeat is never repeated.
+            _ => Repeat::OnceOnly,
+        },
+        need,
+        least: of_extra("minShare").unwrap_or(need),
+        second_step: of_extra("secondStep").map_or(0, |n| n as usize),
+        longest_left: Micros(0),
+    }
+}
+
+fn gauge(name: &Value) -> Gauge {
+    match name.as_str() {
+        Some("mean_ms") => Gauge::LatencyMs,
+        Some("depth") => Gauge::Queue,
+        _ => Gauge::Unread,
+    }
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,779 @@
+//! The decisions of a query router, all of them.
+//!
+//! Invoked through the methods of [`Brain`], one for each thing a router sees: a lookup and its parts, a part call's
+//! return, a probe's, the roster, a client that left, a timer. Each ends in `settle`, which goes through `RULES` until
+//! none fires. The module acts through [`Actions`], defined in `src/interface.rs`; `docs/design.md` gives the reasons.
+//!
+//! The design (EC-Store's cost model) places every part. Beside it stand six mechanisms:
+//! 1. doubt: what a node's own answers show outweighs a report that says better;
+//! 2. again: another try after a failure, and one copy of a part that is late;
+//! 3. admission: a lookup is taken only if predicted in time, a customer beyond its share only with time to spare;
+//! 4. cut: a lookup ends as soon as waiting gains nothing, with what is in or with nothing;
+//! 5. warm-up: a node that has just started gets this router's share of what it can bear;
+//! 6. roster: a watch kept up, and what it says of draining and gone nodes obeyed at once.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use nanorand::{Rng, WyRand};
+
+use crate::interface::Actions;
+use crate::types::*;
+
+#[cfg(test)]
+mod tests;
+
+/// m over mean o, the design's own value.
+const PART_RATIO: f64 = 0.2;
+/// Weight of a new report or answer against what was known: a few answers make an opinion.
+const FRESH: f64 = 0.3;
+/// A node is doubted when it answers this many times later than the middle node.
+const DOUBT: f64 = 2.5;
+/// A part is late after this many times the middle latency.
+const LATE: f64 = 3.0;
+/// Copies out, as a share of part calls out: more would add to what makes everything late.
+const COPY_SHARE: f64 = 0.1;
+/// Time to spare asked of a customer beyond its share, as a share of the time left.
+const SPARE_TIME: f64 = 0.5;
+/// A customer's unused share is kept for so many seconds.
+const QUOTA_SECONDS: f64 = 2.0;
+/// Of the warm-up allowance; the rest covers parts heavier than the mean.
+const WARM_UP_SAFETY: f64 = 0.7;
+/// Sums of weights may fall so much short.
+const SHORT: f64 = 0.0001;
+/// Failures in a row stretch the memory of a failure up to this power of two.
+const MOST_STRIKES: u32 = 4;
+const PROBE_EVERY: Micros = Micros(1_000_000);
+/// Asking the roster again after a failure: this and as much again by chance.
+const ASK_AGAIN: Micros = Micros(500_000);
+/// How often time alone makes the rules run, and the margin kept before a client's end.
+const BEAT: Micros = Micros(10_000);
+/// The floor of what is asked for as a time-out: zero would mean none.
+const LEAST_LIMIT: Micros = Micros(1_000);
+
+pub struct Brain {
+    pub tariff: Tariff,
+    chance: WyRand,
+    now: Micros,
+    beating: bool,
+    /// Emptied by the roster: a node that is gone and owes nothing is dropped.
+    pub nodes: BTreeMap<NodeId, Node>,
+    /// Lookups in hand and the ways to them; each is emptied by the final answer.
+    pub lookups: BTreeMap<LookupId, Lookup>,
+    queries: BTreeMap<QueryNo, LookupId>,
+    parts: BTreeMap<PartId, LookupId>,
+    /// Smoothed hint of a part, in microseconds.
+    mean_hint: Option<f64>,
+    /// What each customer may still send within its share; one entry a customer of the tariff.
+    quota_left: Vec<(f64, Micros)>,
+    /// Requests taken and further part calls made within the budget's window; emptied by age.
+    taken: VecDeque<Micros>,
+    extras: VecDeque<Micros>,
+    ask_at: Option<Micros>,
+}
+
+/// What a rule has found to act on.
+#[derive(Clone, Copy)]
+enum Case {
+    Router,
+    Node(NodeId),
+    Lookup(LookupId),
+    Call(LookupId, usize, NodeId),
+}
+
+struct Rule {
+    when: fn(&Brain) -> Option<Case>,
+    then: fn(&mut Brain, Case, &mut dyn Actions),
+}
+
+/// Gone through in this order, from the top again after each that fires.
+const RULES: [Rule; 9] = [
+    Rule { when: Brain::roster_is_due, then: Brain::ask_roster },
+    Rule { when: Brain::whole_is_in, then: Brain::answer_whole },
+    Rule { when: Brain::cut_is_due, then: Brain::answer_partly },
+    Rule { when: Brain::hopeless, then: Brain::give_up },
+    Rule { when: Brain::unplaced, then: Brain::place_or_nack },
+    Rule { when: Brain::needs_another_try, then: Brain::call_again },
+    Rule { when: Brain::needs_a_copy, then: Brain::call_again },
+    Rule { when: Brain::doubt_has_changed, then: Brain::change_doubt },
+    Rule { when: Brain::probe_is_due, then: Brain::probe },
+];
+
+/// The cost model's figures at one moment.
+struct Survey {
+    mean_o: f64,
+    m: f64,
+    /// The middle node's answer latency, in microseconds.
+    middle: Option<f64>,
+}
+
+/// Where the parts of a lookup go, and which of their weight is predicted in time.
+struct Plan {
+    places: Vec<(usize, NodeId)>,
+    in_time: f64,
+    slowest: f64,
+}
+
+impl Brain {
+    pub fn new(tariff: Tariff, seed: u64) -> Self {
+        Brain {
+            chance: WyRand::new_seed(seed),
+            now: Micros(0),
+            beating: false,
+            nodes: BTreeMap::new(),
+            lookups: BTreeMap::new(),
+            queries: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            mean_hint: None,
+            quota_left: vec![(0.0, Micros(0)); tariff.quotas.len()],
+            taken: VecDeque::new(),
+            extras: VecDeque::new(),
+            ask_at: tariff.roster_on_request.then_some(Micros(0)),
+            tariff,
+        }
+    }
+
+    // What a router sees.
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn lookup(
+        &mut self,
+        now: Micros,
+        id: LookupId,
+        query: QueryNo,
+        index: IndexNo,
+        customer: CustomerNo,
+        expected: usize,
+        left: Micros,
+        out: &mut dyn Actions,
+    ) {
+        self.now = now;
+        self.taken.push_back(now);
+        let row = &mut self.tariff.indexes[usize::from(index.0)];
+        row.longest_left = row.longest_left.max(left);
+        // A try that is given less time than others comes late in its client's time.
+        let gone = if left < row.longest_left { row.hard.since(left) } else { Micros(0) };
+        let (soft, end) = (now + row.soft.since(gone), now + left);
+        let lookup = Lookup { id, index, customer, came: now, soft, end, expected, ..Lookup::default() };
+        self.lookups.insert(id, lookup);
+        self.queries.insert(query, id);
+        self.settle(out);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn part(
+        &mut self,
+        now: Micros,
+        id: PartId,
+        query: QueryNo,
+        shard: ShardNo,
+        weight: f64,
+        hint: Option<Micros>,
+        out: &mut dyn Actions,
+    ) {
+        self.now = now;
+        self.taken.push_back(now);
+        if let Some(hint) = hint {
+            let hint = hint.0 as f64;
+            self.mean_hint = Some(blend(self.mean_hint, hint, FRESH * FRESH));
+        }
+        let owner = self.queries.get(&query).copied();
+        // Parts may still come for a lookup that has ended in the same batch.
+        if let Some(lookup) = owner.and_then(|id| self.lookups.get_mut(&id)) {
+            lookup.parts.push(Part { id, shard, weight, hint, ..Part::default() });
+            self.parts.insert(id, lookup.id);
+        }
+        self.settle(out);
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub fn returned(
+        &mut self,
+        now: Micros,
+        part: PartId,
+        call: CallNo,
+        node: NodeId,
+        lag: Micros,
+        ending: Ending,
+        report: &[f64],
+        out: &mut dyn Actions,
+    ) {
+        self.now = now;
+        if let Some(n) = self.nodes.get_mut(&node) {
+            n.owed.remove(&(part, call));
+        }
+        self.read_report(node, report);
+        self.learn(node, lag, ending);
+        let owner = self.parts.get(&part).and_then(|id| self.lookups.get_mut(id));
+        // Returns still come for lookups that are over.
+        if let Some(p) = owner.and_then(|lookup| lookup.parts.iter_mut().find(|p| p.id == part)) {
+            p.satisfied |= ending == Ending::Satisfied;
+            if let Some(call) = p.calls.get_mut(usize::from(call.0)) {
+                call.ending = Some(ending);
+            }
+        }
+        self.settle(out);
+    }
+
+    pub fn probed(
+        &mut self,
+        now: Micros,
+        node: NodeId,
+        lag: Micros,
+        ok: bool,
+        report: &[f64],
+        out: &mut dyn Actions,
+    ) {
+        self.now = now;
+        self.read_report(node, report);
+        if !ok {
+            self.learn(node, lag, Ending::NeverRan);
+        }
+        self.settle(out);
+    }
+
+    pub fn lapsed(&mut self, now: Micros, id: LookupId, out: &mut dyn Actions) {
+        self.now = now;
+        self.close(id, out);
+        self.settle(out);
+    }
+
+    pub fn roster(&mut self, now: Micros, list: &[Listing], full: bool, out: &mut dyn Actions) {
+        self.now = now;
+        if full {
+            self.nodes.values_mut().for_each(|n| n.listing.phase = Phase::Gone);
+        }
+        for listing in list {
+            let lot = self.chance.generate();
+            let node = self.nodes.entry(listing.node).or_insert_with(|| Node { lot, ..Node::default() });
+            if listing.started > node.listing.started {
+                // A new process: what the old one showed is void.
+                (node.report, node.latency, node.strikes) = (None, None, 0);
+            }
+            node.listing = *listing;
+        }
+        self.nodes.retain(|_, n| n.listing.phase != Phase::Gone || !n.owed.is_empty());
+        self.settle(out);
+    }
+
+    /// The watch broke or could not be had. Without one the router soon counts as told of what it has not heard, so it
+    /// asks again; by chance, so that all routers do not ask a roster in trouble at the same moment.
+    pub fn roster_failed(&mut self, now: Micros, out: &mut dyn Actions) {
+        self.now = now;
+        let wait = ASK_AGAIN + Micros(self.chance.generate_range(0..ASK_AGAIN.0));
+        self.ask_at = Some(now + wait);
+        out.log(&format!("roster: failed, asking again in {} ms", wait.0 / 1000));
+        self.settle(out);
+    }
+
+    pub fn elapsed(&mut self, now: Micros, _timer: TimerId, out: &mut dyn Actions) {
+        self.now = now;
+        self.beating = false;
+        self.settle(out);
+    }
+
+    fn settle(&mut self, out: &mut dyn Actions) {
+        if !self.beating {
+            self.beating = true;
+            out.timer(BEAT.max(self.tariff.tick), TimerId(0));
+        }
+        while let Some((rule, case)) =
+            RULES.iter().find_map(|rule| (rule.when)(self).map(|case| (rule, case)))
+        {
+            (rule.then)(self, case, out);
+        }
+    }
+
+    // Rules: roster and probes.
+
+    fn roster_is_due(&self) -> Option<Case> {
+        self.ask_at.filter(|&at| at <= self.now).map(|_| Case::Router)
+    }
+
+    fn ask_roster(&mut self, _: Case, out: &mut dyn Actions) {
+        self.ask_at = None;
+        out.watch_roster();
+    }
+
+    fn probe_is_due(&self) -> Option<Case> {
+        if self.tariff.reporting != Reporting::OnProbe || !self.tariff.probing {
+            return None;
+        }
+        let due = |n: &&Node| n.probed.is_none_or(|at| self.now.since(at) >= PROBE_EVERY);
+        self.nodes
+            .values()
+            .filter(|n| n.listing.phase == Phase::Ready)
+            .find(due)
+            .map(|n| Case::Node(n.listing.node))
+    }
+
+    fn probe(&mut self, case: Case, out: &mut dyn Actions) {
+        let Case::Node(id) = case else { return };
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.probed = Some(self.now);
+        }
+        out.probe(id);
+    }
+
+    // Rules: the ends of a lookup.
+
+    fn row(&self, lookup: &Lookup) -> &IndexRow {
+        &self.tariff.indexes[usize::from(lookup.index.0)]
+    }
+
+    /// The weight that makes the present step whole, and the least that may be answered.
+    fn bars(&self, lookup: &Lookup) -> (f64, f64) {
+        let row = self.row(lookup);
+        let least = row.least.min(row.need);
+        match lookup.second {
+            true => (1.0, if row.least < row.need { least } else { 1.0 }),
+            false => (row.need, least),
+        }
+    }
+
+    fn whole(&self, lookup: &Lookup) -> bool {
+        let all_in = lookup.parts.iter().all(|p| p.satisfied);
+        let enough = if lookup.second { all_in } else { all_in || weight_in(lookup) >= self.bars(lookup).0 };
+        complete(lookup) && enough
+    }
+
+    fn whole_is_in(&self) -> Option<Case> {
+        self.lookups.values().find(|lk| self.whole(lk)).map(|lk| Case::Lookup(lk.id))
+    }
+
+    fn answer_whole(&mut self, case: Case, out: &mut dyn Actions) {
+        let Case::Lookup(id) = case else { return };
+        let whole = self.lookups.get(&id).is_some_and(|lk| !lk.second || lk.first_whole);
+        self.answer(id, whole, out);
+    }
+
+    /// An answer in part is due when its gain is about to fall, or when nothing more can come.
+    fn cut_is_due(&self) -> Option<Case> {
+        let due = |lk: &&Lookup| {
+            let enough = complete(lk) && weight_in(lk) + SHORT > self.bars(lk).1 && weight_in(lk) > 0.0;
+            enough
+                && (self.now + BEAT + BEAT >= lk.soft
+                    || lk.parts.iter().all(|p| p.satisfied || self.spent(lk, p)))
+        };
+        self.lookups.values().find(due).map(|lk| Case::Lookup(lk.id))
+    }
+
+    fn answer_partly(&mut self, case: Case, out: &mut dyn Actions) {
+        let Case::Lookup(id) = case else { return };
+        self.answer(id, false, out);
+    }
+
+    fn answer(&mut self, id: LookupId, whole: bool, out: &mut dyn Actions) {
+        out.answer(id, whole);
+        let Some(lookup) = self.lookups.get_mut(&id) else { return };
+        let second_step = self.tariff.indexes[usize::from(lookup.index.0)].second_step;
+        if lookup.second || second_step == 0 {
+            return self.close(id, out);
+        }
+        // The first answer brings a second step, on parts of its own.
+        let parts = std::mem::take(&mut lookup.parts);
+        lookup.expected = second_step.min(parts.iter().filter(|p| p.satisfied).count());
+        (lookup.second, lookup.first_whole, lookup.placed) = (true, whole, false);
+        self.drop_parts(&parts, out);
+    }
+
+    /// No call is out, and none may follow.
+    fn spent(&self, lookup: &Lookup, part: &Part) -> bool {
+        !part.satisfied && part.calls.iter().all(|c| c.ending.is_some()) && !self.may_call(lookup, part)
+    }
+
+    /// Given up as soon as what is in and may still come is too little, and just before the client's end.
+    fn hopeless(&self) -> Option<Case> {
+        let lost = |lk: &&Lookup| {
+            let spent: f64 = lk.parts.iter().filter(|p| self.spent(lk, p)).map(|p| p.weight).sum();
+            let short = complete(lk) && spent > 0.0 && 1.0 - spent + SHORT < self.bars(lk).1;
+            short || self.now + BEAT + BEAT >= lk.end
+        };
+        self.lookups.values().find(lost).map(|lk| Case::Lookup(lk.id))
+    }
+
+    fn give_up(&mut self, case: Case, out: &mut dyn Actions) {
+        let Case::Lookup(id) = case else { return };
+        self.refuse(id, Micros(0), out);
+    }
+
+    /// A nack where a repeat is harmless, else an abort.
+    fn refuse(&mut self, id: LookupId, come_back: Micros, out: &mut dyn Actions) {
+        let Some(lookup) = self.lookups.get(&id) else { return };
+        let harmless = self.row(lookup).repeat == Repeat::Idempotent
+            || !lookup.second && lookup.parts.iter().all(|p| !p.calls.iter().any(may_have_run));
+        if harmless {
+            out.nack(id, self.tariff.longest_advice.map_or(Micros(0), |longest| come_back.min(longest)));
+        } else {
+            out.abort(id);
+        }
+        self.close(id, out);
+    }
+
+    fn close(&mut self, id: LookupId, out: &mut dyn Actions) {
+        let Some(lookup) = self.lookups.remove(&id) else { return };
+        self.queries.retain(|_, of| *of != id);
+        self.drop_parts(&lookup.parts, out);
+    }
+
+    fn drop_parts(&mut self, parts: &[Part], out: &mut dyn Actions) {
+        for part in parts {
+            self.parts.remove(&part.id);
+            let still_out = part.calls.iter().enumerate().filter(|(_, call)| call.ending.is_none());
+            for (at, _) in still_out.filter(|_| self.tariff.cancels) {
+                out.cancel(part.id, CallNo(at as u8));
+            }
+        }
+    }
+
+    // Rules: placement.
+
+    fn unplaced(&self) -> Option<Case> {
+        self.lookups.values().find(|lk| !lk.placed && complete(lk)).map(|lk| Case::Lookup(lk.id))
+    }
+
+    fn place_or_nack(&mut self, case: Case, out: &mut dyn Actions) {
+        let Case::Lookup(id) = case else { return };
+        let Some(lookup) = self.lookups.get(&id) else { return };
+        let plan = self.plan(lookup);
+        let (customer, second, least) = (lookup.customer, lookup.second, self.bars(lookup).1);
+        let left = lookup.soft.since(self.now).0 as f64;
+        let over_share = !second && !self.draw_quota(customer);
+        let spare = if over_share && self.tariff.over_share_gain < 1.0 { SPARE_TIME } else { 1.0 };
+        if !second && (plan.in_time + SHORT < least || plan.slowest > left * spare && over_share) {
+            let excess = Micros((plan.slowest - left * spare).max(BEAT.0 as f64) as u64);
+            return self.refuse(id, excess, out);
+        }
+        if let Some(lookup) = self.lookups.get_mut(&id) {
+            lookup.placed = true;
+        }
+        for (at, node) in plan.places {
+            self.call(id, at, node, out);
+        }
+    }
+
+    /// Takes one lookup from the customer's share; false if it has used that up.
+    fn draw_quota(&mut self, customer: CustomerNo) -> bool {
+        let at = usize::from(customer.0);
+        let (Some(quota), Some((left, drawn))) = (self.tariff.quotas.get(at), self.quota_left.get_mut(at))
+        else {
+            return true;
+        };
+        let rate = quota / self.tariff.routers;
+        let most = (rate * QUOTA_SECONDS).max(1.0);
+        *left = if drawn.0 == 0 {
+            most
+        } else {
+            (*left + rate * self.now.since(*drawn).0 as f64 / 1e6).min(most)
+        };
+        *drawn = self.now;
+        let within = *left >= 1.0;
+        *left -= f64::from(u8::from(within));
+        within
+    }
+
+    fn survey(&self) -> Survey {
+        let ready = || self.nodes.values().filter(|n| n.listing.phase == Phase::Ready);
+        let read: Vec<f64> = ready().filter_map(|n| self.reading(n)).collect();
+        let target = self.tariff.indexes.iter().map(|row| row.soft.0 as f64).fold(f64::MAX, f64::min);
+        let mean_o = if read.is_empty() { target } else { read.iter().sum::<f64>() / read.len() as f64 };
+        let mut latencies: Vec<f64> = ready().filter_map(|n| n.latency).collect();
+        latencies.sort_by(f64::total_cmp);
+        Survey { mean_o, m: mean_o * PART_RATIO, middle: latencies.get(latencies.len() / 2).copied() }
+    }
+
+    /// A node's o as reported, or from its answers where nothing is reported.
+    fn reading(&self, node: &Node) -> Option<f64> {
+        if self.tariff.reporting == Reporting::Off || self.tariff.gauges.iter().all(|g| *g == Gauge::Unread) {
+            return node.latency;
+        }
+        // A queue of none is no free ride: a call costs a node work of its own, told in parts of the mean size.
+        let queues = !self.tariff.gauges.contains(&Gauge::LatencyMs);
+        let call = if queues {
+            self.mean_hint.map_or(1.0, |hint| self.tariff.call_cost.0 as f64 / hint)
+        } else {
+            0.0
+        };
+        node.report.map(|o| o + call)
+    }
+
+    /// The answer latency to expect: as smoothed, fading towards the middle, and no less than the oldest call's age.
+    fn belief(&self, node: &Node, middle: Option<f64>) -> f64 {
+        let middle = middle.unwrap_or(0.0);
+        let memory = self.memory() * f64::from(1 << node.strikes.min(MOST_STRIKES));
+        let fade = (-(self.now.since(node.seen).0 as f64) / memory).exp();
+        let latency = middle + (node.latency.unwrap_or(middle) - middle) * fade;
+        // A hung node reports briskly while parts vanish: what it owes says how late it is at least.
+        let age = node.owed.values().map(|owed| self.now.since(owed.sent).0).max().unwrap_or(0);
+        latency.max(age as f64)
+    }
+
+    /// How long an opinion of a node lasts unrefreshed: the shortest soft deadline.
+    fn memory(&self) -> f64 {
+        self.tariff.indexes.iter().map(|row| row.soft.0 as f64).fold(f64::MAX, f64::min)
+    }
+
+    /// The design's o of a node, our own parts out included.
+    fn o(&self, node: &Node, survey: &Survey) -> f64 {
+        let mut o = self.reading(node).unwrap_or(survey.mean_o);
+        if let Some(middle) = survey.middle {
+            let ratio = self.belief(node, survey.middle) / middle.max(1.0);
+            if ratio > DOUBT {
+                o = o.max(survey.mean_o * ratio);
+            }
+        }
+        o + survey.m * node.owed.values().map(|owed| owed.z).sum::<f64>()
+    }
+
+    fn z(&self, part: &Part) -> f64 {
+        match (part.hint, self.mean_hint) {
+            (Some(hint), Some(mean)) if mean > 0.0 => hint.0 as f64 / mean,
+            _ => 1.0,
+        }
+    }
+
+    fn holds(&self, node: &Node, shard: ShardNo) -> bool {
+        let cells = self.tariff.cells;
+        (node.listing.cell.0 + cells - shard.0 % cells) % cells < self.tariff.reach
+    }
+
+    /// The nodes that a part may go to: holders that are ready, have room, and are not already on trial.
+    fn holders(&self, part: &Part, planned: &BTreeMap<NodeId, f64>) -> Vec<&Node> {
+        let z = self.z(part);
+        let fit = |n: &&Node| {
+            let more = planned.get(&n.listing.node).copied().unwrap_or(0.0);
+            n.listing.phase == Phase::Ready
+                && self.holds(n, part.shard)
+                && self.has_room(n, more + z.max(1.0))
+        };
+        let mut fit: Vec<&Node> = self.nodes.values().filter(fit).collect();
+        let untried = |n: &&Node| part.calls.iter().all(|c| c.node != n.listing.node);
+        let sound = |n: &&Node| n.strikes == 0 || n.owed.is_empty();
+        for better in [&untried as &dyn Fn(&&Node) -> bool, &sound] {
+            if fit.iter().any(better) {
+                fit.retain(better);
+            }
+        }
+        fit
+    }
+
+    fn plan(&self, lookup: &Lookup) -> Plan {
+        let survey = self.survey();
+        let mut planned: BTreeMap<NodeId, f64> = BTreeMap::new();
+        let mut plan = Plan { places: Vec::new(), in_time: 0.0, slowest: 0.0 };
+        // Visited in order of choice: parts with few holders first, the heavier first among equals.
+        let mut order: Vec<usize> = (0..lookup.parts.len()).collect();
+        let holders =
+            |at: &usize| self.nodes.values().filter(|n| self.holds(n, lookup.parts[*at].shard)).count();
+        order.sort_by(|a, b| {
+            let heavier = self.z(&lookup.parts[*b]).total_cmp(&self.z(&lookup.parts[*a]));
+            holders(a).cmp(&holders(b)).then(heavier).then(a.cmp(b))
+        });
+        let left = lookup.soft.since(self.now).0 as f64;
+        for at in order {
+            let part = &lookup.parts[at];
+            let z = self.z(part);
+            let added = |n: &Node| {
+                let fixed = if planned.contains_key(&n.listing.node) { 0.0 } else { self.o(n, &survey) };
+                fixed + survey.m * z
+            };
+            let Some(node) = self.cheapest(&self.holders(part, &planned), added) else { continue };
+            let latency = self.belief(node, survey.middle);
+            if latency <= left {
+                plan.in_time += part.weight;
+            }
+            plan.slowest = plan.slowest.max(latency);
+            *planned.entry(node.listing.node).or_default() += z;
+            plan.places.push((at, node.listing.node));
+        }
+        plan
+    }
+
+    fn cheapest<'a>(&self, nodes: &[&'a Node], cost: impl Fn(&Node) -> f64) -> Option<&'a Node> {
+        let away = |n: &Node| (n.listing.zone != self.tariff.zone, n.lot);
+        nodes.iter().copied().min_by(|a, b| cost(a).total_cmp(&cost(b)).then(away(a).cmp(&away(b))))
+    }
+
+    fn call(&mut self, id: LookupId, at: usize, to: NodeId, out: &mut dyn Actions) {
+        let Some(lookup) = self.lookups.get(&id) else { return };
+        let part = &lookup.parts[at];
+        let (part_id, z, number) = (part.id, self.z(part), CallNo(part.calls.len() as u8));
+        let limit = lookup.end.since(self.now).max(LEAST_LIMIT);
+        let Some(node) = self.nodes.get_mut(&to) else { return };
+        node.owed.insert((part_id, number), Owed { sent: self.now, z });
+        let window = self.tariff.fall_window;
+        while node.sends.front().is_some_and(|(at, _)| self.now.since(*at) > window) {
+            node.sends.pop_front();
+        }
+        node.sends.push_back((self.now, z.max(1.0)));
+        if number.0 > 0 {
+            self.extras.push_back(self.now);
+        }
+        if let Some(lookup) = self.lookups.get_mut(&id) {
+            lookup.parts[at].calls.push(Call { node: to, sent: self.now, ending: None });
+        }
+        out.part_call(part_id, to, limit);
+    }
+
+    // Rules: further part calls.
+
+    /// Whether the rules let a part have a call, first or further, now.
+    fn may_call(&self, lookup: &Lookup, part: &Part) -> bool {
+        let calls = &part.calls;
+        let first_run = calls.iter().find(|c| may_have_run(c)).map(|c| c.sent);
+        let harmless = match self.row(lookup).repeat {
+            Repeat::Idempotent => true,
+            // One tick is kept back: the window is the nodes', and the call has yet to reach one.
+            Repeat::Fingerprinted(window) => {
+                first_run.is_none_or(|sent| self.now.since(sent) + self.tariff.tick + BEAT < window)
+            }
+            Repeat::OnceOnly => first_run.is_none(),
+        };
+        let tries_left = self.tariff.most_calls.is_none_or(|most| calls.len() < most) && calls.len() < 255;
+        let alone = self.tariff.second_copies || calls.iter().all(|c| c.ending.is_some());
+        let budget = calls.is_empty() || self.within_budget();
+        !part.satisfied && harmless && tries_left && alone && budget && self.now + BEAT + BEAT < lookup.end
+    }
+
+    fn within_budget(&self) -> bool {
+        let Some(window) = self.tariff.extra_window else { return true };
+        let within =
+            |times: &VecDeque<Micros>| times.iter().filter(|at| self.now.since(**at) < window).count() as f64;
+        // A call made just a window ago may still count with the bench, one taken then may not.
+        let made = self.extras.iter().filter(|at| self.now.since(**at) <= window).count() as f64;
+        made + 1.0 <= self.tariff.extra_spare + self.tariff.extra_ratio * within(&self.taken)
+    }
+
+    /// A part without a call out gets one, elsewhere if it can.
+    fn needs_another_try(&self) -> Option<Case> {
+        self.find_call(|_, part| part.calls.iter().all(|c| c.ending.is_some()))
+    }
+
+    /// One late part holds back its lookup: it gets a copy where an answer is due sooner than it is late already.
+    fn needs_a_copy(&self) -> Option<Case> {
+        let middle = self.survey().middle?;
+        let out: usize = self.nodes.values().map(|n| n.owed.len()).sum();
+        let twice = |p: &&Part| p.calls.iter().filter(|c| c.ending.is_none()).count() > 1;
+        let copies = self.lookups.values().flat_map(|lk| &lk.parts).filter(twice).count();
+        if copies as f64 >= 1.0 + out as f64 * COPY_SHARE {
+            return None;
+        }
+        self.find_call(|lookup, part| {
+            let mut out = part.calls.iter().filter(|c| c.ending.is_none());
+            let (Some(only), None) = (out.next(), out.next()) else { return false };
+            let age = self.now.since(only.sent).0 as f64;
+            age > middle * LATE && self.now + Micros(middle as u64) < lookup.soft
+        })
+    }
+
+    fn find_call(&self, wanted: impl Fn(&Lookup, &Part) -> bool) -> Option<Case> {
+        self.lookups.values().filter(|lk| lk.placed).find_map(|lk| {
+            lk.parts.iter().enumerate().find_map(|(at, part)| {
+                if part.satisfied || !wanted(lk, part) || !self.may_call(lk, part) {
+                    return None;
+                }
+                let survey = self.survey();
+                let busy =
+                    |n: &&&Node| part.calls.iter().all(|c| c.ending.is_some() || c.node != n.listing.node);
+                let holders: Vec<&Node> =
+                    self.holders(part, &BTreeMap::new()).iter().filter(busy).copied().collect();
+                let node = self.cheapest(&holders, |n| self.o(n, &survey))?;
+                Some(Case::Call(lk.id, at, node.listing.node))
+            })
+        })
+    }
+
+    fn call_again(&mut self, case: Case, out: &mut dyn Actions) {
+        let Case::Call(id, at, node) = case else { return };
+        self.call(id, at, node, out);
+    }
+
+    // Evidence.
+
+    fn read_report(&mut self, id: NodeId, report: &[f64]) {
+        let gauges = &self.tariff.gauges;
+        let read =
+            |wanted: Gauge| gauges.iter().position(|g| *g == wanted).and_then(|at| report.get(at)).copied();
+        let Some(o) = read(Gauge::LatencyMs).or(read(Gauge::Queue)) else { return };
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.report = Some(blend(node.report, o, FRESH));
+        }
+    }
+
+    /// A failed call counts as an answer as late as the shortest soft deadline: refusals, lost connections, errors and
+    /// silence are one symptom, and fade alike.
+    fn learn(&mut self, id: NodeId, lag: Micros, ending: Ending) {
+        let worst = self.memory();
+        let Some(node) = self.nodes.get_mut(&id) else { return };
+        let seen = match ending {
+            Ending::Satisfied => lag.0 as f64,
+            Ending::MayHaveRun | Ending::NeverRan => worst.max(lag.0 as f64),
+            Ending::Cancelled if node.latency.is_some_and(|known| lag.0 as f64 > known) => lag.0 as f64,
+            Ending::Cancelled | Ending::Unsent => return,
+        };
+        match ending {
+            Ending::Satisfied => node.strikes = 0,
+            Ending::Cancelled | Ending::Unsent => {}
+            _ => node.strikes += 1,
+        }
+        node.latency = Some(blend(node.latency, seen, FRESH));
+        node.seen = self.now;
+    }
+
+    fn doubts(&self, node: &Node, middle: Option<f64>) -> bool {
+        middle.is_some_and(|middle| self.belief(node, Some(middle)) > DOUBT * middle)
+    }
+
+    fn doubt_has_changed(&self) -> Option<Case> {
+        let middle = self.survey().middle;
+        let changed = |n: &&Node| n.doubted != self.doubts(n, middle);
+        self.nodes.values().find(changed).map(|n| Case::Node(n.listing.node))
+    }
+
+    fn change_doubt(&mut self, case: Case, out: &mut dyn Actions) {
+        let Case::Node(id) = case else { return };
+        let middle = self.survey().middle;
+        let Some(node) = self.nodes.get(&id) else { return };
+        let (late, doubted) = (self.belief(node, middle) / 1e3, self.doubts(node, middle));
+        let word = if doubted { "doubted" } else { "trusted" };
+        let (middle, strikes) = (middle.unwrap_or(0.0) / 1e3, node.strikes);
+        out.log(&format!("node {:x}: {word}, {late:.0} ms against {middle:.0}, strikes {strikes}", id.0));
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.doubted = doubted;
+        }
+    }
+
+    // Warm-up.
+
+    /// Whether a node can bear so much more. One that has just started bears a multiple of what it can do at that age,
+    /// in any window; this router keeps to its own share of that, by what one warm core does.
+    fn has_room(&self, node: &Node, more: f64) -> bool {
+        let t = &self.tariff;
+        let age = self.now.since(node.listing.started);
+        if node.listing.started.0 == 0 || age >= t.warm_within || t.fall_window.0 == 0 {
+            return true;
+        }
+        let now_share = t.cold_share + (1.0 - t.cold_share) * age.since(t.fall_window).over(t.warm_within);
+        let fastest = self.nodes.values().filter_map(|n| n.latency).fold(f64::MAX, f64::min);
+        let work = self.mean_hint.unwrap_or(fastest.min(self.memory()));
+        let allowed = t.fall_multiple * now_share * (t.fall_window.0 as f64 / work) / t.routers;
+        let sent: f64 =
+            node.sends.iter().filter(|(at, _)| self.now.since(*at) <= t.fall_window).map(|(_, z)| z).sum();
+        sent + more <= allowed * WARM_UP_SAFETY
+    }
+}
+
+fn complete(lookup: &Lookup) -> bool {
+    lookup.parts.len() >= lookup.expected && lookup.expected > 0
+}
+
+fn weight_in(lookup: &Lookup) -> f64 {
+    lookup.parts.iter().filter(|p| p.satisfied).map(|p| p.weight).sum()
+}
+
+fn may_have_run(call: &Call) -> bool {
+    !matches!(call.ending, Some(Ending::NeverRan | Ending::Unsent))
+}
+
+fn blend(known: Option<f64>, new: f64, weight: f64) -> f64 {
+    known.map_or(new, |known| known + (new - known) * weight)
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,25 @@
+//! The one way in which the decision module acts on the world. Every front (the bench's wire today) implements
+//! [`Actions`]; nothing here decides.
+
+use crate::types::{CallNo, LookupId, Micros, NodeId, PartId, TimerId};
+
+pub trait Actions {
+    /// Sends a part to a node; the node need not begin it once `limit` has passed.
+    fn part_call(&mut self, part: PartId, node: NodeId, limit: Micros);
+    /// Answers a lookup from the parts that are in.
+    fn answer(&mut self, lookup: LookupId, whole: bool);
+    /// Turns a lookup away: asking again is harmless, best after `come_back` (zero: no advice).
+    fn nack(&mut self, lookup: LookupId, come_back: Micros);
+    /// Gives a lookup up, with no promise about its effect.
+    fn abort(&mut self, lookup: LookupId);
+    /// Stops waiting for a part call.
+    fn cancel(&mut self, part: PartId, call: CallNo);
+    /// Asks a node for its load report.
+    fn probe(&mut self, node: NodeId);
+    /// Asks the roster for its changes from now on.
+    fn watch_roster(&mut self);
+    /// Asks to be woken after `delay`.
+    fn timer(&mut self, delay: Micros, timer: TimerId);
+    /// Writes one line for the people on call.
+    fn log(&mut self, line: &str);
+}
--- /dev/null
+++ b/src/types.rs
@@ -0,0 +1,228 @@
+//! Ids, times and the plain state that the decision module keeps. No value that tunes a decision lives here.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::ops::{Add, AddAssign};
+
+macro_rules! id {
+    ($($(#[$doc:meta])* $name:ident($inner:ty)),* $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        pub struct $name(pub $inner);
+    )*};
+}
+
+id! {
+    /// A time, or a span of time, in whole microseconds.
+    Micros(u64),
+    LookupId(u64),
+    /// The number that a lookup's parts name their lookup by.
+    QueryNo(u64),
+    PartId(u64),
+    /// A node's address and port, as one opaque number.
+    NodeId(u64),
+    ShardNo(u32),
+    CellNo(u32),
+    IndexNo(u8),
+    CustomerNo(u16),
+    ZoneNo(u16),
+    /// The number of a part call among those of its part, from 0.
+    CallNo(u8),
+    TimerId(u64),
+}
+
+impl Micros {
+    /// The time from `earlier` to this one; zero if `earlier` lies ahead.
+    pub fn since(self, earlier: Micros) -> Micros {
+        Micros(self.0.saturating_sub(earlier.0))
+    }
+
+    pub fn times(self, factor: f64) -> Micros {
+        Micros((self.0 as f64 * factor) as u64)
+    }
+
+    /// How many times `other` goes into this time.
+    pub fn over(self, other: Micros) -> f64 {
+        self.0 as f64 / other.0.max(1) as f64
+    }
+}
+
+impl Add for Micros {
+    type Output = Micros;
+    fn add(self, other: Micros) -> Micros {
+        Micros(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Micros {
+    fn add_assign(&mut self, other: Micros) {
+        *self = *self + other;
+    }
+}
+
+/// What a repeat of a part does.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Repeat {
+    #[default]
+    Idempotent,
+    /// Dropped within the window that starts at the first part call that may have run.
+    Fingerprinted(Micros),
+    OnceOnly,
+}
+
+/// A figure of a load report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gauge {
+    LatencyMs,
+    Queue,
+    Unread,
+}
+
+/// How nodes report their load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Reporting {
+    InAnswers,
+    OnProbe,
+    #[default]
+    Off,
+}
+
+/// How a part call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Satisfied,
+    /// Failed; it may have run.
+    MayHaveRun,
+    /// Stopped at our own word; it may have run and says nothing about the node.
+    Cancelled,
+    /// Failed at the node and certainly never ran.
+    NeverRan,
+    /// Never left the router.
+    Unsent,
+}
+
+/// A node's standing in the roster.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Phase {
+    #[default]
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One row of the roster.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Listing {
+    pub node: NodeId,
+    pub zone: ZoneNo,
+    pub cell: CellNo,
+    pub phase: Phase,
+    /// Its last start; zero: long ago.
+    pub started: Micros,
+}
+
+/// A row of the table of what differs by index.
+#[derive(Clone, Debug, Default)]
+pub struct IndexRow {
+    pub soft: Micros,
+    pub hard: Micros,
+    pub gain: f64,
+    pub late_share: f64,
+    pub repeat: Repeat,
+    pub need: f64,
+    pub least: f64,
+    pub second_step: usize,
+    /// The longest time that a client has given a try: a shorter one tells how much of its time has gone.
+    pub longest_left: Micros,
+}
+
+/// The terms of service that a router reads at its start. A `None` is a limit that is not set.
+#[derive(Clone, Debug, Default)]
+pub struct Tariff {
+    pub indexes: Vec<IndexRow>,
+    /// Lookups a second within each customer's share, over all routers.
+    pub quotas: Vec<f64>,
+    pub over_share_gain: f64,
+    pub routers: f64,
+    pub zone: ZoneNo,
+    pub cells: u32,
+    pub reach: u32,
+    pub call_cost: Micros,
+    pub gauges: Vec<Gauge>,
+    pub reporting: Reporting,
+    pub probing: bool,
+    pub roster_on_request: bool,
+    pub most_calls: Option<usize>,
+    pub second_copies: bool,
+    pub cancels: bool,
+    pub longest_advice: Option<Micros>,
+    pub tick: Micros,
+    pub cold_share: f64,
+    pub warm_within: Micros,
+    pub fall_multiple: f64,
+    pub fall_window: Micros,
+    pub extra_spare: f64,
+    pub extra_ratio: f64,
+    pub extra_window: Option<Micros>,
+}
+
+/// A part call that is still out.
+#[derive(Clone, Copy, Debug)]
+pub struct Owed {
+    pub sent: Micros,
+    pub z: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Node {
+    pub listing: Listing,
+    /// Breaks ties between equal costs.
+    pub lot: u32,
+    /// Smoothed reported latency or queue length.
+    pub report: Option<f64>,
+    /// Smoothed answer latency as this router has seen it, in microseconds, and when that last changed.
+    pub latency: Option<f64>,
+    pub seen: Micros,
+    /// Failures since its last answer.
+    pub strikes: u32,
+    pub doubted: bool,
+    pub probed: Option<Micros>,
+    /// Part calls out; each is taken off when it returns.
+    pub owed: BTreeMap<(PartId, CallNo), Owed>,
+    /// Parts sent of late; emptied by age.
+    pub sends: VecDeque<(Micros, f64)>,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Call {
+    pub node: NodeId,
+    pub sent: Micros,
+    /// `None` while it is out.
+    pub ending: Option<Ending>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Part {
+    pub id: PartId,
+    pub shard: ShardNo,
+    pub weight: f64,
+    pub hint: Option<Micros>,
+    pub calls: Vec<Call>,
+    pub satisfied: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Lookup {
+    pub id: LookupId,
+    pub index: IndexNo,
+    pub customer: CustomerNo,
+    pub came: Micros,
+    /// When its gain falls, and when its client leaves.
+    pub soft: Micros,
+    pub end: Micros,
+    /// Parts of the present step that are to come in all.
+    pub expected: usize,
+    pub parts: Vec<Part>,
+    pub placed: bool,
+    pub second: bool,
+    pub first_whole: bool,
+}
