Count the soft deadline from arrival; m is half of mean o

Cause: a try with less time than others was taken for a late one, but clients give each try 60 to 100% of the hard deadline by habit, so fresh lookups were cut or nacked at once.

--- a/adapter/src/tariff.rs
+++ b/adapter/src/tariff.rs
@@ -81,7 +81,6 @@
         need,
         least: of_extra("minShare").unwrap_or(need),
         second_step: of_extra("secondStep").map_or(0, |n| n as usize),
-        longest_left: Micros(0),
     }
 }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,7 +23,7 @@
 mod tests;
 
 /// m over mean o, the design's own value.
-const PART_RATIO: f64 = 0.2;
+const PART_RATIO: f64 = 0.5;
 /// Weight of a new report or answer against what was known: a few answers make an opinion.
 const FRESH: f64 = 0.3;
 /// A node is doubted when it answers this many times later than the middle node.
@@ -148,11 +148,8 @@
     ) {
         self.now = now;
         self.taken.push_back(now);
-        let row = &mut self.tariff.indexes[usize::from(index.0)];
-        row.longest_left = row.longest_left.max(left);
-        // A try that is given less time than others comes late in its client's time.
-        let gone = if left < row.longest_left { row.hard.since(left) } else { Micros(0) };
-        let (soft, end) = (now + row.soft.since(gone), now + left);
+        let row = &self.tariff.indexes[usize::from(index.0)];
+        let (soft, end) = (now + row.soft.min(left), now + left);
         let lookup = Lookup { id, index, customer, came: now, soft, end, expected, ..Lookup::default() };
         self.lookups.insert(id, lookup);
         self.queries.insert(query, id);
--- a/src/types.rs
+++ b/src/types.rs
@@ -131,8 +131,6 @@
     pub need: f64,
     pub least: f64,
     pub second_step: usize,
-    /// The longest time that a client has given a try: a shorter one tells how much of its time has gone.
-    pub longest_left: Micros,
 }
 
 /// The terms of service that a router reads at its start. A `None` is a limit that is not set.
