--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,13 +31,17 @@
 /// A part is late after this many times the middle latency.
 const LATE: f64 = 3.0;
 /// Copies out, as a share of part calls out: more would add to what makes everything late.
-const COPY_SHARE: f64 = 0.1;
+const COPY_SHARE: f64 = 0.0;
 /// Time to spare asked of a customer beyond its share, as a share of the time left.
 const SPARE_TIME: f64 = 0.5;
 /// A customer's unused share is kept for so many seconds.
 const QUOTA_SECONDS: f64 = 2.0;
 /// Of the warm-up allowance; the rest covers parts heavier than the mean.
 const WARM_UP_SAFETY: f64 = 0.7;
+/// Parts out at a node before their number shows in its answers: it has cores, and a call costs as much as a part.
+const FREE_DEPTH: f64 = 2.0;
+/// Predictions are means: a lookup is as late as the latest of its parts.
+const MARGIN: f64 = 1.4;
 /// Sums of weights may fall so much short.
 const SHORT: f64 = 0.0001;
 /// Failures in a row stretch the memory of a failure up to this power of two.
@@ -196,7 +200,10 @@
     ) {
         self.now = now;
         if let Some(n) = self.nodes.get_mut(&node) {
-            n.owed.remove(&(part, call));
+            let owed = n.owed.remove(&(part, call));
+            if let Some(owed) = owed.filter(|_| ending == Ending::Satisfied) {
+                n.pace = Some(blend(n.pace, lag.0 as f64 / (owed.depth + FREE_DEPTH), FRESH));
+            }
         }
         self.read_report(node, report);
         self.learn(node, lag, ending);
@@ -244,7 +251,7 @@
             let node = self.nodes.entry(listing.node).or_insert_with(|| Node { lot, ..Node::default() });
             if listing.started > node.listing.started {
                 // A new process: what the old one showed is void.
-                (node.report, node.latency, node.strikes) = (None, None, 0);
+                (node.report, node.latency, node.pace, node.strikes) = (None, None, None, 0);
             }
             node.listing = *listing;
         }
@@ -504,6 +511,18 @@
         latency.max(age as f64)
     }
 
+    /// The answer latency of a part that would be the last of so many more: the node's pace goes on, and it answers no
+    /// sooner than what it owes is old.
+    fn predicted(&self, node: &Node, more: f64, middle: Option<f64>) -> f64 {
+        let depth = node.owed.values().map(|owed| owed.z).sum::<f64>() + more;
+        let paced = node.pace.map_or(0.0, |pace| pace * (depth + FREE_DEPTH));
+        if node.strikes == 0 {
+            paced
+        } else {
+            paced.max(self.belief(node, middle))
+        }
+    }
+
     /// How long an opinion of a node lasts unrefreshed: the shortest soft deadline.
     fn memory(&self) -> f64 {
         self.tariff.indexes.iter().map(|row| row.soft.0 as f64).fold(f64::MAX, f64::min)
@@ -574,12 +593,13 @@
                 fixed + survey.m * z
             };
             let Some(node) = self.cheapest(&self.holders(part, &planned), added) else { continue };
-            let latency = self.belief(node, survey.middle);
+            let planned = planned.entry(node.listing.node).or_default();
+            *planned += z;
+            let latency = self.predicted(node, *planned, survey.middle) * MARGIN;
             if latency <= left {
                 plan.in_time += part.weight;
             }
             plan.slowest = plan.slowest.max(latency);
-            *planned.entry(node.listing.node).or_default() += z;
             plan.places.push((at, node.listing.node));
         }
         plan
@@ -596,7 +616,8 @@
         let (part_id, z, number) = (part.id, self.z(part), CallNo(part.calls.len() as u8));
         let limit = lookup.end.since(self.now).max(LEAST_LIMIT);
         let Some(node) = self.nodes.get_mut(&to) else { return };
-        node.owed.insert((part_id, number), Owed { sent: self.now, z });
+        let depth = node.owed.values().map(|owed| owed.z).sum::<f64>() + z;
+        node.owed.insert((part_id, number), Owed { sent: self.now, z, depth });
         let window = self.tariff.fall_window;
         while node.sends.front().is_some_and(|(at, _)| self.now.since(*at) > window) {
             node.sends.pop_front();
--- a/src/types.rs
+++ b/src/types.rs
@@ -168,6 +168,8 @@
 pub struct Owed {
     pub sent: Micros,
     pub z: f64,
+    /// This router's parts out at the node when it was sent, itself included.
+    pub depth: f64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -180,6 +182,8 @@
     /// Smoothed answer latency as this router has seen it, in microseconds, and when that last changed.
     pub latency: Option<f64>,
     pub seen: Micros,
+    /// Smoothed answer latency for each part of this router's that was out, in microseconds.
+    pub pace: Option<f64>,
     /// Failures since its last answer.
     pub strikes: u32,
     pub doubted: bool,
