Time allowed falls with gain for work and beyond a customer's share

Cause: in overload all lookups were nacked alike. Now a lookup may be predicted to take all of its time only where its gain for work is the best told; least 0.5 of it.

--- a/adapter/src/tariff.rs
+++ b/adapter/src/tariff.rs
@@ -35,6 +35,7 @@
             .map(|row| num(row, "quotaPerS").unwrap_or(f64::INFINITY))
             .collect(),
         over_share_gain: num(&all, "overShareWorth").unwrap_or(1.0),
+        gain_by_work: all["valueBy"] == "work",
         routers: num(&all, "balancers").unwrap_or(1.0).max(1.0),
         zone: ZoneNo(num(&all, "zone").unwrap_or(0.0) as u16),
         cells: num(extra, "positions").map_or(1, |n| n as u32).max(1),
@@ -80,6 +81,7 @@
         },
         need,
         least: of_extra("minShare").unwrap_or(need),
+        size: None,
         second_step: of_extra("secondStep").map_or(0, |n| n as usize),
     }
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,7 +32,7 @@
 const LATE: f64 = 3.0;
 /// Copies out, as a share of part calls out: more would add to what makes everything late.
 const COPY_SHARE: f64 = 0.0;
-/// Time to spare asked of a customer beyond its share, as a share of the time left.
+/// The share of its time that a lookup of little gain may be predicted to take.
 const SPARE_TIME: f64 = 0.5;
 /// A customer's unused share is kept for so many seconds.
 const QUOTA_SECONDS: f64 = 2.0;
@@ -152,7 +152,8 @@
     ) {
         self.now = now;
         self.taken.push_back(now);
-        let row = &self.tariff.indexes[usize::from(index.0)];
+        let row = &mut self.tariff.indexes[usize::from(index.0)];
+        row.size = Some(blend(row.size, expected as f64, FRESH * FRESH));
         let (soft, end) = (now + row.soft.min(left), now + left);
         let lookup = Lookup { id, index, customer, came: now, soft, end, expected, ..Lookup::default() };
         self.lookups.insert(id, lookup);
@@ -438,13 +439,13 @@
     fn place_or_nack(&mut self, case: Case, out: &mut dyn Actions) {
         let Case::Lookup(id) = case else { return };
         let Some(lookup) = self.lookups.get(&id) else { return };
-        let plan = self.plan(lookup);
         let (customer, second, least) = (lookup.customer, lookup.second, self.bars(lookup).1);
-        let left = lookup.soft.since(self.now).0 as f64;
-        let over_share = !second && !self.draw_quota(customer);
-        let spare = if over_share && self.tariff.over_share_gain < 1.0 { SPARE_TIME } else { 1.0 };
-        if !second && (plan.in_time + SHORT < least || plan.slowest > left * spare && over_share) {
-            let excess = Micros((plan.slowest - left * spare).max(BEAT.0 as f64) as u64);
+        let within_share = second || self.draw_quota(customer);
+        let Some(lookup) = self.lookups.get(&id) else { return };
+        let left = lookup.soft.since(self.now).0 as f64 * self.time_allowed(lookup, within_share);
+        let plan = self.plan(lookup, left);
+        if !second && plan.in_time + SHORT < least {
+            let excess = Micros((plan.slowest - left).max(BEAT.0 as f64) as u64);
             return self.refuse(id, excess, out);
         }
         if let Some(lookup) = self.lookups.get_mut(&id) {
@@ -455,6 +456,23 @@
         }
     }
 
+    /// The share of its time that a lookup may be predicted to take: all of it where the gain for its work is the best
+    /// there is, less for others, so that they give way first when nodes are busy.
+    fn time_allowed(&self, lookup: &Lookup, within_share: bool) -> f64 {
+        let density = |row: &IndexRow| {
+            if self.tariff.gain_by_work {
+                row.gain
+            } else {
+                row.gain / row.size.unwrap_or(1.0)
+            }
+        };
+        let best =
+            self.tariff.indexes.iter().filter(|row| row.size.is_some()).map(density).fold(0.0, f64::max);
+        let share = if within_share { 1.0 } else { self.tariff.over_share_gain };
+        let rank = if best > 0.0 { share * density(self.row(lookup)) / best } else { 1.0 };
+        SPARE_TIME + (1.0 - SPARE_TIME) * rank
+    }
+
     /// Takes one lookup from the customer's share; false if it has used that up.
     fn draw_quota(&mut self, customer: CustomerNo) -> bool {
         let at = usize::from(customer.0);
@@ -572,7 +590,7 @@
         fit
     }
 
-    fn plan(&self, lookup: &Lookup) -> Plan {
+    fn plan(&self, lookup: &Lookup, left: f64) -> Plan {
         let survey = self.survey();
         let mut planned: BTreeMap<NodeId, f64> = BTreeMap::new();
         let mut plan = Plan { places: Vec::new(), in_time: 0.0, slowest: 0.0 };
@@ -584,7 +602,6 @@
             let heavier = self.z(&lookup.parts[*b]).total_cmp(&self.z(&lookup.parts[*a]));
             holders(a).cmp(&holders(b)).then(heavier).then(a.cmp(b))
         });
-        let left = lookup.soft.since(self.now).0 as f64;
         for at in order {
             let part = &lookup.parts[at];
             let z = self.z(part);
