--- a/adapter/src/tariff.rs
+++ b/adapter/src/tariff.rs
@@ -38,6 +38,7 @@
         gain_by_work: all["valueBy"] == "work",
         routers: num(&all, "balancers").unwrap_or(1.0).max(1.0),
         zone: ZoneNo(num(&all, "zone").unwrap_or(0.0) as u16),
+        crossing: num(&all["charges"], "crossZone").unwrap_or(0.0),
         cells: num(extra, "positions").map_or(1, |n| n as u32).max(1),
         reach: num(extra, "reach").map_or(1, |n| n as u32),
         call_cost: time(extra, "callCost").unwrap_or_default(),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,15 +33,17 @@
 /// Copies out, as a share of part calls out: more would add to what makes everything late.
 const COPY_SHARE: f64 = 0.0;
 /// The share of its time that a lookup of little gain may be predicted to take.
-const SPARE_TIME: f64 = 0.5;
+const SPARE_TIME: f64 = 0.6;
 /// A customer's unused share is kept for so many seconds.
 const QUOTA_SECONDS: f64 = 2.0;
 /// Of the warm-up allowance; the rest covers parts heavier than the mean.
 const WARM_UP_SAFETY: f64 = 0.7;
 /// Parts out at a node before their number shows in its answers: it has cores, and a call costs as much as a part.
 const FREE_DEPTH: f64 = 2.0;
+/// Mean o that the whole gain of a lookup is worth, when a part's crossing of zones is priced.
+const CROSSING: f64 = 25.0;
 /// Predictions are means: a lookup is as late as the latest of its parts.
-const MARGIN: f64 = 1.4;
+const MARGIN: f64 = 1.25;
 /// Sums of weights may fall so much short.
 const SHORT: f64 = 0.0001;
 /// Failures in a row stretch the memory of a failure up to this power of two.
@@ -555,6 +557,9 @@
                 o = o.max(survey.mean_o * ratio);
             }
         }
+        if node.listing.zone != self.tariff.zone {
+            o += survey.mean_o * self.tariff.crossing * CROSSING;
+        }
         o + survey.m * node.owed.values().map(|owed| owed.z).sum::<f64>()
     }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -146,6 +146,8 @@
     pub gain_by_work: bool,
     pub routers: f64,
     pub zone: ZoneNo,
+    /// Price of a part that crosses zones, as a share of its gain.
+    pub crossing: f64,
     pub cells: u32,
     pub reach: u32,
     pub call_cost: Micros,
