Judge what a warming node bears by the work nodes report

Symptom: 209 refused connections at 0:15, then 97% nacked until 0:36 though every box ran again at 0:20. Cause: the allowance of a warming node was judged by the quickest answer, call and wait included, and 0.7 of that: under one part a window. Now the work is as hinted or reported and nine tenths are used. Also covers: releases, crashes. Hurts: a node with less than one core's work a second.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -37,7 +37,7 @@
 /// A customer's unused share is kept for so many seconds.
 const QUOTA_SECONDS: f64 = 2.0;
 /// Of the warm-up allowance; the rest covers parts heavier than the mean.
-const WARM_UP_SAFETY: f64 = 0.7;
+const WARM_UP_SAFETY: f64 = 0.9;
 /// Parts out at a node before their number shows in its answers: it has cores, and a call costs as much as a part.
 const FREE_DEPTH: f64 = 2.0;
 /// Mean o that the whole gain of a lookup is worth, when a part's crossing of zones is priced.
@@ -784,6 +784,14 @@
 
     // Warm-up.
 
+    /// The work of a part of the mean size, in microseconds: as hinted, as nodes report it, or the quickest answers.
+    fn work(&self) -> f64 {
+        let reported = self.tariff.gauges.contains(&Gauge::LatencyMs);
+        let known = |n: &Node| if reported { n.report.map(|ms| ms * 1e3) } else { n.latency };
+        let quickest = || self.nodes.values().filter_map(known).fold(self.memory(), f64::min);
+        self.mean_hint.unwrap_or_else(quickest)
+    }
+
     /// Whether a node can bear so much more. One that has just started bears a multiple of what it can do at that age,
     /// in any window; this router keeps to its own share of that, by what one warm core does.
     fn has_room(&self, node: &Node, more: f64) -> bool {
@@ -793,8 +801,7 @@
             return true;
         }
         let now_share = t.cold_share + (1.0 - t.cold_share) * age.since(t.fall_window).over(t.warm_within);
-        let fastest = self.nodes.values().filter_map(|n| n.latency).fold(f64::MAX, f64::min);
-        let work = self.mean_hint.unwrap_or(fastest.min(self.memory()));
+        let work = self.work();
         let allowed = t.fall_multiple * now_share * (t.fall_window.0 as f64 / work) / t.routers;
         let sent: f64 =
             node.sends.iter().filter(|(at, _)| self.now.since(*at) <= t.fall_window).map(|(_, z)| z).sum();
