--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -138,10 +138,10 @@
         let out = &mut Outlet { instance, reply };
         match code {
             event::PONG => {
-                let (lag, how, node) = (Micros(f.u32()?.into()), f.u16()?, NodeId(f.node()?));
+                let (_lag, how, node) = (f.u32()?, f.u16()?, NodeId(f.node()?));
+                ending(how)?;
                 let report = f.report()?;
-                let ok = ending(how)? == Ending::Satisfied;
-                guard(instance, || brain.probed(now, node, lag, ok, &report, out))
+                guard(instance, || brain.probed(now, node, &report, out))
             }
             event::HEARD => {
                 f.u32()?;
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -221,20 +221,11 @@
         self.settle(out);
     }
 
-    pub fn probed(
-        &mut self,
-        now: Micros,
-        node: NodeId,
-        lag: Micros,
-        ok: bool,
-        report: &[f64],
-        out: &mut dyn Actions,
-    ) {
+    /// A probe that fails says nothing that a part call would not: it gives up sooner and is turned away sooner. One
+    /// that comes back brings the report and no trust: a hung node answers probes briskly.
+    pub fn probed(&mut self, now: Micros, node: NodeId, report: &[f64], out: &mut dyn Actions) {
         self.now = now;
         self.read_report(node, report);
-        if !ok {
-            self.learn(node, lag, Ending::NeverRan);
-        }
         self.settle(out);
     }
 
