Judge warm capacity by the best rate that nodes report

Symptom: service falls at the first drain and stays down; the tenth of nodes with the longest times take a third of it. Cause: a warming node was held to one core's work, so its set's other members carried it for its whole warm-up. Told from slow nodes by the roster's drains and starts. Also covers crashes.

--- a/adapter/src/tariff.rs
+++ b/adapter/src/tariff.rs
@@ -91,6 +91,7 @@
     match name.as_str() {
         Some("mean_ms") => Gauge::LatencyMs,
         Some("depth") => Gauge::Queue,
+        Some("tps") => Gauge::Rate,
         _ => Gauge::Unread,
     }
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -498,7 +498,9 @@
 
     /// A node's o as reported, or from its answers where nothing is reported.
     fn reading(&self, node: &Node) -> Option<f64> {
-        if self.tariff.reporting == Reporting::Off || self.tariff.gauges.iter().all(|g| *g == Gauge::Unread) {
+        if self.tariff.reporting == Reporting::Off
+            || self.tariff.gauges.iter().all(|g| matches!(g, Gauge::Rate | Gauge::Unread))
+        {
             return node.latency;
         }
         // A queue of none is no free ride: a call costs a node work of its own, told in parts of the mean size.
@@ -724,9 +726,10 @@
         let gauges = &self.tariff.gauges;
         let read =
             |wanted: Gauge| gauges.iter().position(|g| *g == wanted).and_then(|at| report.get(at)).copied();
-        let Some(o) = read(Gauge::LatencyMs).or(read(Gauge::Queue)) else { return };
+        let (o, rate) = (read(Gauge::LatencyMs).or(read(Gauge::Queue)), read(Gauge::Rate));
         if let Some(node) = self.nodes.get_mut(&id) {
-            node.report = Some(blend(node.report, o, FRESH));
+            node.report = o.map(|o| blend(node.report, o, FRESH)).or(node.report);
+            node.best_rate = node.best_rate.max(rate.unwrap_or(0.0));
         }
     }
 
@@ -792,8 +795,9 @@
             return true;
         }
         let now_share = t.cold_share + (1.0 - t.cold_share) * age.since(t.fall_window).over(t.warm_within);
-        let work = self.work();
-        let allowed = t.fall_multiple * now_share * (t.fall_window.0 as f64 / work) / t.routers;
+        // What a warm node surely does: the work of one core, or as many parts as one has reported.
+        let rate = self.nodes.values().map(|n| n.best_rate).fold(1e6 / self.work(), f64::max);
+        let allowed = t.fall_multiple * now_share * (t.fall_window.0 as f64 / 1e6 * rate) / t.routers;
         let sent: f64 =
             node.sends.iter().filter(|(at, _)| self.now.since(*at) <= t.fall_window).map(|(_, z)| z).sum();
         sent + more <= allowed * WARM_UP_SAFETY
--- a/src/types.rs
+++ b/src/types.rs
@@ -74,6 +74,8 @@
 pub enum Gauge {
     LatencyMs,
     Queue,
+    /// Parts served a second.
+    Rate,
     Unread,
 }
 
@@ -185,6 +187,8 @@
     pub lot: u32,
     /// Smoothed reported latency or queue length.
     pub report: Option<f64>,
+    /// The highest rate that it has reported, in parts a second.
+    pub best_rate: f64,
     /// Smoothed answer latency as this router has seen it, in microseconds, and when that last changed.
     pub latency: Option<f64>,
     pub seen: Micros,
