--- a/src/brain.rs
+++ b/src/brain.rs
@@ -528,7 +528,9 @@
     /// sooner than what it owes is old.
     fn predicted(&self, node: &Node, more: f64, middle: Option<f64>) -> f64 {
         let depth = node.owed.values().map(|owed| owed.z).sum::<f64>() + more;
-        let paced = node.pace.map_or(0.0, |pace| pace * (depth + FREE_DEPTH));
+        let owing = |owed: &Owed| self.now.since(owed.sent).0 as f64 / (owed.depth + FREE_DEPTH);
+        let paced =
+            node.owed.values().map(owing).fold(node.pace.unwrap_or(0.0), f64::max) * (depth + FREE_DEPTH);
         if node.strikes == 0 {
             paced
         } else {
