--- a/src/brain.rs
+++ b/src/brain.rs
@@ -12,6 +12,8 @@
 //! 5. warm-up: a node that has just started gets this router's share of what it can bear;
 //! 6. roster: a watch kept up, and what it says of draining and gone nodes obeyed at once.
 
+#![allow(clippy::too_many_arguments)] // a decoded field goes straight into a call
+
 use std::collections::{BTreeMap, VecDeque};
 
 use nanorand::{Rng, WyRand};
@@ -26,8 +28,10 @@
 const PART_RATIO: f64 = 0.5;
 /// Weight of a new report or answer against what was known: a few answers make an opinion.
 const FRESH: f64 = 0.3;
-/// A node is doubted when it answers this many times later than the middle node.
+/// A node is doubted when it answers this many times later than the middle node, and until it answers no later than
+/// that many times.
 const DOUBT: f64 = 2.5;
+const TRUST: f64 = 1.5;
 /// A part is late after this many times the middle latency.
 const LATE: f64 = 3.0;
 /// Copies out, as a share of part calls out: more would add to what makes everything late.
@@ -45,7 +49,7 @@
 /// Predictions are means: a lookup is as late as the latest of its parts.
 const MARGIN: f64 = 1.25;
 /// Sums of weights may fall so much short.
-const SHORT: f64 = 0.0001;
+const SHORT: f64 = 0.00005;
 /// Failures in a row stretch the memory of a failure up to this power of two.
 const MOST_STRIKES: u32 = 4;
 const PROBE_EVERY: Micros = Micros(1_000_000);
@@ -138,22 +142,25 @@
         }
     }
 
+    /// Counts a request for the budget, where one is set.
+    fn take(&mut self) {
+        let Some(window) = self.tariff.extra_window else { return };
+        self.taken.push_back(self.now);
+        for times in [&mut self.taken, &mut self.extras] {
+            while times.front().is_some_and(|at| self.now.since(*at) > window) {
+                times.pop_front();
+            }
+        }
+    }
+
     // What a router sees.
 
-    #[allow(clippy::too_many_arguments)]
     pub fn lookup(
-        &mut self,
-        now: Micros,
-        id: LookupId,
-        query: QueryNo,
-        index: IndexNo,
-        customer: CustomerNo,
-        expected: usize,
-        left: Micros,
-        out: &mut dyn Actions,
+        &mut self, now: Micros, id: LookupId, query: QueryNo, index: IndexNo, customer: CustomerNo,
+        expected: usize, left: Micros, out: &mut dyn Actions,
     ) {
         self.now = now;
-        self.taken.push_back(now);
+        self.take();
         let row = &mut self.tariff.indexes[usize::from(index.0)];
         row.size = Some(blend(row.size, expected as f64, FRESH * FRESH));
         let (soft, end) = (now + row.soft.min(left), now + left);
@@ -163,19 +170,12 @@
         self.settle(out);
     }
 
-    #[allow(clippy::too_many_arguments)]
     pub fn part(
-        &mut self,
-        now: Micros,
-        id: PartId,
-        query: QueryNo,
-        shard: ShardNo,
-        weight: f64,
-        hint: Option<Micros>,
-        out: &mut dyn Actions,
+        &mut self, now: Micros, id: PartId, query: QueryNo, shard: ShardNo, weight: f64,
+        hint: Option<Micros>, out: &mut dyn Actions,
     ) {
         self.now = now;
-        self.taken.push_back(now);
+        self.take();
         if let Some(hint) = hint {
             let hint = hint.0 as f64;
             self.mean_hint = Some(blend(self.mean_hint, hint, FRESH * FRESH));
@@ -189,17 +189,9 @@
         self.settle(out);
     }
 
-    #[allow(clippy::too_many_arguments)]
     pub fn returned(
-        &mut self,
-        now: Micros,
-        part: PartId,
-        call: CallNo,
-        node: NodeId,
-        lag: Micros,
-        ending: Ending,
-        report: &[f64],
-        out: &mut dyn Actions,
+        &mut self, now: Micros, part: PartId, call: CallNo, node: NodeId, lag: Micros, ending: Ending,
+        report: &[f64], out: &mut dyn Actions,
     ) {
         self.now = now;
         if let Some(n) = self.nodes.get_mut(&node) {
@@ -269,10 +261,15 @@
         self.settle(out);
     }
 
+    /// How often time alone makes the rules run: no decision by the clock comes later than this.
+    fn beat(&self) -> Micros {
+        BEAT.max(self.tariff.tick)
+    }
+
     fn settle(&mut self, out: &mut dyn Actions) {
         if !self.beating {
             self.beating = true;
-            out.timer(BEAT.max(self.tariff.tick), TimerId(0));
+            out.timer(self.beat(), TimerId(0));
         }
         while let Some((rule, case)) =
             RULES.iter().find_map(|rule| (rule.when)(self).map(|case| (rule, case)))
@@ -349,7 +346,7 @@
         let due = |lk: &&Lookup| {
             let enough = complete(lk) && weight_in(lk) + SHORT > self.bars(lk).1 && weight_in(lk) > 0.0;
             enough
-                && (self.now + BEAT + BEAT >= lk.soft
+                && (self.now + self.beat().times(2.0) >= lk.soft
                     || lk.parts.iter().all(|p| p.satisfied || self.spent(lk, p)))
         };
         self.lookups.values().find(due).map(|lk| Case::Lookup(lk.id))
@@ -384,7 +381,7 @@
         let lost = |lk: &&Lookup| {
             let spent: f64 = lk.parts.iter().filter(|p| self.spent(lk, p)).map(|p| p.weight).sum();
             let short = complete(lk) && spent > 0.0 && 1.0 - spent + SHORT < self.bars(lk).1;
-            short || self.now + BEAT + BEAT >= lk.end
+            short || self.now + self.beat().times(2.0) >= lk.end
         };
         self.lookups.values().find(lost).map(|lk| Case::Lookup(lk.id))
     }
@@ -496,21 +493,18 @@
         Survey { mean_o, m: mean_o * PART_RATIO, middle: latencies.get(latencies.len() / 2).copied() }
     }
 
-    /// A node's o as reported, or from its answers where nothing is reported.
+    /// A node's o as reported, or from its answers where it is not.
     fn reading(&self, node: &Node) -> Option<f64> {
-        if self.tariff.reporting == Reporting::Off
-            || self.tariff.gauges.iter().all(|g| matches!(g, Gauge::Rate | Gauge::Unread))
-        {
+        let t = &self.tariff;
+        let silent = t.reporting == Reporting::Off || t.reporting == Reporting::OnProbe && !t.probing;
+        if silent || t.gauges.iter().all(|g| matches!(g, Gauge::Rate | Gauge::Unread)) {
             return node.latency;
         }
+        if t.gauges.contains(&Gauge::LatencyMs) {
+            return node.report.or(node.latency.map(|micros| micros / 1e3));
+        }
         // A queue of none is no free ride: a call costs a node work of its own, told in parts of the mean size.
-        let queues = !self.tariff.gauges.contains(&Gauge::LatencyMs);
-        let call = if queues {
-            self.mean_hint.map_or(1.0, |hint| self.tariff.call_cost.0 as f64 / hint)
-        } else {
-            0.0
-        };
-        node.report.map(|o| o + call)
+        node.report.map(|queue| queue + self.mean_hint.map_or(1.0, |hint| t.call_cost.0 as f64 / hint))
     }
 
     /// The answer latency to expect: as smoothed, fading towards the middle, and no less than the oldest call's age.
@@ -546,11 +540,8 @@
     /// The design's o of a node, our own parts out included.
     fn o(&self, node: &Node, survey: &Survey) -> f64 {
         let mut o = self.reading(node).unwrap_or(survey.mean_o);
-        if let Some(middle) = survey.middle {
-            let ratio = self.belief(node, survey.middle) / middle.max(1.0);
-            if ratio > DOUBT {
-                o = o.max(survey.mean_o * ratio);
-            }
+        if let Some(middle) = survey.middle.filter(|_| node.doubted) {
+            o = o.max(survey.mean_o * self.belief(node, survey.middle) / middle.max(1.0));
         }
         if node.listing.zone != self.tariff.zone {
             o += survey.mean_o * self.tariff.crossing * CROSSING;
@@ -640,7 +631,7 @@
             node.sends.pop_front();
         }
         node.sends.push_back((self.now, z.max(1.0)));
-        if number.0 > 0 {
+        if number.0 > 0 && self.tariff.extra_window.is_some() {
             self.extras.push_back(self.now);
         }
         if let Some(lookup) = self.lookups.get_mut(&id) {
@@ -657,16 +648,21 @@
         let first_run = calls.iter().find(|c| may_have_run(c)).map(|c| c.sent);
         let harmless = match self.row(lookup).repeat {
             Repeat::Idempotent => true,
-            // One tick is kept back: the window is the nodes', and the call has yet to reach one.
+            // Two beats are kept back: the window is the nodes', and the call has yet to reach one.
             Repeat::Fingerprinted(window) => {
-                first_run.is_none_or(|sent| self.now.since(sent) + self.tariff.tick + BEAT < window)
+                first_run.is_none_or(|sent| self.now.since(sent) + self.beat().times(2.0) < window)
             }
             Repeat::OnceOnly => first_run.is_none(),
         };
         let tries_left = self.tariff.most_calls.is_none_or(|most| calls.len() < most) && calls.len() < 255;
         let alone = self.tariff.second_copies || calls.iter().all(|c| c.ending.is_some());
         let budget = calls.is_empty() || self.within_budget();
-        !part.satisfied && harmless && tries_left && alone && budget && self.now + BEAT + BEAT < lookup.end
+        !part.satisfied
+            && harmless
+            && tries_left
+            && alone
+            && budget
+            && self.now + self.beat().times(2.0) < lookup.end
     }
 
     fn within_budget(&self) -> bool {
@@ -756,7 +752,8 @@
     }
 
     fn doubts(&self, node: &Node, middle: Option<f64>) -> bool {
-        middle.is_some_and(|middle| self.belief(node, Some(middle)) > DOUBT * middle)
+        let bar = if node.doubted { TRUST } else { DOUBT };
+        middle.is_some_and(|middle| self.belief(node, Some(middle)) > bar * middle)
     }
 
     fn doubt_has_changed(&self) -> Option<Case> {
