--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,8 +24,8 @@
 #[cfg(test)]
 mod tests;
 
-/// m over mean o, the design's own value.
-const PART_RATIO: f64 = 0.5;
+/// m over mean o: nodes do a few parts at a time, so one more costs nearly as much as the call that takes it there.
+const PART_RATIO: f64 = 0.8;
 /// Weight of a new report or answer against what was known: a few answers make an opinion.
 const FRESH: f64 = 0.3;
 /// A node is doubted when it answers this many times later than the middle node, and until it answers no later than
@@ -45,7 +45,7 @@
 /// Parts out at a node before their number shows in its answers: it has cores, and a call costs as much as a part.
 const FREE_DEPTH: f64 = 2.0;
 /// Mean o that the whole gain of a lookup is worth, when a part's crossing of zones is priced.
-const CROSSING: f64 = 25.0;
+const CROSSING: f64 = 20.0;
 /// Predictions are means: a lookup is as late as the latest of its parts.
 const MARGIN: f64 = 1.25;
 /// Sums of weights may fall so much short.
@@ -752,8 +752,14 @@
     }
 
     fn doubts(&self, node: &Node, middle: Option<f64>) -> bool {
-        let bar = if node.doubted { TRUST } else { DOUBT };
-        middle.is_some_and(|middle| self.belief(node, Some(middle)) > bar * middle)
+        let late = |middle: f64| {
+            if node.doubted {
+                TRUST * middle
+            } else {
+                (DOUBT * middle).max(self.memory() / 4.0)
+            }
+        };
+        middle.is_some_and(|middle| self.belief(node, Some(middle)) > late(middle))
     }
 
     fn doubt_has_changed(&self) -> Option<Case> {
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -1,1 +1,396 @@
+use test_case::test_case;
 
+use super::*;
+
+mod helpers;
+use helpers::*;
+
+const OUT: Option<Ending> = None;
+const OK: Option<Ending> = Some(Ending::Satisfied);
+const RAN: Option<Ending> = Some(Ending::MayHaveRun);
+const NEVER: Option<Ending> = Some(Ending::NeverRan);
+
+fn node(brain: &mut Brain, id: u64) -> &mut Node {
+    brain.nodes.get_mut(&NodeId(id)).expect("a node of the router")
+}
+
+fn places(brain: &Brain, parts: usize) -> Vec<u64> {
+    let lookup = lookup(brain, &vec![1.0 / parts as f64; parts], &[]);
+    brain.plan(&lookup, 1e6).places.iter().map(|(_, node)| node.0).collect()
+}
+
+// The cost model.
+
+#[test]
+fn a_chosen_node_draws_the_other_parts() {
+    let mut brain = router(tariff(), 2);
+    node(&mut brain, 2).report = Some(90.0);
+    assert_eq!(places(&brain, 3), [2, 2, 2]);
+}
+
+#[test]
+fn own_parts_out_add_to_o() {
+    let mut brain = router(tariff(), 2);
+    node(&mut brain, 2).report = Some(90.0);
+    owe(&mut brain, 2, 1, ms(1));
+    assert_eq!(places(&brain, 1), [1]);
+}
+
+#[test]
+fn a_node_without_report_or_answers_costs_the_mean() {
+    let mut brain = router(tariff(), 3);
+    (node(&mut brain, 1).report, node(&mut brain, 3).report) = (Some(300.0), None);
+    node(&mut brain, 3).latency = None;
+    assert_eq!(brain.o(&brain.nodes[&NodeId(3)], &brain.survey()), 200.0);
+}
+
+#[test]
+fn empty_queues_still_tell_a_busy_node_from_an_idle_one() {
+    let mut brain = router(Tariff { gauges: vec![Gauge::Queue], ..tariff() }, 2);
+    brain.nodes.values_mut().for_each(|n| n.report = Some(0.0));
+    owe(&mut brain, 1, 1, ms(1));
+    assert_eq!(places(&brain, 1), [2]);
+}
+
+#[test]
+fn a_priced_crossing_tips_the_balance() {
+    let mut brain = router(Tariff { crossing: 0.04, ..tariff() }, 2);
+    node(&mut brain, 1).listing.zone = ZoneNo(1);
+    node(&mut brain, 2).report = Some(110.0);
+    assert_eq!(places(&brain, 1), [2]);
+}
+
+#[test_case(3, 2, 5, true; "first holder")]
+#[test_case(3, 0, 5, true; "next cell, round the ring")]
+#[test_case(3, 1, 5, false; "not a holder")]
+fn a_shard_is_held_by_reach_cells(cells: u32, cell: u32, shard: u32, held: bool) {
+    let brain = router(Tariff { cells, reach: 2, ..tariff() }, 0);
+    let listing = Listing { cell: CellNo(cell), ..Listing::default() };
+    assert_eq!(brain.holds(&Node { listing, ..Node::default() }, ShardNo(shard)), held);
+}
+
+// Rule 1: one final answer, in time, and nothing after it.
+
+#[test]
+fn a_lookup_is_given_up_before_its_client_is() {
+    let mut brain = router(tariff(), 2);
+    let held = lookup(&brain, &[1.0], &[OUT]);
+    brain.now = Micros(held.end.0 - ms(15).0);
+    hold(&mut brain, held);
+    let mut tape = Tape::default();
+    brain.settle(&mut tape);
+    assert_eq!(tape.0, [Did::Nack(Micros(0)), Did::Cancel(PartId(1), CallNo(0))]);
+    assert!(brain.lookups.is_empty() && brain.parts.is_empty());
+}
+
+#[test]
+fn late_returns_and_unknown_lapses_are_passed_over() {
+    let (mut brain, mut tape) = (router(tariff(), 1), Tape::default());
+    owe(&mut brain, 1, 1, ms(5));
+    let (now, part, node) = (brain.now, PartId(1000), NodeId(1));
+    brain.returned(now, part, CallNo(0), node, ms(5), Ending::Satisfied, &[80.0], &mut tape);
+    brain.lapsed(now, LookupId(9), &mut tape);
+    assert!(tape.0.is_empty() && brain.nodes[&node].owed.is_empty());
+}
+
+// Rule 2: no effect twice.
+
+#[test_case(Repeat::OnceOnly, &[RAN], 0, false; "once only, may have run")]
+#[test_case(Repeat::OnceOnly, &[OUT], 0, false; "once only, still out")]
+#[test_case(Repeat::OnceOnly, &[NEVER], 0, true; "once only, never ran")]
+#[test_case(Repeat::Fingerprinted(ms(500)), &[RAN], 400, true; "fingerprinted, inside the window")]
+#[test_case(Repeat::Fingerprinted(ms(500)), &[RAN], 490, false; "fingerprinted, too near its end")]
+#[test_case(Repeat::Fingerprinted(ms(500)), &[NEVER], 900, true; "fingerprinted, never ran")]
+#[test_case(Repeat::Idempotent, &[RAN], 900, true; "idempotent")]
+#[test_case(Repeat::Idempotent, &[OK], 0, false; "satisfied")]
+#[test_case(Repeat::Idempotent, &[RAN, RAN, RAN], 0, false; "no calls left")]
+#[test_case(Repeat::Idempotent, &[RAN], 2985, false; "no time left")]
+fn further_calls_keep_the_rules(repeat: Repeat, calls: &[Option<Ending>], later: u64, may: bool) {
+    let mut brain = router(Tariff { most_calls: Some(3), ..tariff() }, 2);
+    brain.tariff.indexes[0].repeat = repeat;
+    let lookup = lookup(&brain, &[1.0], calls);
+    brain.now += ms(later);
+    assert_eq!(brain.may_call(&lookup, &lookup.parts[0]), may);
+}
+
+#[test]
+fn no_second_copy_where_none_is_allowed() {
+    let brain = router(Tariff { second_copies: false, ..tariff() }, 2);
+    let lookup = lookup(&brain, &[1.0], &[OUT]);
+    assert!(!brain.may_call(&lookup, &lookup.parts[0]));
+}
+
+#[test_case(Repeat::Idempotent, RAN, false, Did::Nack(Micros(0)); "idempotent")]
+#[test_case(Repeat::OnceOnly, NEVER, false, Did::Nack(Micros(0)); "once only, never ran")]
+#[test_case(Repeat::OnceOnly, RAN, false, Did::Abort; "once only, may have run")]
+#[test_case(Repeat::OnceOnly, NEVER, true, Did::Abort; "once only, its first step ran")]
+#[test_case(Repeat::Fingerprinted(ms(500)), OUT, false, Did::Abort; "fingerprinted, still out")]
+fn a_nack_promises_that_nothing_ran(repeat: Repeat, call: Option<Ending>, second: bool, did: Did) {
+    let mut brain = router(Tariff { cancels: false, ..tariff() }, 1);
+    brain.tariff.indexes[0].repeat = repeat;
+    let held = lookup(&brain, &[1.0], &[call]);
+    hold(&mut brain, Lookup { second, ..held });
+    let mut tape = Tape::default();
+    brain.refuse(LookupId(1), ms(50), &mut tape);
+    assert_eq!(tape.0, [did]);
+}
+
+#[test]
+fn a_nack_advises_no_longer_than_clients_heed() {
+    let mut brain = router(Tariff { longest_advice: Some(ms(300)), ..tariff() }, 1);
+    let held = lookup(&brain, &[1.0], &[]);
+    hold(&mut brain, held);
+    let mut tape = Tape::default();
+    brain.refuse(LookupId(1), ms(800), &mut tape);
+    assert_eq!(tape.0, [Did::Nack(ms(300))]);
+}
+
+// Rule 3: drains.
+
+#[test_case(Phase::Draining)]
+#[test_case(Phase::Gone)]
+fn nothing_goes_to_a_node_that_leaves(phase: Phase) {
+    let mut brain = router(tariff(), 2);
+    node(&mut brain, 1).listing.phase = phase;
+    assert_eq!(places(&brain, 2), [2, 2]);
+}
+
+#[test]
+fn a_node_off_a_full_list_is_gone() {
+    let mut brain = router(tariff(), 2);
+    owe(&mut brain, 1, 1, ms(1));
+    let now = brain.now;
+    brain.roster(now, &[Listing { node: NodeId(2), ..Listing::default() }], true, &mut Tape::default());
+    assert_eq!(brain.nodes[&NodeId(1)].listing.phase, Phase::Gone);
+}
+
+#[test]
+fn a_broken_watch_is_asked_for_again() {
+    let mut brain = router(tariff(), 0);
+    let (now, mut tape) = (brain.now, Tape::default());
+    brain.roster_failed(now, &mut tape);
+    brain.elapsed(now + ASK_AGAIN + ASK_AGAIN, TimerId(0), &mut tape);
+    assert_eq!(tape.0, [Did::Log, Did::Watch]);
+}
+
+// Rule 4: warm-up. One core does ten parts of 100 ms a second; a quarter of twice that, and nine tenths of it, is 4.5.
+
+#[test_case(1, 4, true; "within the allowance")]
+#[test_case(1, 5, false; "beyond it")]
+#[test_case(2, 3, false; "beyond one router's share of it")]
+fn a_cold_node_gets_its_allowance(routers: u32, parts: u32, room: bool) {
+    let mut brain = router(Tariff { routers: routers.into(), ..tariff() }, 1);
+    let now = brain.now;
+    node(&mut brain, 1).listing.started = now;
+    node(&mut brain, 1).sends = (1..parts).map(|_| (now, 1.0)).collect();
+    assert_eq!(brain.has_room(&brain.nodes[&NodeId(1)], 1.0), room);
+}
+
+#[test]
+fn a_warm_node_has_room() {
+    let mut brain = router(tariff(), 1);
+    let now = brain.now;
+    node(&mut brain, 1).listing.started = Micros(now.0 - ms(10_000).0 + 1);
+    brain.now += ms(1);
+    node(&mut brain, 1).sends = (1..100).map(|_| (now, 1.0)).collect();
+    assert!(brain.has_room(&brain.nodes[&NodeId(1)], 1.0));
+}
+
+#[test]
+fn a_reported_rate_raises_the_allowance() {
+    let mut brain = router(tariff(), 2);
+    let now = brain.now;
+    (node(&mut brain, 1).listing.started, node(&mut brain, 2).best_rate) = (now, 20.0);
+    assert!(brain.has_room(&brain.nodes[&NodeId(1)], 8.0));
+}
+
+// Rule 5: honest answers.
+
+#[test_case(1.0, 1.0, &[0.6, 0.4], Some(true); "all in")]
+#[test_case(0.9, 0.5, &[0.9], Some(true); "enough for whole")]
+#[test_case(1.0, 0.6, &[0.7], Some(false); "enough for part")]
+#[test_case(1.0, 0.8, &[0.7], None; "too little")]
+fn answers_are_honest_at_the_soft_deadline(need: f64, least: f64, weights: &[f64], whole: Option<bool>) {
+    let mut brain = router(Tariff { second_copies: false, ..tariff() }, 1);
+    (brain.tariff.indexes[0].need, brain.tariff.indexes[0].least) = (need, least);
+    let mut held = lookup(&brain, weights, &[OK]);
+    let rest = 1.0 - weights.iter().sum::<f64>();
+    if rest > 0.001 {
+        let out = lookup(&brain, &[rest], &[OUT]).parts.remove(0);
+        held.parts.push(Part { id: PartId(99), ..out });
+        held.expected += 1;
+    }
+    brain.now = held.soft;
+    hold(&mut brain, held);
+    let mut tape = Tape::default();
+    brain.settle(&mut tape);
+    assert_eq!(tape.0.first().copied(), whole.map(Did::Answer));
+}
+
+#[test_case(true, true)]
+#[test_case(false, false)]
+fn a_second_step_is_whole_only_after_a_whole_first(first_whole: bool, whole: bool) {
+    let mut brain = router(tariff(), 1);
+    let held = lookup(&brain, &[1.0], &[OK]);
+    hold(&mut brain, Lookup { second: true, first_whole, ..held });
+    let mut tape = Tape::default();
+    brain.settle(&mut tape);
+    assert_eq!(tape.0, [Did::Answer(whole)]);
+}
+
+#[test]
+fn the_first_answer_waits_for_as_many_parts_as_are_to_come() {
+    let mut brain = router(tariff(), 1);
+    brain.tariff.indexes[0].second_step = 3;
+    let held = lookup(&brain, &[0.5, 0.5], &[OK]);
+    hold(&mut brain, held);
+    brain.settle(&mut Tape::default());
+    assert_eq!((brain.lookups[&LookupId(1)].expected, brain.lookups[&LookupId(1)].second), (2, true));
+}
+
+// Rule 6: the budget.
+
+#[test_case(1.0, 0.0, 0, true; "a spare one")]
+#[test_case(1.0, 0.0, 1, false; "spare ones used up")]
+#[test_case(0.0, 0.5, 0, true; "a share of what was taken")]
+#[test_case(0.0, 0.4, 0, false; "too small a share")]
+fn further_calls_stay_within_the_budget(extra_spare: f64, extra_ratio: f64, made: usize, may: bool) {
+    let budget = Tariff { extra_spare, extra_ratio, extra_window: Some(ms(1000)), ..tariff() };
+    let mut brain = router(budget, 2);
+    (brain.taken, brain.extras) = (vec![brain.now; 2].into(), vec![brain.now; made].into());
+    assert_eq!(brain.within_budget(), may);
+}
+
+#[test]
+fn the_budget_tables_are_emptied_by_age() {
+    let mut brain = router(Tariff { extra_window: Some(ms(1000)), ..tariff() }, 0);
+    brain.extras = vec![Micros(0); 5].into();
+    brain.take();
+    assert!(brain.extras.is_empty());
+}
+
+// The six mechanisms.
+
+#[test]
+fn a_hung_node_is_believed_by_what_it_owes() {
+    let mut brain = router(tariff(), 2);
+    node(&mut brain, 1).report = Some(10.0);
+    owe(&mut brain, 1, 1, ms(800));
+    brain.settle(&mut Tape::default());
+    assert!(brain.nodes[&NodeId(1)].doubted);
+    assert_eq!(places(&brain, 1), [2]);
+}
+
+#[test_case(300, false, false; "late, but not by the clock of a lookup")]
+#[test_case(400, false, true; "late")]
+#[test_case(200, true, true; "not yet near the middle")]
+#[test_case(140, true, false; "near the middle again")]
+fn doubt_comes_late_and_goes_late(latency: u64, doubted: bool, doubts: bool) {
+    let mut brain = router(Tariff::default(), 0);
+    brain.tariff.indexes = vec![IndexRow { soft: ms(1400), ..IndexRow::default() }];
+    let late = Node { latency: Some(latency as f64 * 1e3), doubted, seen: brain.now, ..Node::default() };
+    assert_eq!(brain.doubts(&late, Some(100_000.0)), doubts);
+}
+
+#[test_case(Ending::NeverRan)]
+#[test_case(Ending::MayHaveRun)]
+fn a_failure_counts_as_a_late_answer(ending: Ending) {
+    let mut brain = router(tariff(), 1);
+    brain.learn(NodeId(1), ms(2), ending);
+    let failed = &brain.nodes[&NodeId(1)];
+    assert!(failed.strikes == 1 && failed.latency > Some(300_000.0));
+}
+
+#[test]
+fn opinions_fade_without_answers() {
+    let mut brain = router(tariff(), 1);
+    node(&mut brain, 1).latency = Some(900_000.0);
+    brain.now += ms(5000);
+    assert!(brain.belief(&brain.nodes[&NodeId(1)], Some(100_000.0)) < 110_000.0);
+}
+
+#[test]
+fn a_failed_call_is_made_again_elsewhere() {
+    let mut brain = router(tariff(), 2);
+    let held = lookup(&brain, &[1.0], &[RAN]);
+    hold(&mut brain, held);
+    let mut tape = Tape::default();
+    brain.settle(&mut tape);
+    assert_eq!(tape.0, [Did::Call(PartId(1), NodeId(2))]);
+}
+
+#[test_case(200, false; "not late")]
+#[test_case(400, true; "late")]
+fn a_late_part_gets_a_copy(age: u64, copied: bool) {
+    let mut brain = router(tariff(), 3);
+    let held = lookup(&brain, &[1.0], &[OUT]);
+    brain.now += ms(age);
+    hold(&mut brain, held);
+    assert_eq!(brain.needs_a_copy().is_some(), copied);
+}
+
+#[test]
+fn copies_do_not_feed_a_jam() {
+    let mut brain = router(tariff(), 3);
+    let mut held = lookup(&brain, &[0.5, 0.5], &[OUT]);
+    held.parts[0].calls.push(Call { node: NodeId(2), sent: brain.now, ending: OUT });
+    brain.now += ms(400);
+    hold(&mut brain, held);
+    assert!(brain.needs_a_copy().is_none());
+}
+
+#[test]
+fn a_lookup_that_would_be_late_is_nacked_at_once() {
+    let mut brain = router(tariff(), 1);
+    node(&mut brain, 1).pace = Some(200_000.0);
+    owe(&mut brain, 1, 4, ms(1));
+    let held = lookup(&brain, &[1.0], &[]);
+    hold(&mut brain, held);
+    let mut tape = Tape::default();
+    brain.settle(&mut tape);
+    assert!(matches!(tape.0[..], [Did::Nack(_)]));
+}
+
+#[test]
+fn pace_is_no_better_than_the_parts_out_show() {
+    let mut brain = router(tariff(), 1);
+    owe(&mut brain, 1, 1, ms(900));
+    assert!(brain.predicted(&brain.nodes[&NodeId(1)], 1.0, None) >= 900_000.0);
+}
+
+#[test_case(5.0, 1.0, true, 1.0; "the best gain")]
+#[test_case(1.0, 0.0, true, 0.68; "less gain for its work")]
+#[test_case(5.0, 0.0, false, 0.6; "beyond the customer's share")]
+fn time_allowed_follows_gain(gain: f64, over_share_gain: f64, within_share: bool, allowed: f64) {
+    let mut brain = router(Tariff { gain_by_work: true, over_share_gain, ..tariff() }, 0);
+    let row = IndexRow { size: Some(4.0), ..brain.tariff.indexes[0].clone() };
+    brain.tariff.indexes = vec![IndexRow { gain, ..row.clone() }, IndexRow { gain: 5.0, ..row }];
+    let lookup = lookup(&brain, &[1.0], &[]);
+    assert!((brain.time_allowed(&lookup, within_share) - allowed).abs() < 1e-9);
+}
+
+#[test]
+fn a_share_is_used_up_and_comes_back() {
+    let mut brain = router(Tariff { quotas: vec![1.0], ..tariff() }, 0);
+    brain.quota_left = vec![(0.0, Micros(0))];
+    let drawn: Vec<bool> = (0..3).map(|_| brain.draw_quota(CustomerNo(0))).collect();
+    brain.now += ms(1000);
+    assert_eq!((drawn, brain.draw_quota(CustomerNo(0))), (vec![true, true, false], true));
+}
+
+#[test]
+fn nodes_are_probed_once_a_second_where_only_probes_report() {
+    let mut brain = router(Tariff { reporting: Reporting::OnProbe, probing: true, ..tariff() }, 1);
+    let mut tape = Tape::default();
+    brain.settle(&mut tape);
+    brain.settle(&mut tape);
+    assert_eq!(tape.0, [Did::Probe(NodeId(1))]);
+}
+
+#[test]
+fn a_failed_probe_is_no_strike() {
+    let mut brain = router(tariff(), 1);
+    let now = brain.now;
+    brain.probed(now, NodeId(1), &[], &mut Tape::default());
+    assert_eq!(brain.nodes[&NodeId(1)].strikes, 0);
+}
--- /dev/null
+++ b/src/brain/tests/helpers.rs
@@ -0,0 +1,117 @@
+//! State for the tests, and a tape of what the module did.
+
+use super::*;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Did {
+    Call(PartId, NodeId),
+    Answer(bool),
+    Nack(Micros),
+    Abort,
+    Cancel(PartId, CallNo),
+    Probe(NodeId),
+    Watch,
+    Log,
+}
+
+#[derive(Default)]
+pub struct Tape(pub Vec<Did>);
+
+impl Actions for Tape {
+    fn part_call(&mut self, part: PartId, node: NodeId, _limit: Micros) {
+        self.0.push(Did::Call(part, node));
+    }
+    fn answer(&mut self, _lookup: LookupId, whole: bool) {
+        self.0.push(Did::Answer(whole));
+    }
+    fn nack(&mut self, _lookup: LookupId, come_back: Micros) {
+        self.0.push(Did::Nack(come_back));
+    }
+    fn abort(&mut self, _lookup: LookupId) {
+        self.0.push(Did::Abort);
+    }
+    fn cancel(&mut self, part: PartId, call: CallNo) {
+        self.0.push(Did::Cancel(part, call));
+    }
+    fn probe(&mut self, node: NodeId) {
+        self.0.push(Did::Probe(node));
+    }
+    fn watch_roster(&mut self) {
+        self.0.push(Did::Watch);
+    }
+    fn timer(&mut self, _delay: Micros, _timer: TimerId) {}
+    fn log(&mut self, _line: &str) {
+        self.0.push(Did::Log);
+    }
+}
+
+pub fn ms(n: u64) -> Micros {
+    Micros(n * 1000)
+}
+
+/// One cell, one index: soft deadline 1 s, hard 3 s, whole answers only, reports of latency.
+pub fn tariff() -> Tariff {
+    let index =
+        IndexRow { soft: ms(1000), hard: ms(3000), gain: 1.0, need: 1.0, least: 1.0, ..IndexRow::default() };
+    Tariff {
+        indexes: vec![index],
+        routers: 1.0,
+        cells: 1,
+        reach: 1,
+        gauges: vec![Gauge::LatencyMs],
+        reporting: Reporting::InAnswers,
+        second_copies: true,
+        cancels: true,
+        cold_share: 0.25,
+        warm_within: ms(10_000),
+        fall_multiple: 2.0,
+        fall_window: ms(1000),
+        ..Tariff::default()
+    }
+}
+
+/// A router at 10 s, with nodes 1 to `nodes` that all report 100 ms and answer in 100 ms.
+pub fn router(tariff: Tariff, nodes: u64) -> Brain {
+    let mut brain = Brain::new(tariff, 1);
+    brain.now = ms(10_000);
+    for id in 1..=nodes {
+        let listing = Listing { node: NodeId(id), ..Listing::default() };
+        let known = (Some(100.0), Some(100_000.0));
+        let node = Node { listing, report: known.0, latency: known.1, seen: brain.now, ..Node::default() };
+        brain.nodes.insert(NodeId(id), node);
+    }
+    brain
+}
+
+/// Lookup 1 with parts 1 to n of the weights given; each has had the calls given, all to node 1 a moment ago.
+pub fn lookup(brain: &Brain, weights: &[f64], calls: &[Option<Ending>]) -> Lookup {
+    let call = |ending: &Option<Ending>| Call { node: NodeId(1), sent: brain.now, ending: *ending };
+    let part = |(at, weight): (usize, &f64)| Part {
+        id: PartId(at as u64 + 1),
+        weight: *weight,
+        satisfied: calls.contains(&Some(Ending::Satisfied)),
+        calls: calls.iter().map(call).collect(),
+        ..Part::default()
+    };
+    Lookup {
+        id: LookupId(1),
+        soft: brain.now + ms(1000),
+        end: brain.now + ms(3000),
+        expected: weights.len(),
+        parts: weights.iter().enumerate().map(part).collect(),
+        placed: !calls.is_empty(),
+        ..Lookup::default()
+    }
+}
+
+pub fn hold(brain: &mut Brain, lookup: Lookup) {
+    brain.parts.extend(lookup.parts.iter().map(|p| (p.id, lookup.id)));
+    brain.lookups.insert(lookup.id, lookup);
+}
+
+/// Parts out at a node for so long.
+pub fn owe(brain: &mut Brain, node: u64, parts: u64, age: Micros) {
+    let sent = Micros(brain.now.0 - age.0);
+    let owed = (0..parts).map(|n| ((PartId(1000 + n), CallNo(0)), Owed { sent, z: 1.0, depth: 1.0 }));
+    brain.nodes.get_mut(&NodeId(node)).expect("a node of the router").owed.extend(owed);
+}
