Holders predicted late give way to those in time before the cost decides

Cause: the cheapest plan was nacked where another holder would have been in time: the discount for a chosen node stacked parts behind it. Smallest departure: the same cost decides among the holders predicted in time, if there are any. Hurts where predictions are off: then it spreads parts over more calls.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -600,10 +600,18 @@
                 let fixed = if planned.contains_key(&n.listing.node) { 0.0 } else { self.o(n, &survey) };
                 fixed + survey.m * z
             };
-            let Some(node) = self.cheapest(&self.holders(part, &planned), added) else { continue };
-            let planned = planned.entry(node.listing.node).or_default();
-            *planned += z;
-            let latency = self.predicted(node, *planned, survey.middle) * MARGIN;
+            let latency = |n: &Node| {
+                let more = planned.get(&n.listing.node).copied().unwrap_or(0.0) + z;
+                self.predicted(n, more, survey.middle) * MARGIN
+            };
+            // A discount stacks parts behind the chosen: holders that would answer late give way to those that would not.
+            let mut holders = self.holders(part, &planned);
+            if holders.iter().any(|n| latency(n) <= left) {
+                holders.retain(|n| latency(n) <= left);
+            }
+            let Some(node) = self.cheapest(&holders, added) else { continue };
+            let latency = latency(node);
+            *planned.entry(node.listing.node).or_default() += z;
             if latency <= left {
                 plan.in_time += part.weight;
             }
