--- a/adapter/src/tariff.rs
+++ b/adapter/src/tariff.rs
@@ -67,13 +67,10 @@
 
 fn index(at: usize, row: &Value, extra: &Value) -> IndexRow {
     let of_extra = |key: &str| extra[key].get(at).and_then(Value::as_f64);
-    let hard = time(row, "deadline").unwrap_or(Micros(u64::MAX));
     let need = of_extra("classNeed").unwrap_or(1.0);
     IndexRow {
-        soft: time(row, "onTime").unwrap_or(hard),
-        hard,
+        soft: time(row, "onTime").or(time(row, "deadline")).unwrap_or(Micros(u64::MAX)),
         gain: num(row, "worth").unwrap_or(1.0),
-        late_share: num(row, "lateValue").unwrap_or(0.0),
         repeat: match row["semantics"].as_str() {
             Some("idempotent") => Repeat::Idempotent,
             Some("deduplicated") => Repeat::Fingerprinted(time(row, "window").unwrap_or_default()),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -32,10 +32,10 @@
 /// that many times.
 const DOUBT: f64 = 2.5;
 const TRUST: f64 = 1.5;
+/// An answer within this share of the shortest soft deadline holds no lookup back, whatever the middle.
+const BRIEF: f64 = 0.25;
 /// A part is late after this many times the middle latency.
-const LATE: f64 = 3.0;
-/// Copies out, as a share of part calls out: more would add to what makes everything late.
-const COPY_SHARE: f64 = 0.0;
+const LATE: f64 = 4.0;
 /// The share of its time that a lookup of little gain may be predicted to take.
 const SPARE_TIME: f64 = 0.6;
 /// A customer's unused share is kept for so many seconds.
@@ -79,6 +79,9 @@
     taken: VecDeque<Micros>,
     extras: VecDeque<Micros>,
     ask_at: Option<Micros>,
+    roster_lost: bool,
+    /// The last nack at admission, while such nacks come.
+    shed_at: Option<Micros>,
 }
 
 /// What a rule has found to act on.
@@ -96,7 +99,7 @@
 }
 
 /// Gone through in this order, from the top again after each that fires.
-const RULES: [Rule; 9] = [
+const RULES: [Rule; 10] = [
     Rule { when: Brain::roster_is_due, then: Brain::ask_roster },
     Rule { when: Brain::whole_is_in, then: Brain::answer_whole },
     Rule { when: Brain::cut_is_due, then: Brain::answer_partly },
@@ -104,6 +107,7 @@
     Rule { when: Brain::unplaced, then: Brain::place_or_nack },
     Rule { when: Brain::needs_another_try, then: Brain::call_again },
     Rule { when: Brain::needs_a_copy, then: Brain::call_again },
+    Rule { when: Brain::shedding_is_over, then: Brain::end_shedding },
     Rule { when: Brain::doubt_has_changed, then: Brain::change_doubt },
     Rule { when: Brain::probe_is_due, then: Brain::probe },
 ];
@@ -138,6 +142,8 @@
             taken: VecDeque::new(),
             extras: VecDeque::new(),
             ask_at: tariff.roster_on_request.then_some(Micros(0)),
+            roster_lost: false,
+            shed_at: None,
             tariff,
         }
     }
@@ -164,7 +170,7 @@
         let row = &mut self.tariff.indexes[usize::from(index.0)];
         row.size = Some(blend(row.size, expected as f64, FRESH * FRESH));
         let (soft, end) = (now + row.soft.min(left), now + left);
-        let lookup = Lookup { id, index, customer, came: now, soft, end, expected, ..Lookup::default() };
+        let lookup = Lookup { id, index, customer, soft, end, expected, ..Lookup::default() };
         self.lookups.insert(id, lookup);
         self.queries.insert(query, id);
         self.settle(out);
@@ -242,6 +248,9 @@
             node.listing = *listing;
         }
         self.nodes.retain(|_, n| n.listing.phase != Phase::Gone || !n.owed.is_empty());
+        if std::mem::take(&mut self.roster_lost) {
+            out.log(&format!("roster: back, {} nodes known", self.nodes.len()));
+        }
         self.settle(out);
     }
 
@@ -251,7 +260,9 @@
         self.now = now;
         let wait = ASK_AGAIN + Micros(self.chance.generate_range(0..ASK_AGAIN.0));
         self.ask_at = Some(now + wait);
-        out.log(&format!("roster: failed, asking again in {} ms", wait.0 / 1000));
+        if !std::mem::replace(&mut self.roster_lost, true) {
+            out.log(&format!("roster: lost, {} nodes known, asking again", self.nodes.len()));
+        }
         self.settle(out);
     }
 
@@ -266,6 +277,11 @@
         BEAT.max(self.tariff.tick)
     }
 
+    /// Whether a time comes too soon to wait for another beat or two.
+    fn soon(&self, at: Micros) -> bool {
+        self.now + self.beat() + self.beat() >= at
+    }
+
     fn settle(&mut self, out: &mut dyn Actions) {
         if !self.beating {
             self.beating = true;
@@ -294,18 +310,12 @@
             return None;
         }
         let due = |n: &&Node| n.probed.is_none_or(|at| self.now.since(at) >= PROBE_EVERY);
-        self.nodes
-            .values()
-            .filter(|n| n.listing.phase == Phase::Ready)
-            .find(due)
-            .map(|n| Case::Node(n.listing.node))
+        self.ready().find(due).map(|n| Case::Node(n.listing.node))
     }
 
     fn probe(&mut self, case: Case, out: &mut dyn Actions) {
         let Case::Node(id) = case else { return };
-        if let Some(node) = self.nodes.get_mut(&id) {
-            node.probed = Some(self.now);
-        }
+        self.nodes.entry(id).and_modify(|n| n.probed = Some(self.now));
         out.probe(id);
     }
 
@@ -345,9 +355,8 @@
     fn cut_is_due(&self) -> Option<Case> {
         let due = |lk: &&Lookup| {
             let enough = complete(lk) && weight_in(lk) + SHORT > self.bars(lk).1 && weight_in(lk) > 0.0;
-            enough
-                && (self.now + self.beat().times(2.0) >= lk.soft
-                    || lk.parts.iter().all(|p| p.satisfied || self.spent(lk, p)))
+            let last = || lk.parts.iter().all(|p| p.satisfied || self.spent(lk, p));
+            enough && (self.soon(lk.soft) || last())
         };
         self.lookups.values().find(due).map(|lk| Case::Lookup(lk.id))
     }
@@ -381,7 +390,7 @@
         let lost = |lk: &&Lookup| {
             let spent: f64 = lk.parts.iter().filter(|p| self.spent(lk, p)).map(|p| p.weight).sum();
             let short = complete(lk) && spent > 0.0 && 1.0 - spent + SHORT < self.bars(lk).1;
-            short || self.now + self.beat().times(2.0) >= lk.end
+            short || self.soon(lk.end)
         };
         self.lookups.values().find(lost).map(|lk| Case::Lookup(lk.id))
     }
@@ -435,27 +444,33 @@
         let left = lookup.soft.since(self.now).0 as f64 * self.time_allowed(lookup, within_share);
         let plan = self.plan(lookup, left);
         if !second && plan.in_time + SHORT < least {
+            if self.shed_at.replace(self.now).is_none() {
+                let (slowest, left, placed) = (plan.slowest / 1e3, left / 1e3, plan.places.len());
+                out.log(&format!("shedding: {placed} parts in {slowest:.0} ms, allowed {left:.0}"));
+            }
             let excess = Micros((plan.slowest - left).max(BEAT.0 as f64) as u64);
             return self.refuse(id, excess, out);
         }
-        if let Some(lookup) = self.lookups.get_mut(&id) {
-            lookup.placed = true;
-        }
+        self.lookups.entry(id).and_modify(|lk| lk.placed = true);
         for (at, node) in plan.places {
             self.call(id, at, node, out);
         }
     }
 
+    fn shedding_is_over(&self) -> Option<Case> {
+        self.shed_at.filter(|at| self.now.since(*at).0 as f64 > self.memory()).map(|_| Case::Router)
+    }
+
+    fn end_shedding(&mut self, _: Case, out: &mut dyn Actions) {
+        self.shed_at = None;
+        out.log(&format!("shedding: over, {} lookups in hand", self.lookups.len()));
+    }
+
     /// The share of its time that a lookup may be predicted to take: all of it where the gain for its work is the best
     /// there is, less for others, so that they give way first when nodes are busy.
     fn time_allowed(&self, lookup: &Lookup, within_share: bool) -> f64 {
-        let density = |row: &IndexRow| {
-            if self.tariff.gain_by_work {
-                row.gain
-            } else {
-                row.gain / row.size.unwrap_or(1.0)
-            }
-        };
+        let size = |row: &IndexRow| row.size.filter(|_| !self.tariff.gain_by_work).unwrap_or(1.0);
+        let density = |row: &IndexRow| row.gain / size(row);
         let best =
             self.tariff.indexes.iter().filter(|row| row.size.is_some()).map(density).fold(0.0, f64::max);
         let share = if within_share { 1.0 } else { self.tariff.over_share_gain };
@@ -472,23 +487,22 @@
         };
         let rate = quota / self.tariff.routers;
         let most = (rate * QUOTA_SECONDS).max(1.0);
-        *left = if drawn.0 == 0 {
-            most
-        } else {
-            (*left + rate * self.now.since(*drawn).0 as f64 / 1e6).min(most)
-        };
+        *left = (*left + rate * self.now.since(*drawn).0 as f64 / 1e6).min(most);
         *drawn = self.now;
         let within = *left >= 1.0;
         *left -= f64::from(u8::from(within));
         within
     }
 
+    fn ready(&self) -> impl Iterator<Item = &Node> {
+        self.nodes.values().filter(|n| n.listing.phase == Phase::Ready)
+    }
+
     fn survey(&self) -> Survey {
-        let ready = || self.nodes.values().filter(|n| n.listing.phase == Phase::Ready);
-        let read: Vec<f64> = ready().filter_map(|n| self.reading(n)).collect();
-        let target = self.tariff.indexes.iter().map(|row| row.soft.0 as f64).fold(f64::MAX, f64::min);
-        let mean_o = if read.is_empty() { target } else { read.iter().sum::<f64>() / read.len() as f64 };
-        let mut latencies: Vec<f64> = ready().filter_map(|n| n.latency).collect();
+        let read: Vec<f64> = self.ready().filter_map(|n| self.reading(n)).collect();
+        let mean_o =
+            if read.is_empty() { self.memory() } else { read.iter().sum::<f64>() / read.len() as f64 };
+        let mut latencies: Vec<f64> = self.ready().filter_map(|n| n.latency).collect();
         latencies.sort_by(f64::total_cmp);
         Survey { mean_o, m: mean_o * PART_RATIO, middle: latencies.get(latencies.len() / 2).copied() }
     }
@@ -521,15 +535,12 @@
     /// The answer latency of a part that would be the last of so many more: the node's pace goes on, and it answers no
     /// sooner than what it owes is old.
     fn predicted(&self, node: &Node, more: f64, middle: Option<f64>) -> f64 {
-        let depth = node.owed.values().map(|owed| owed.z).sum::<f64>() + more;
+        let depth = owed_z(node) + more;
         let owing = |owed: &Owed| self.now.since(owed.sent).0 as f64 / (owed.depth + FREE_DEPTH);
         let paced =
             node.owed.values().map(owing).fold(node.pace.unwrap_or(0.0), f64::max) * (depth + FREE_DEPTH);
-        if node.strikes == 0 {
-            paced
-        } else {
-            paced.max(self.belief(node, middle))
-        }
+        let feared = if node.strikes > 0 { self.belief(node, middle) } else { 0.0 };
+        paced.max(feared)
     }
 
     /// How long an opinion of a node lasts unrefreshed: the shortest soft deadline.
@@ -546,7 +557,7 @@
         if node.listing.zone != self.tariff.zone {
             o += survey.mean_o * self.tariff.crossing * CROSSING;
         }
-        o + survey.m * node.owed.values().map(|owed| owed.z).sum::<f64>()
+        o + survey.m * owed_z(node)
     }
 
     fn z(&self, part: &Part) -> f64 {
@@ -566,11 +577,9 @@
         let z = self.z(part);
         let fit = |n: &&Node| {
             let more = planned.get(&n.listing.node).copied().unwrap_or(0.0);
-            n.listing.phase == Phase::Ready
-                && self.holds(n, part.shard)
-                && self.has_room(n, more + z.max(1.0))
+            self.holds(n, part.shard) && self.has_room(n, more + z.max(1.0))
         };
-        let mut fit: Vec<&Node> = self.nodes.values().filter(fit).collect();
+        let mut fit: Vec<&Node> = self.ready().filter(fit).collect();
         let untried = |n: &&Node| part.calls.iter().all(|c| c.node != n.listing.node);
         let sound = |n: &&Node| n.strikes == 0 || n.owed.is_empty();
         for better in [&untried as &dyn Fn(&&Node) -> bool, &sound] {
@@ -632,7 +641,7 @@
         let (part_id, z, number) = (part.id, self.z(part), CallNo(part.calls.len() as u8));
         let limit = lookup.end.since(self.now).max(LEAST_LIMIT);
         let Some(node) = self.nodes.get_mut(&to) else { return };
-        let depth = node.owed.values().map(|owed| owed.z).sum::<f64>() + z;
+        let depth = owed_z(node) + z;
         node.owed.insert((part_id, number), Owed { sent: self.now, z, depth });
         let window = self.tariff.fall_window;
         while node.sends.front().is_some_and(|(at, _)| self.now.since(*at) > window) {
@@ -657,20 +666,13 @@
         let harmless = match self.row(lookup).repeat {
             Repeat::Idempotent => true,
             // Two beats are kept back: the window is the nodes', and the call has yet to reach one.
-            Repeat::Fingerprinted(window) => {
-                first_run.is_none_or(|sent| self.now.since(sent) + self.beat().times(2.0) < window)
-            }
+            Repeat::Fingerprinted(window) => first_run.is_none_or(|sent| !self.soon(sent + window)),
             Repeat::OnceOnly => first_run.is_none(),
         };
         let tries_left = self.tariff.most_calls.is_none_or(|most| calls.len() < most) && calls.len() < 255;
         let alone = self.tariff.second_copies || calls.iter().all(|c| c.ending.is_some());
         let budget = calls.is_empty() || self.within_budget();
-        !part.satisfied
-            && harmless
-            && tries_left
-            && alone
-            && budget
-            && self.now + self.beat().times(2.0) < lookup.end
+        !part.satisfied && harmless && tries_left && alone && budget && !self.soon(lookup.end)
     }
 
     fn within_budget(&self) -> bool {
@@ -687,21 +689,16 @@
         self.find_call(|_, part| part.calls.iter().all(|c| c.ending.is_some()))
     }
 
-    /// One late part holds back its lookup: it gets a copy where an answer is due sooner than it is late already.
+    /// One late part holds back its lookup: it gets a copy while that may still be in time. One copy out at a time: when
+    /// everything is late, more would only add to it.
     fn needs_a_copy(&self) -> Option<Case> {
-        let middle = self.survey().middle?;
-        let out: usize = self.nodes.values().map(|n| n.owed.len()).sum();
-        let twice = |p: &&Part| p.calls.iter().filter(|c| c.ending.is_none()).count() > 1;
-        let copies = self.lookups.values().flat_map(|lk| &lk.parts).filter(twice).count();
-        if copies as f64 >= 1.0 + out as f64 * COPY_SHARE {
+        let middle = Micros(self.survey().middle? as u64);
+        let out = |p: &Part| p.calls.iter().filter(|c| c.ending.is_none()).count();
+        if self.lookups.values().flat_map(|lk| &lk.parts).any(|p| out(p) > 1) {
             return None;
         }
-        self.find_call(|lookup, part| {
-            let mut out = part.calls.iter().filter(|c| c.ending.is_none());
-            let (Some(only), None) = (out.next(), out.next()) else { return false };
-            let age = self.now.since(only.sent).0 as f64;
-            age > middle * LATE && self.now + Micros(middle as u64) < lookup.soft
-        })
+        let late = |c: &Call| c.ending.is_none() && self.now.since(c.sent) > middle.times(LATE);
+        self.find_call(|lk, part| part.calls.iter().any(late) && self.now + middle < lk.soft)
     }
 
     fn find_call(&self, wanted: impl Fn(&Lookup, &Part) -> bool) -> Option<Case> {
@@ -750,24 +747,19 @@
             Ending::Cancelled if node.latency.is_some_and(|known| lag.0 as f64 > known) => lag.0 as f64,
             Ending::Cancelled | Ending::Unsent => return,
         };
-        match ending {
-            Ending::Satisfied => node.strikes = 0,
-            Ending::Cancelled | Ending::Unsent => {}
-            _ => node.strikes += 1,
-        }
+        node.strikes = match ending {
+            Ending::Satisfied => 0,
+            Ending::Cancelled | Ending::Unsent => node.strikes,
+            _ => node.strikes + 1,
+        };
         node.latency = Some(blend(node.latency, seen, FRESH));
         node.seen = self.now;
     }
 
     fn doubts(&self, node: &Node, middle: Option<f64>) -> bool {
-        let late = |middle: f64| {
-            if node.doubted {
-                TRUST * middle
-            } else {
-                (DOUBT * middle).max(self.memory() / 4.0)
-            }
-        };
-        middle.is_some_and(|middle| self.belief(node, Some(middle)) > late(middle))
+        let Some(known) = middle else { return false };
+        let bar = if node.doubted { TRUST * known } else { (DOUBT * known).max(self.memory() * BRIEF) };
+        self.belief(node, middle) > bar
     }
 
     fn doubt_has_changed(&self) -> Option<Case> {
@@ -780,13 +772,11 @@
         let Case::Node(id) = case else { return };
         let middle = self.survey().middle;
         let Some(node) = self.nodes.get(&id) else { return };
-        let (late, doubted) = (self.belief(node, middle) / 1e3, self.doubts(node, middle));
-        let word = if doubted { "doubted" } else { "trusted" };
-        let (middle, strikes) = (middle.unwrap_or(0.0) / 1e3, node.strikes);
+        let (late, strikes) = (self.belief(node, middle) / 1e3, node.strikes);
+        let word = if node.doubted { "trusted" } else { "doubted" };
+        let middle = middle.unwrap_or(0.0) / 1e3;
         out.log(&format!("node {:x}: {word}, {late:.0} ms against {middle:.0}, strikes {strikes}", id.0));
-        if let Some(node) = self.nodes.get_mut(&id) {
-            node.doubted = doubted;
-        }
+        self.nodes.entry(id).and_modify(|n| n.doubted = !n.doubted);
     }
 
     // Warm-up.
@@ -825,6 +815,11 @@
     lookup.parts.iter().filter(|p| p.satisfied).map(|p| p.weight).sum()
 }
 
+/// Our parts out at a node, in parts of the mean size.
+fn owed_z(node: &Node) -> f64 {
+    node.owed.values().map(|owed| owed.z).sum()
+}
+
 fn may_have_run(call: &Call) -> bool {
     !matches!(call.ending, Some(Ending::NeverRan | Ending::Unsent))
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -126,9 +126,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct IndexRow {
     pub soft: Micros,
-    pub hard: Micros,
     pub gain: f64,
-    pub late_share: f64,
     pub repeat: Repeat,
     pub need: f64,
     pub least: f64,
@@ -227,7 +225,6 @@
     pub id: LookupId,
     pub index: IndexNo,
     pub customer: CustomerNo,
-    pub came: Micros,
     /// When its gain falls, and when its client leaves.
     pub soft: Micros,
     pub end: Micros,
