--- a/src/brain.rs
+++ b/src/brain.rs
@@ -118,6 +118,8 @@
     m: f64,
     /// The middle node's answer latency, in microseconds.
     middle: Option<f64>,
+    /// The middle node's pace.
+    pace: f64,
 }
 
 /// Where the parts of a lookup go, and which of their weight is predicted in time.
@@ -502,9 +504,9 @@
         let read: Vec<f64> = self.ready().filter_map(|n| self.reading(n)).collect();
         let mean_o =
             if read.is_empty() { self.memory() } else { read.iter().sum::<f64>() / read.len() as f64 };
-        let mut latencies: Vec<f64> = self.ready().filter_map(|n| n.latency).collect();
-        latencies.sort_by(f64::total_cmp);
-        Survey { mean_o, m: mean_o * PART_RATIO, middle: latencies.get(latencies.len() / 2).copied() }
+        let middle = median(self.ready().filter_map(|n| n.latency));
+        let pace = median(self.ready().filter_map(|n| n.pace)).unwrap_or(0.0);
+        Survey { mean_o, m: mean_o * PART_RATIO, middle, pace }
     }
 
     /// A node's o as reported, or from its answers where it is not.
@@ -534,12 +536,13 @@
 
     /// The answer latency of a part that would be the last of so many more: the node's pace goes on, and it answers no
     /// sooner than what it owes is old.
-    fn predicted(&self, node: &Node, more: f64, middle: Option<f64>) -> f64 {
+    fn predicted(&self, node: &Node, more: f64, survey: &Survey) -> f64 {
         let depth = owed_z(node) + more;
         let owing = |owed: &Owed| self.now.since(owed.sent).0 as f64 / (owed.depth + FREE_DEPTH);
-        let paced =
-            node.owed.values().map(owing).fold(node.pace.unwrap_or(0.0), f64::max) * (depth + FREE_DEPTH);
-        let feared = if node.strikes > 0 { self.belief(node, middle) } else { 0.0 };
+        // A node not heard from yet is no better than the middle, and one that warms up is slower.
+        let known = node.pace.unwrap_or(survey.pace / self.warmth(node));
+        let paced = node.owed.values().map(owing).fold(known, f64::max) * (depth + FREE_DEPTH);
+        let feared = if node.strikes > 0 { self.belief(node, survey.middle) } else { 0.0 };
         paced.max(feared)
     }
 
@@ -611,7 +614,7 @@
             };
             let latency = |n: &Node| {
                 let more = planned.get(&n.listing.node).copied().unwrap_or(0.0) + z;
-                self.predicted(n, more, survey.middle) * MARGIN
+                self.predicted(n, more, &survey) * MARGIN
             };
             // A discount stacks parts behind the chosen: holders that would answer late give way to those that would not.
             let mut holders = self.holders(part, &planned);
@@ -789,18 +792,25 @@
         self.mean_hint.unwrap_or_else(quickest)
     }
 
+    /// The share of its capacity that a node surely had when the present window began.
+    fn warmth(&self, node: &Node) -> f64 {
+        let (t, age) = (&self.tariff, self.now.since(node.listing.started));
+        if node.listing.started.0 == 0 || age >= t.warm_within {
+            return 1.0;
+        }
+        t.cold_share + (1.0 - t.cold_share) * age.since(t.fall_window).over(t.warm_within)
+    }
+
     /// Whether a node can bear so much more. One that has just started bears a multiple of what it can do at that age,
     /// in any window; this router keeps to its own share of that, by what one warm core does.
     fn has_room(&self, node: &Node, more: f64) -> bool {
-        let t = &self.tariff;
-        let age = self.now.since(node.listing.started);
-        if node.listing.started.0 == 0 || age >= t.warm_within || t.fall_window.0 == 0 {
+        let (t, warmth) = (&self.tariff, self.warmth(node));
+        if warmth >= 1.0 || t.fall_window.0 == 0 {
             return true;
         }
-        let now_share = t.cold_share + (1.0 - t.cold_share) * age.since(t.fall_window).over(t.warm_within);
         // What a warm node surely does: the work of one core, or as many parts as one has reported.
         let rate = self.nodes.values().map(|n| n.best_rate).fold(1e6 / self.work(), f64::max);
-        let allowed = t.fall_multiple * now_share * (t.fall_window.0 as f64 / 1e6 * rate) / t.routers;
+        let allowed = t.fall_multiple * warmth * (t.fall_window.0 as f64 / 1e6 * rate) / t.routers;
         let sent: f64 =
             node.sends.iter().filter(|(at, _)| self.now.since(*at) <= t.fall_window).map(|(_, z)| z).sum();
         sent + more <= allowed * WARM_UP_SAFETY
@@ -824,6 +834,12 @@
     !matches!(call.ending, Some(Ending::NeverRan | Ending::Unsent))
 }
 
+fn median(of: impl Iterator<Item = f64>) -> Option<f64> {
+    let mut of: Vec<f64> = of.collect();
+    of.sort_by(f64::total_cmp);
+    of.get(of.len() / 2).copied()
+}
+
 fn blend(known: Option<f64>, new: f64, weight: f64) -> f64 {
     known.map_or(new, |known| known + (new - known) * weight)
 }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -355,7 +355,16 @@
 fn pace_is_no_better_than_the_parts_out_show() {
     let mut brain = router(tariff(), 1);
     owe(&mut brain, 1, 1, ms(900));
-    assert!(brain.predicted(&brain.nodes[&NodeId(1)], 1.0, None) >= 900_000.0);
+    assert!(brain.predicted(&brain.nodes[&NodeId(1)], 1.0, &brain.survey()) >= 900_000.0);
+}
+
+#[test]
+fn a_warming_node_is_predicted_slower_than_the_middle() {
+    let mut brain = router(tariff(), 2);
+    let now = brain.now;
+    (node(&mut brain, 1).listing.started, node(&mut brain, 2).pace) = (now, Some(50_000.0));
+    let predicted = brain.predicted(&brain.nodes[&NodeId(1)], 1.0, &brain.survey());
+    assert_eq!(predicted, 50_000.0 / 0.25 * (1.0 + FREE_DEPTH));
 }
 
 #[test_case(5.0, 1.0, true, 1.0; "the best gain")]
