A struck node is feared for one soft deadline, then tried again

Cause, found by reading: with every node struck (a router cut off for a while) the fear never faded below the middle latency, so all lookups would have been nacked for good. Covers any outage that ends unannounced. Hurts: a dead sole holder costs one lookup a soft deadline.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -542,8 +542,9 @@
         // A node not heard from yet is no better than the middle, and one that warms up is slower.
         let known = node.pace.unwrap_or(survey.pace / self.warmth(node));
         let paced = node.owed.values().map(owing).fold(known, f64::max) * (depth + FREE_DEPTH);
-        let feared = if node.strikes > 0 { self.belief(node, survey.middle) } else { 0.0 };
-        paced.max(feared)
+        // A struck node is tried again in a while, or a router that saw all fail would nack for good.
+        let struck = node.strikes > 0 && (self.now.since(node.seen).0 as f64) < self.memory();
+        paced.max(node.latency.filter(|_| struck).unwrap_or(0.0))
     }
 
     /// How long an opinion of a node lasts unrefreshed: the shortest soft deadline.
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -351,6 +351,18 @@
     assert!(matches!(tape.0[..], [Did::Log, Did::Nack(_)]));
 }
 
+#[test_case(500, true; "a moment ago")]
+#[test_case(1500, false; "a while ago")]
+fn a_router_that_saw_all_fail_tries_again(later: u64, nacked: bool) {
+    let (mut brain, mut tape) = (router(tariff(), 2), Tape::default());
+    brain.nodes.values_mut().for_each(|n| (n.strikes, n.latency) = (9, Some(1e6)));
+    brain.now += ms(later);
+    let held = lookup(&brain, &[1.0], &[]);
+    hold(&mut brain, held);
+    brain.settle(&mut tape);
+    assert_eq!(brain.lookups.is_empty(), nacked);
+}
+
 #[test]
 fn pace_is_no_better_than_the_parts_out_show() {
     let mut brain = router(tariff(), 1);
