--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,8 +50,6 @@
 const MARGIN: f64 = 1.25;
 /// Sums of weights may fall so much short.
 const SHORT: f64 = 0.00005;
-/// Failures in a row stretch the memory of a failure up to this power of two.
-const MOST_STRIKES: u32 = 4;
 const PROBE_EVERY: Micros = Micros(1_000_000);
 /// Asking the roster again after a failure: this and as much again by chance.
 const ASK_AGAIN: Micros = Micros(500_000);
@@ -526,8 +524,7 @@
     /// The answer latency to expect: as smoothed, fading towards the middle, and no less than the oldest call's age.
     fn belief(&self, node: &Node, middle: Option<f64>) -> f64 {
         let middle = middle.unwrap_or(0.0);
-        let memory = self.memory() * f64::from(1 << node.strikes.min(MOST_STRIKES));
-        let fade = (-(self.now.since(node.seen).0 as f64) / memory).exp();
+        let fade = (-(self.now.since(node.seen).0 as f64) / self.memory()).exp();
         let latency = middle + (node.latency.unwrap_or(middle) - middle) * fade;
         // A hung node reports briskly while parts vanish: what it owes says how late it is at least.
         let age = node.owed.values().map(|owed| self.now.since(owed.sent).0).max().unwrap_or(0);
@@ -576,7 +573,7 @@
         (node.listing.cell.0 + cells - shard.0 % cells) % cells < self.tariff.reach
     }
 
-    /// The nodes that a part may go to: holders that are ready, have room, and are not already on trial.
+    /// The nodes that a part may go to: holders that are ready and have room, untried ones first.
     fn holders(&self, part: &Part, planned: &BTreeMap<NodeId, f64>) -> Vec<&Node> {
         let z = self.z(part);
         let fit = |n: &&Node| {
@@ -585,11 +582,8 @@
         };
         let mut fit: Vec<&Node> = self.ready().filter(fit).collect();
         let untried = |n: &&Node| part.calls.iter().all(|c| c.node != n.listing.node);
-        let sound = |n: &&Node| n.strikes == 0 || n.owed.is_empty();
-        for better in [&untried as &dyn Fn(&&Node) -> bool, &sound] {
-            if fit.iter().any(better) {
-                fit.retain(better);
-            }
+        if fit.iter().any(untried) {
+            fit.retain(untried);
         }
         fit
     }
@@ -748,14 +742,9 @@
         let seen = match ending {
             Ending::Satisfied => lag.0 as f64,
             Ending::MayHaveRun | Ending::NeverRan => worst.max(lag.0 as f64),
-            Ending::Cancelled if node.latency.is_some_and(|known| lag.0 as f64 > known) => lag.0 as f64,
             Ending::Cancelled | Ending::Unsent => return,
         };
-        node.strikes = match ending {
-            Ending::Satisfied => 0,
-            Ending::Cancelled | Ending::Unsent => node.strikes,
-            _ => node.strikes + 1,
-        };
+        node.strikes = if ending == Ending::Satisfied { 0 } else { node.strikes + 1 };
         node.latency = Some(blend(node.latency, seen, FRESH));
         node.seen = self.now;
     }
