--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -23,9 +23,19 @@
 
 #[test]
 fn a_chosen_node_draws_the_other_parts() {
+    let mut brain = router(Tariff { cells: 3, reach: 2, ..tariff() }, 2);
+    (node(&mut brain, 2).listing.cell, node(&mut brain, 2).report) = (CellNo(1), Some(90.0));
+    let mut both = lookup(&brain, &[0.5, 0.5], &[]);
+    // Only node 1 holds this one; the other part is held by both.
+    both.parts[1].shard = ShardNo(2);
+    assert_eq!(brain.plan(&both, 1e6).places, [(1, NodeId(1)), (0, NodeId(1))]);
+}
+
+#[test]
+fn a_holder_predicted_late_gives_way() {
     let mut brain = router(tariff(), 2);
-    node(&mut brain, 2).report = Some(90.0);
-    assert_eq!(places(&brain, 3), [2, 2, 2]);
+    (node(&mut brain, 1).report, node(&mut brain, 1).pace) = (Some(50.0), Some(900_000.0));
+    assert_eq!(places(&brain, 1), [2]);
 }
 
 #[test]
@@ -261,6 +271,13 @@
     assert_eq!(brain.within_budget(), may);
 }
 
+#[test]
+fn a_first_call_needs_no_budget() {
+    let brain = router(Tariff { extra_window: Some(ms(1000)), ..tariff() }, 2);
+    let (fresh, failed) = (lookup(&brain, &[1.0], &[]), lookup(&brain, &[1.0], &[RAN]));
+    assert!(brain.may_call(&fresh, &fresh.parts[0]) && !brain.may_call(&failed, &failed.parts[0]));
+}
+
 #[test]
 fn the_budget_tables_are_emptied_by_age() {
     let mut brain = router(Tariff { extra_window: Some(ms(1000)), ..tariff() }, 0);
