--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -35,6 +35,7 @@
 fn a_holder_predicted_late_gives_way() {
     let mut brain = router(tariff(), 2);
     (node(&mut brain, 1).report, node(&mut brain, 1).pace) = (Some(50.0), Some(900_000.0));
+    node(&mut brain, 2).pace = Some(50_000.0);
     assert_eq!(places(&brain, 1), [2]);
 }
 
