--- a/src/brain.rs
+++ b/src/brain.rs
@@ -725,8 +725,10 @@
 
     fn read_report(&mut self, id: NodeId, report: &[f64]) {
         let gauges = &self.tariff.gauges;
-        let read =
-            |wanted: Gauge| gauges.iter().position(|g| *g == wanted).and_then(|at| report.get(at)).copied();
+        // A figure that is none, or below nothing, says nothing.
+        let sane = |figure: &f64| figure.is_finite() && *figure >= 0.0;
+        let at = |wanted: Gauge| gauges.iter().position(|g| *g == wanted);
+        let read = |wanted: Gauge| report.get(at(wanted)?).copied().filter(sane);
         let (o, rate) = (read(Gauge::LatencyMs).or(read(Gauge::Queue)), read(Gauge::Rate));
         if let Some(node) = self.nodes.get_mut(&id) {
             node.report = o.map(|o| blend(node.report, o, FRESH)).or(node.report);
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -426,6 +426,14 @@
     assert_eq!(tape.0, [Did::Probe(NodeId(1))]);
 }
 
+#[test_case(f64::NAN)]
+#[test_case(-1.0)]
+fn a_senseless_report_is_passed_over(figure: f64) {
+    let mut brain = router(tariff(), 1);
+    brain.read_report(NodeId(1), &[figure]);
+    assert_eq!(brain.nodes[&NodeId(1)].report, Some(100.0));
+}
+
 #[test]
 fn a_failed_probe_is_no_strike() {
     let mut brain = router(tariff(), 1);
