--- a/src/brain.rs
+++ b/src/brain.rs
@@ -677,7 +677,7 @@
         let Some(window) = self.tariff.extra_window else { return true };
         let within =
             |times: &VecDeque<Micros>| times.iter().filter(|at| self.now.since(**at) < window).count() as f64;
-        // A call made just a window ago may still count with the bench, one taken then may not.
+        // At the very edge of the window a call made may still count, a request taken may not.
         let made = self.extras.iter().filter(|at| self.now.since(**at) <= window).count() as f64;
         made + 1.0 <= self.tariff.extra_spare + self.tariff.extra_ratio * within(&self.taken)
     }
