Fold twins: one check for calls out, one way to empty a table, the middle alone

Found on a last read of the whole: the same check for calls out in four places, the same emptying loop in two, a full survey on every pass where only the middle latency is read, an unnamed weight.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,6 +28,8 @@
 const PART_RATIO: f64 = 0.8;
 /// Weight of a new report or answer against what was known: a few answers make an opinion.
 const FRESH: f64 = 0.3;
+/// The same for what hardly changes: the mean hint, and the size of an index's lookups.
+const STEADY: f64 = FRESH * FRESH;
 /// A node is doubted when it answers this many times later than the middle node, and until it answers no later than
 /// that many times.
 const DOUBT: f64 = 2.5;
@@ -114,7 +116,6 @@
 struct Survey {
     mean_o: f64,
     m: f64,
-    /// The middle node's answer latency, in microseconds.
     middle: Option<f64>,
     /// The middle node's pace.
     pace: f64,
@@ -152,10 +153,9 @@
     fn take(&mut self) {
         let Some(window) = self.tariff.extra_window else { return };
         self.taken.push_back(self.now);
+        let now = self.now;
         for times in [&mut self.taken, &mut self.extras] {
-            while times.front().is_some_and(|at| self.now.since(*at) > window) {
-                times.pop_front();
-            }
+            drop_front(times, |at| now.since(*at) > window);
         }
     }
 
@@ -168,7 +168,7 @@
         self.now = now;
         self.take();
         let row = &mut self.tariff.indexes[usize::from(index.0)];
-        row.size = Some(blend(row.size, expected as f64, FRESH * FRESH));
+        row.size = Some(blend(row.size, expected as f64, STEADY));
         let (soft, end) = (now + row.soft.min(left), now + left);
         let lookup = Lookup { id, index, customer, soft, end, expected, ..Lookup::default() };
         self.lookups.insert(id, lookup);
@@ -184,7 +184,7 @@
         self.take();
         if let Some(hint) = hint {
             let hint = hint.0 as f64;
-            self.mean_hint = Some(blend(self.mean_hint, hint, FRESH * FRESH));
+            self.mean_hint = Some(blend(self.mean_hint, hint, STEADY));
         }
         let owner = self.queries.get(&query).copied();
         // Parts may still come for a lookup that has ended in the same batch.
@@ -382,7 +382,7 @@
 
     /// No call is out, and none may follow.
     fn spent(&self, lookup: &Lookup, part: &Part) -> bool {
-        !part.satisfied && part.calls.iter().all(|c| c.ending.is_some()) && !self.may_call(lookup, part)
+        !part.satisfied && calls_out(part) == 0 && !self.may_call(lookup, part)
     }
 
     /// Given up as soon as what is in and may still come is too little, and just before the client's end.
@@ -498,13 +498,17 @@
         self.nodes.values().filter(|n| n.listing.phase == Phase::Ready)
     }
 
+    /// The middle node's answer latency, in microseconds.
+    fn middle(&self) -> Option<f64> {
+        median(self.ready().filter_map(|n| n.latency))
+    }
+
     fn survey(&self) -> Survey {
         let read: Vec<f64> = self.ready().filter_map(|n| self.reading(n)).collect();
         let mean_o =
             if read.is_empty() { self.memory() } else { read.iter().sum::<f64>() / read.len() as f64 };
-        let middle = median(self.ready().filter_map(|n| n.latency));
         let pace = median(self.ready().filter_map(|n| n.pace)).unwrap_or(0.0);
-        Survey { mean_o, m: mean_o * PART_RATIO, middle, pace }
+        Survey { mean_o, m: mean_o * PART_RATIO, middle: self.middle(), pace }
     }
 
     /// A node's o as reported, or from its answers where it is not.
@@ -641,10 +645,8 @@
         let Some(node) = self.nodes.get_mut(&to) else { return };
         let depth = owed_z(node) + z;
         node.owed.insert((part_id, number), Owed { sent: self.now, z, depth });
-        let window = self.tariff.fall_window;
-        while node.sends.front().is_some_and(|(at, _)| self.now.since(*at) > window) {
-            node.sends.pop_front();
-        }
+        let (now, window) = (self.now, self.tariff.fall_window);
+        drop_front(&mut node.sends, |(at, _)| now.since(*at) > window);
         node.sends.push_back((self.now, z.max(1.0)));
         if number.0 > 0 && self.tariff.extra_window.is_some() {
             self.extras.push_back(self.now);
@@ -668,31 +670,29 @@
             Repeat::OnceOnly => first_run.is_none(),
         };
         let tries_left = self.tariff.most_calls.is_none_or(|most| calls.len() < most) && calls.len() < 255;
-        let alone = self.tariff.second_copies || calls.iter().all(|c| c.ending.is_some());
+        let alone = self.tariff.second_copies || calls_out(part) == 0;
         let budget = calls.is_empty() || self.within_budget();
         !part.satisfied && harmless && tries_left && alone && budget && !self.soon(lookup.end)
     }
 
     fn within_budget(&self) -> bool {
         let Some(window) = self.tariff.extra_window else { return true };
-        let within =
-            |times: &VecDeque<Micros>| times.iter().filter(|at| self.now.since(**at) < window).count() as f64;
         // At the very edge of the window a call made may still count, a request taken may not.
         let made = self.extras.iter().filter(|at| self.now.since(**at) <= window).count() as f64;
-        made + 1.0 <= self.tariff.extra_spare + self.tariff.extra_ratio * within(&self.taken)
+        let taken = self.taken.iter().filter(|at| self.now.since(**at) < window).count() as f64;
+        made + 1.0 <= self.tariff.extra_spare + self.tariff.extra_ratio * taken
     }
 
     /// A part without a call out gets one, elsewhere if it can.
     fn needs_another_try(&self) -> Option<Case> {
-        self.find_call(|_, part| part.calls.iter().all(|c| c.ending.is_some()))
+        self.find_call(|_, part| calls_out(part) == 0)
     }
 
     /// One late part holds back its lookup: it gets a copy while that may still be in time. One copy out at a time: when
     /// everything is late, more would only add to it.
     fn needs_a_copy(&self) -> Option<Case> {
-        let middle = Micros(self.survey().middle? as u64);
-        let out = |p: &Part| p.calls.iter().filter(|c| c.ending.is_none()).count();
-        if self.lookups.values().flat_map(|lk| &lk.parts).any(|p| out(p) > 1) {
+        let middle = Micros(self.middle()? as u64);
+        if self.lookups.values().flat_map(|lk| &lk.parts).any(|p| calls_out(p) > 1) {
             return None;
         }
         let late = |c: &Call| c.ending.is_none() && self.now.since(c.sent) > middle.times(LATE);
@@ -706,10 +706,10 @@
                     return None;
                 }
                 let survey = self.survey();
-                let busy =
-                    |n: &&&Node| part.calls.iter().all(|c| c.ending.is_some() || c.node != n.listing.node);
-                let holders: Vec<&Node> =
-                    self.holders(part, &BTreeMap::new()).iter().filter(busy).copied().collect();
+                let free =
+                    |n: &Node| part.calls.iter().all(|c| c.ending.is_some() || c.node != n.listing.node);
+                let mut holders = self.holders(part, &BTreeMap::new());
+                holders.retain(|n| free(n));
                 let node = self.cheapest(&holders, |n| self.o(n, &survey))?;
                 Some(Case::Call(lk.id, at, node.listing.node))
             })
@@ -758,14 +758,14 @@
     }
 
     fn doubt_has_changed(&self) -> Option<Case> {
-        let middle = self.survey().middle;
+        let middle = self.middle();
         let changed = |n: &&Node| n.doubted != self.doubts(n, middle);
         self.nodes.values().find(changed).map(|n| Case::Node(n.listing.node))
     }
 
     fn change_doubt(&mut self, case: Case, out: &mut dyn Actions) {
         let Case::Node(id) = case else { return };
-        let middle = self.survey().middle;
+        let middle = self.middle();
         let Some(node) = self.nodes.get(&id) else { return };
         let (late, strikes) = (self.belief(node, middle) / 1e3, node.strikes);
         let word = if node.doubted { "trusted" } else { "doubted" };
@@ -822,6 +822,10 @@
     node.owed.values().map(|owed| owed.z).sum()
 }
 
+fn calls_out(part: &Part) -> usize {
+    part.calls.iter().filter(|c| c.ending.is_none()).count()
+}
+
 fn may_have_run(call: &Call) -> bool {
     !matches!(call.ending, Some(Ending::NeverRan | Ending::Unsent))
 }
@@ -832,6 +836,13 @@
     of.get(of.len() / 2).copied()
 }
 
+/// Empties a table by age, the oldest first.
+fn drop_front<T>(of: &mut VecDeque<T>, old: impl Fn(&T) -> bool) {
+    while of.front().is_some_and(&old) {
+        of.pop_front();
+    }
+}
+
 fn blend(known: Option<f64>, new: f64, weight: f64) -> f64 {
     known.map_or(new, |known| known + (new - known) * weight)
 }
