Holders by cell, the fleet's figures once per input, beats only when needed

Cause: a rule pass scanned every node and lookup, plans scanned all nodes for each part and sorted medians anew. Now a part's holders come from its cells, the survey is taken once per input if what it rests on has changed, doubt is looked at for watched nodes only, and a router with nothing in hand asks for no timer.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,7 +14,7 @@
 
 #![allow(clippy::too_many_arguments)] // a decoded field goes straight into a call
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use nanorand::{Rng, WyRand};
 
@@ -30,8 +30,7 @@
 const FRESH: f64 = 0.3;
 /// The same for what hardly changes: the mean hint, and the size of an index's lookups.
 const STEADY: f64 = FRESH * FRESH;
-/// A node is doubted when it answers this many times later than the middle node, and until it answers no later than
-/// that many times.
+/// A node is doubted when it answers so many times later than the middle node, and until it is within that many.
 const DOUBT: f64 = 2.5;
 const TRUST: f64 = 1.5;
 /// An answer within this share of the shortest soft deadline holds no lookup back, whatever the middle.
@@ -57,8 +56,6 @@
 const ASK_AGAIN: Micros = Micros(500_000);
 /// How often time alone makes the rules run, and the margin kept before a client's end.
 const BEAT: Micros = Micros(10_000);
-/// The floor of what is asked for as a time-out: zero would mean none.
-const LEAST_LIMIT: Micros = Micros(1_000);
 
 pub struct Brain {
     pub tariff: Tariff,
@@ -67,10 +64,14 @@
     beating: bool,
     /// Emptied by the roster: a node that is gone and owes nothing is dropped.
     pub nodes: BTreeMap<NodeId, Node>,
-    /// Lookups in hand and the ways to them; each is emptied by the final answer.
+    /// Nodes by cell, made anew by the roster, and those whose doubt may change: they owe, answered of late or are doubted.
+    cells: BTreeMap<CellNo, Vec<NodeId>>,
+    watched: BTreeSet<NodeId>,
+    /// The fleet's figures, taken anew before rules run if what they rest on has changed.
+    survey: Survey,
+    stale: bool,
+    /// Lookups in hand; emptied by their final answers.
     pub lookups: BTreeMap<LookupId, Lookup>,
-    queries: BTreeMap<QueryNo, LookupId>,
-    parts: BTreeMap<PartId, LookupId>,
     /// Smoothed hint of a part, in microseconds.
     mean_hint: Option<f64>,
     /// What each customer may still send within its share; one entry a customer of the tariff.
@@ -84,40 +85,38 @@
     shed_at: Option<Micros>,
 }
 
-/// What a rule has found to act on.
-#[derive(Clone, Copy)]
-enum Case {
-    Router,
-    Node(NodeId),
-    Lookup(LookupId),
-    Call(LookupId, usize, NodeId),
+/// What a rule has found to act on; a rule reads what it fills in.
+#[derive(Clone, Copy, Default)]
+struct Case {
+    lookup: LookupId,
+    at: usize,
+    node: NodeId,
 }
 
-struct Rule {
-    when: fn(&Brain) -> Option<Case>,
-    then: fn(&mut Brain, Case, &mut dyn Actions),
-}
+/// A condition and an effect.
+type Rule = (fn(&Brain) -> Option<Case>, fn(&mut Brain, Case, &mut dyn Actions));
 
 /// Gone through in this order, from the top again after each that fires.
 const RULES: [Rule; 10] = [
-    Rule { when: Brain::roster_is_due, then: Brain::ask_roster },
-    Rule { when: Brain::whole_is_in, then: Brain::answer_whole },
-    Rule { when: Brain::cut_is_due, then: Brain::answer_partly },
-    Rule { when: Brain::hopeless, then: Brain::give_up },
-    Rule { when: Brain::unplaced, then: Brain::place_or_nack },
-    Rule { when: Brain::needs_another_try, then: Brain::call_again },
-    Rule { when: Brain::needs_a_copy, then: Brain::call_again },
-    Rule { when: Brain::shedding_is_over, then: Brain::end_shedding },
-    Rule { when: Brain::doubt_has_changed, then: Brain::change_doubt },
-    Rule { when: Brain::probe_is_due, then: Brain::probe },
+    (Brain::roster_is_due, Brain::ask_roster),
+    (Brain::whole_is_in, Brain::answer_whole),
+    (Brain::cut_is_due, Brain::answer_partly),
+    (Brain::hopeless, Brain::give_up),
+    (Brain::unplaced, Brain::place_or_nack),
+    (Brain::needs_another_try, Brain::call_again),
+    (Brain::needs_a_copy, Brain::call_again),
+    (Brain::shedding_is_over, Brain::end_shedding),
+    (Brain::doubt_has_changed, Brain::change_doubt),
+    (Brain::probe_is_due, Brain::probe),
 ];
 
 /// The cost model's figures at one moment.
+#[derive(Clone, Copy, Default)]
 struct Survey {
     mean_o: f64,
     m: f64,
+    /// The middle node's answer latency, in microseconds, and its pace.
     middle: Option<f64>,
-    /// The middle node's pace.
     pace: f64,
 }
 
@@ -135,9 +134,11 @@
             now: Micros(0),
             beating: false,
             nodes: BTreeMap::new(),
+            cells: BTreeMap::new(),
+            watched: BTreeSet::new(),
+            survey: Survey::default(),
+            stale: true,
             lookups: BTreeMap::new(),
-            queries: BTreeMap::new(),
-            parts: BTreeMap::new(),
             mean_hint: None,
             quota_left: vec![(0.0, Micros(0)); tariff.quotas.len()],
             taken: VecDeque::new(),
@@ -170,9 +171,8 @@
         let row = &mut self.tariff.indexes[usize::from(index.0)];
         row.size = Some(blend(row.size, expected as f64, STEADY));
         let (soft, end) = (now + row.soft.min(left), now + left);
-        let lookup = Lookup { id, index, customer, soft, end, expected, ..Lookup::default() };
+        let lookup = Lookup { id, query, index, customer, soft, end, expected, ..Lookup::default() };
         self.lookups.insert(id, lookup);
-        self.queries.insert(query, id);
         self.settle(out);
     }
 
@@ -182,15 +182,10 @@
     ) {
         self.now = now;
         self.take();
-        if let Some(hint) = hint {
-            let hint = hint.0 as f64;
-            self.mean_hint = Some(blend(self.mean_hint, hint, STEADY));
-        }
-        let owner = self.queries.get(&query).copied();
+        self.mean_hint = hint.map(|hint| blend(self.mean_hint, hint.0 as f64, STEADY)).or(self.mean_hint);
         // Parts may still come for a lookup that has ended in the same batch.
-        if let Some(lookup) = owner.and_then(|id| self.lookups.get_mut(&id)) {
+        if let Some(lookup) = self.lookups.values_mut().find(|lk| lk.query == query) {
             lookup.parts.push(Part { id, shard, weight, hint, ..Part::default() });
-            self.parts.insert(id, lookup.id);
         }
         self.settle(out);
     }
@@ -200,17 +195,14 @@
         report: &[f64], out: &mut dyn Actions,
     ) {
         self.now = now;
-        if let Some(n) = self.nodes.get_mut(&node) {
-            let owed = n.owed.remove(&(part, call));
-            if let Some(owed) = owed.filter(|_| ending == Ending::Satisfied) {
-                n.pace = Some(blend(n.pace, lag.0 as f64 / (owed.depth + FREE_DEPTH), FRESH));
-            }
+        let owed = self.nodes.get_mut(&node).and_then(|n| Some((n.owed.remove(&(part, call))?, n)));
+        if let Some((owed, n)) = owed.filter(|_| ending == Ending::Satisfied) {
+            n.pace = Some(blend(n.pace, lag.0 as f64 / (owed.depth + FREE_DEPTH), FRESH));
         }
         self.read_report(node, report);
         self.learn(node, lag, ending);
-        let owner = self.parts.get(&part).and_then(|id| self.lookups.get_mut(id));
         // Returns still come for lookups that are over.
-        if let Some(p) = owner.and_then(|lookup| lookup.parts.iter_mut().find(|p| p.id == part)) {
+        if let Some(p) = self.lookups.values_mut().flat_map(|lk| &mut lk.parts).find(|p| p.id == part) {
             p.satisfied |= ending == Ending::Satisfied;
             if let Some(call) = p.calls.get_mut(usize::from(call.0)) {
                 call.ending = Some(ending);
@@ -248,12 +240,21 @@
             node.listing = *listing;
         }
         self.nodes.retain(|_, n| n.listing.phase != Phase::Gone || !n.owed.is_empty());
+        self.index_nodes();
         if std::mem::take(&mut self.roster_lost) {
             out.log(&format!("roster: back, {} nodes known", self.nodes.len()));
         }
         self.settle(out);
     }
 
+    fn index_nodes(&mut self) {
+        self.cells.clear();
+        for (id, node) in &self.nodes {
+            self.cells.entry(node.listing.cell).or_default().push(*id);
+        }
+        self.stale = true;
+    }
+
     /// The watch broke or could not be had. Without one the router soon counts as told of what it has not heard, so it
     /// asks again; by chance, so that all routers do not ask a roster in trouble at the same moment.
     pub fn roster_failed(&mut self, now: Micros, out: &mut dyn Actions) {
@@ -269,10 +270,12 @@
     pub fn elapsed(&mut self, now: Micros, _timer: TimerId, out: &mut dyn Actions) {
         self.now = now;
         self.beating = false;
+        let (memory, nodes) = (self.memory(), &self.nodes);
+        let wanted = |n: &Node| n.doubted || !n.owed.is_empty() || now.since(n.seen).0 as f64 <= memory;
+        self.watched.retain(|id| nodes.get(id).is_some_and(wanted));
         self.settle(out);
     }
 
-    /// How often time alone makes the rules run: no decision by the clock comes later than this.
     fn beat(&self) -> Micros {
         BEAT.max(self.tariff.tick)
     }
@@ -283,21 +286,23 @@
     }
 
     fn settle(&mut self, out: &mut dyn Actions) {
-        if !self.beating {
-            self.beating = true;
-            out.timer(self.beat(), TimerId(0));
+        if self.stale && !(self.lookups.is_empty() && self.watched.is_empty()) {
+            (self.survey, self.stale) = (self.take_survey(), false);
+        }
+        while let Some((then, case)) = RULES.iter().find_map(|(when, then)| Some((then, when(self)?))) {
+            then(self, case, out);
         }
-        while let Some((rule, case)) =
-            RULES.iter().find_map(|rule| (rule.when)(self).map(|case| (rule, case)))
-        {
-            (rule.then)(self, case, out);
+        let idle = self.lookups.is_empty() && self.watched.is_empty() && !self.tariff.probing;
+        let waits = !idle || self.ask_at.or(self.shed_at).is_some();
+        if waits && !std::mem::replace(&mut self.beating, true) {
+            out.timer(self.beat(), TimerId(0));
         }
     }
 
     // Rules: roster and probes.
 
     fn roster_is_due(&self) -> Option<Case> {
-        self.ask_at.filter(|&at| at <= self.now).map(|_| Case::Router)
+        self.ask_at.filter(|&at| at <= self.now).map(|_| Case::default())
     }
 
     fn ask_roster(&mut self, _: Case, out: &mut dyn Actions) {
@@ -310,13 +315,12 @@
             return None;
         }
         let due = |n: &&Node| n.probed.is_none_or(|at| self.now.since(at) >= PROBE_EVERY);
-        self.ready().find(due).map(|n| Case::Node(n.listing.node))
+        self.ready().find(due).map(|n| Case { node: n.listing.node, ..Case::default() })
     }
 
     fn probe(&mut self, case: Case, out: &mut dyn Actions) {
-        let Case::Node(id) = case else { return };
-        self.nodes.entry(id).and_modify(|n| n.probed = Some(self.now));
-        out.probe(id);
+        self.nodes.entry(case.node).and_modify(|n| n.probed = Some(self.now));
+        out.probe(case.node);
     }
 
     // Rules: the ends of a lookup.
@@ -342,11 +346,11 @@
     }
 
     fn whole_is_in(&self) -> Option<Case> {
-        self.lookups.values().find(|lk| self.whole(lk)).map(|lk| Case::Lookup(lk.id))
+        self.lookups.values().find(|lk| self.whole(lk)).map(|lk| Case { lookup: lk.id, ..Case::default() })
     }
 
     fn answer_whole(&mut self, case: Case, out: &mut dyn Actions) {
-        let Case::Lookup(id) = case else { return };
+        let id = case.lookup;
         let whole = self.lookups.get(&id).is_some_and(|lk| !lk.second || lk.first_whole);
         self.answer(id, whole, out);
     }
@@ -358,12 +362,11 @@
             let last = || lk.parts.iter().all(|p| p.satisfied || self.spent(lk, p));
             enough && (self.soon(lk.soft) || last())
         };
-        self.lookups.values().find(due).map(|lk| Case::Lookup(lk.id))
+        self.lookups.values().find(due).map(|lk| Case { lookup: lk.id, ..Case::default() })
     }
 
     fn answer_partly(&mut self, case: Case, out: &mut dyn Actions) {
-        let Case::Lookup(id) = case else { return };
-        self.answer(id, false, out);
+        self.answer(case.lookup, false, out);
     }
 
     fn answer(&mut self, id: LookupId, whole: bool, out: &mut dyn Actions) {
@@ -388,16 +391,18 @@
     /// Given up as soon as what is in and may still come is too little, and just before the client's end.
     fn hopeless(&self) -> Option<Case> {
         let lost = |lk: &&Lookup| {
+            if !complete(lk) {
+                return self.soon(lk.end);
+            }
             let spent: f64 = lk.parts.iter().filter(|p| self.spent(lk, p)).map(|p| p.weight).sum();
-            let short = complete(lk) && spent > 0.0 && 1.0 - spent + SHORT < self.bars(lk).1;
+            let short = spent > 0.0 && 1.0 - spent + SHORT < self.bars(lk).1;
             short || self.soon(lk.end)
         };
-        self.lookups.values().find(lost).map(|lk| Case::Lookup(lk.id))
+        self.lookups.values().find(lost).map(|lk| Case { lookup: lk.id, ..Case::default() })
     }
 
     fn give_up(&mut self, case: Case, out: &mut dyn Actions) {
-        let Case::Lookup(id) = case else { return };
-        self.refuse(id, Micros(0), out);
+        self.refuse(case.lookup, Micros(0), out);
     }
 
     /// A nack where a repeat is harmless, else an abort.
@@ -415,13 +420,11 @@
 
     fn close(&mut self, id: LookupId, out: &mut dyn Actions) {
         let Some(lookup) = self.lookups.remove(&id) else { return };
-        self.queries.retain(|_, of| *of != id);
         self.drop_parts(&lookup.parts, out);
     }
 
     fn drop_parts(&mut self, parts: &[Part], out: &mut dyn Actions) {
         for part in parts {
-            self.parts.remove(&part.id);
             let still_out = part.calls.iter().enumerate().filter(|(_, call)| call.ending.is_none());
             for (at, _) in still_out.filter(|_| self.tariff.cancels) {
                 out.cancel(part.id, CallNo(at as u8));
@@ -432,11 +435,14 @@
     // Rules: placement.
 
     fn unplaced(&self) -> Option<Case> {
-        self.lookups.values().find(|lk| !lk.placed && complete(lk)).map(|lk| Case::Lookup(lk.id))
+        self.lookups
+            .values()
+            .find(|lk| !lk.placed && complete(lk))
+            .map(|lk| Case { lookup: lk.id, ..Case::default() })
     }
 
     fn place_or_nack(&mut self, case: Case, out: &mut dyn Actions) {
-        let Case::Lookup(id) = case else { return };
+        let id = case.lookup;
         let Some(lookup) = self.lookups.get(&id) else { return };
         let (customer, second, least) = (lookup.customer, lookup.second, self.bars(lookup).1);
         let within_share = second || self.draw_quota(customer);
@@ -458,7 +464,7 @@
     }
 
     fn shedding_is_over(&self) -> Option<Case> {
-        self.shed_at.filter(|at| self.now.since(*at).0 as f64 > self.memory()).map(|_| Case::Router)
+        self.shed_at.filter(|at| self.now.since(*at).0 as f64 > self.memory()).map(|_| Case::default())
     }
 
     fn end_shedding(&mut self, _: Case, out: &mut dyn Actions) {
@@ -498,17 +504,13 @@
         self.nodes.values().filter(|n| n.listing.phase == Phase::Ready)
     }
 
-    /// The middle node's answer latency, in microseconds.
-    fn middle(&self) -> Option<f64> {
-        median(self.ready().filter_map(|n| n.latency))
-    }
-
-    fn survey(&self) -> Survey {
+    fn take_survey(&self) -> Survey {
         let read: Vec<f64> = self.ready().filter_map(|n| self.reading(n)).collect();
         let mean_o =
             if read.is_empty() { self.memory() } else { read.iter().sum::<f64>() / read.len() as f64 };
         let pace = median(self.ready().filter_map(|n| n.pace)).unwrap_or(0.0);
-        Survey { mean_o, m: mean_o * PART_RATIO, middle: self.middle(), pace }
+        let middle = median(self.ready().filter_map(|n| n.latency));
+        Survey { mean_o, m: mean_o * PART_RATIO, middle, pace }
     }
 
     /// A node's o as reported, or from its answers where it is not.
@@ -526,8 +528,8 @@
     }
 
     /// The answer latency to expect: as smoothed, fading towards the middle, and no less than the oldest call's age.
-    fn belief(&self, node: &Node, middle: Option<f64>) -> f64 {
-        let middle = middle.unwrap_or(0.0);
+    fn belief(&self, node: &Node) -> f64 {
+        let middle = self.survey.middle.unwrap_or(0.0);
         let fade = (-(self.now.since(node.seen).0 as f64) / self.memory()).exp();
         let latency = middle + (node.latency.unwrap_or(middle) - middle) * fade;
         // A hung node reports briskly while parts vanish: what it owes says how late it is at least.
@@ -537,11 +539,11 @@
 
     /// The answer latency of a part that would be the last of so many more: the node's pace goes on, and it answers no
     /// sooner than what it owes is old.
-    fn predicted(&self, node: &Node, more: f64, survey: &Survey) -> f64 {
+    fn predicted(&self, node: &Node, more: f64) -> f64 {
         let depth = owed_z(node) + more;
         let owing = |owed: &Owed| self.now.since(owed.sent).0 as f64 / (owed.depth + FREE_DEPTH);
         // A node not heard from yet is no better than the middle, and one that warms up is slower.
-        let known = node.pace.unwrap_or(survey.pace / self.warmth(node));
+        let known = node.pace.unwrap_or(self.survey.pace / self.warmth(node));
         let paced = node.owed.values().map(owing).fold(known, f64::max) * (depth + FREE_DEPTH);
         // A struck node is tried again in a while, or a router that saw all fail would nack for good.
         let struck = node.strikes > 0 && (self.now.since(node.seen).0 as f64) < self.memory();
@@ -554,10 +556,11 @@
     }
 
     /// The design's o of a node, our own parts out included.
-    fn o(&self, node: &Node, survey: &Survey) -> f64 {
+    fn o(&self, node: &Node) -> f64 {
+        let survey = &self.survey;
         let mut o = self.reading(node).unwrap_or(survey.mean_o);
         if let Some(middle) = survey.middle.filter(|_| node.doubted) {
-            o = o.max(survey.mean_o * self.belief(node, survey.middle) / middle.max(1.0));
+            o = o.max(survey.mean_o * self.belief(node) / middle.max(1.0));
         }
         if node.listing.zone != self.tariff.zone {
             o += survey.mean_o * self.tariff.crossing * CROSSING;
@@ -572,9 +575,12 @@
         }
     }
 
-    fn holds(&self, node: &Node, shard: ShardNo) -> bool {
-        let cells = self.tariff.cells;
-        (node.listing.cell.0 + cells - shard.0 % cells) % cells < self.tariff.reach
+    /// All nodes that hold a shard, from its cells in a row.
+    fn held_by(&self, shard: ShardNo) -> impl Iterator<Item = &Node> {
+        let (cells, reach) = (self.tariff.cells, self.tariff.reach.min(self.tariff.cells));
+        let cell = move |j| CellNo((shard.0 % cells + j) % cells);
+        let ids = (0..reach).filter_map(move |j| self.cells.get(&cell(j))).flatten();
+        ids.filter_map(|id| self.nodes.get(id))
     }
 
     /// The nodes that a part may go to: holders that are ready and have room, untried ones first.
@@ -582,9 +588,9 @@
         let z = self.z(part);
         let fit = |n: &&Node| {
             let more = planned.get(&n.listing.node).copied().unwrap_or(0.0);
-            self.holds(n, part.shard) && self.has_room(n, more + z.max(1.0))
+            n.listing.phase == Phase::Ready && self.has_room(n, more + z.max(1.0))
         };
-        let mut fit: Vec<&Node> = self.ready().filter(fit).collect();
+        let mut fit: Vec<&Node> = self.held_by(part.shard).filter(fit).collect();
         let untried = |n: &&Node| part.calls.iter().all(|c| c.node != n.listing.node);
         if fit.iter().any(untried) {
             fit.retain(untried);
@@ -593,27 +599,21 @@
     }
 
     fn plan(&self, lookup: &Lookup, left: f64) -> Plan {
-        let survey = self.survey();
         let mut planned: BTreeMap<NodeId, f64> = BTreeMap::new();
         let mut plan = Plan { places: Vec::new(), in_time: 0.0, slowest: 0.0 };
         // Visited in order of choice: parts with few holders first, the heavier first among equals.
-        let mut order: Vec<usize> = (0..lookup.parts.len()).collect();
-        let holders =
-            |at: &usize| self.nodes.values().filter(|n| self.holds(n, lookup.parts[*at].shard)).count();
-        order.sort_by(|a, b| {
-            let heavier = self.z(&lookup.parts[*b]).total_cmp(&self.z(&lookup.parts[*a]));
-            holders(a).cmp(&holders(b)).then(heavier).then(a.cmp(b))
-        });
-        for at in order {
+        let choice = |(at, part): (usize, &Part)| (self.held_by(part.shard).count(), self.z(part), at);
+        let mut order: Vec<_> = lookup.parts.iter().enumerate().map(choice).collect();
+        order.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
+        for (_, z, at) in order {
             let part = &lookup.parts[at];
-            let z = self.z(part);
             let added = |n: &Node| {
-                let fixed = if planned.contains_key(&n.listing.node) { 0.0 } else { self.o(n, &survey) };
-                fixed + survey.m * z
+                let fixed = if planned.contains_key(&n.listing.node) { 0.0 } else { self.o(n) };
+                fixed + self.survey.m * z
             };
             let latency = |n: &Node| {
                 let more = planned.get(&n.listing.node).copied().unwrap_or(0.0) + z;
-                self.predicted(n, more, &survey) * MARGIN
+                self.predicted(n, more) * MARGIN
             };
             // A discount stacks parts behind the chosen: holders that would answer late give way to those that would not.
             let mut holders = self.holders(part, &planned);
@@ -641,13 +641,14 @@
         let Some(lookup) = self.lookups.get(&id) else { return };
         let part = &lookup.parts[at];
         let (part_id, z, number) = (part.id, self.z(part), CallNo(part.calls.len() as u8));
-        let limit = lookup.end.since(self.now).max(LEAST_LIMIT);
+        let limit = lookup.end.since(self.now).max(Micros(1));
         let Some(node) = self.nodes.get_mut(&to) else { return };
         let depth = owed_z(node) + z;
         node.owed.insert((part_id, number), Owed { sent: self.now, z, depth });
         let (now, window) = (self.now, self.tariff.fall_window);
         drop_front(&mut node.sends, |(at, _)| now.since(*at) > window);
         node.sends.push_back((self.now, z.max(1.0)));
+        self.watched.insert(to);
         if number.0 > 0 && self.tariff.extra_window.is_some() {
             self.extras.push_back(self.now);
         }
@@ -691,7 +692,7 @@
     /// One late part holds back its lookup: it gets a copy while that may still be in time. One copy out at a time: when
     /// everything is late, more would only add to it.
     fn needs_a_copy(&self) -> Option<Case> {
-        let middle = Micros(self.middle()? as u64);
+        let middle = Micros(self.survey.middle? as u64);
         if self.lookups.values().flat_map(|lk| &lk.parts).any(|p| calls_out(p) > 1) {
             return None;
         }
@@ -705,20 +706,18 @@
                 if part.satisfied || !wanted(lk, part) || !self.may_call(lk, part) {
                     return None;
                 }
-                let survey = self.survey();
                 let free =
                     |n: &Node| part.calls.iter().all(|c| c.ending.is_some() || c.node != n.listing.node);
                 let mut holders = self.holders(part, &BTreeMap::new());
                 holders.retain(|n| free(n));
-                let node = self.cheapest(&holders, |n| self.o(n, &survey))?;
-                Some(Case::Call(lk.id, at, node.listing.node))
+                let node = self.cheapest(&holders, |n| self.o(n))?;
+                Some(Case { lookup: lk.id, at, node: node.listing.node })
             })
         })
     }
 
     fn call_again(&mut self, case: Case, out: &mut dyn Actions) {
-        let Case::Call(id, at, node) = case else { return };
-        self.call(id, at, node, out);
+        self.call(case.lookup, case.at, case.node, out);
     }
 
     // Evidence.
@@ -733,6 +732,7 @@
         if let Some(node) = self.nodes.get_mut(&id) {
             node.report = o.map(|o| blend(node.report, o, FRESH)).or(node.report);
             node.best_rate = node.best_rate.max(rate.unwrap_or(0.0));
+            self.stale = true;
         }
     }
 
@@ -749,29 +749,32 @@
         node.strikes = if ending == Ending::Satisfied { 0 } else { node.strikes + 1 };
         node.latency = Some(blend(node.latency, seen, FRESH));
         node.seen = self.now;
+        self.watched.insert(id);
+        self.stale = true;
     }
 
-    fn doubts(&self, node: &Node, middle: Option<f64>) -> bool {
-        let Some(known) = middle else { return false };
+    fn doubts(&self, node: &Node) -> bool {
+        let Some(known) = self.survey.middle else { return false };
         let bar = if node.doubted { TRUST * known } else { (DOUBT * known).max(self.memory() * BRIEF) };
-        self.belief(node, middle) > bar
+        self.belief(node) > bar
     }
 
     fn doubt_has_changed(&self) -> Option<Case> {
-        let middle = self.middle();
-        let changed = |n: &&Node| n.doubted != self.doubts(n, middle);
-        self.nodes.values().find(changed).map(|n| Case::Node(n.listing.node))
+        let changed = |n: &&Node| n.doubted != self.doubts(n);
+        let mut watched = self.watched.iter().filter_map(|id| self.nodes.get(id));
+        watched.find(changed).map(|n| Case { node: n.listing.node, ..Case::default() })
     }
 
     fn change_doubt(&mut self, case: Case, out: &mut dyn Actions) {
-        let Case::Node(id) = case else { return };
-        let middle = self.middle();
-        let Some(node) = self.nodes.get(&id) else { return };
-        let (late, strikes) = (self.belief(node, middle) / 1e3, node.strikes);
+        let Some(node) = self.nodes.get(&case.node) else { return };
+        let (late, strikes) = (self.belief(node) / 1e3, node.strikes);
         let word = if node.doubted { "trusted" } else { "doubted" };
-        let middle = middle.unwrap_or(0.0) / 1e3;
-        out.log(&format!("node {:x}: {word}, {late:.0} ms against {middle:.0}, strikes {strikes}", id.0));
-        self.nodes.entry(id).and_modify(|n| n.doubted = !n.doubted);
+        let middle = self.survey.middle.unwrap_or(0.0) / 1e3;
+        out.log(&format!(
+            "node {:x}: {word}, {late:.0} ms against {middle:.0}, strikes {strikes}",
+            case.node.0
+        ));
+        self.nodes.entry(case.node).and_modify(|n| n.doubted = !n.doubted);
     }
 
     // Warm-up.
@@ -784,7 +787,7 @@
         self.mean_hint.unwrap_or_else(quickest)
     }
 
-    /// The share of its capacity that a node surely had when the present window began.
+    /// The share of its capacity that a node surely had when the window began.
     fn warmth(&self, node: &Node) -> f64 {
         let (t, age) = (&self.tariff, self.now.since(node.listing.started));
         if node.listing.started.0 == 0 || age >= t.warm_within {
@@ -832,8 +835,8 @@
 
 fn median(of: impl Iterator<Item = f64>) -> Option<f64> {
     let mut of: Vec<f64> = of.collect();
-    of.sort_by(f64::total_cmp);
-    of.get(of.len() / 2).copied()
+    let middle = of.len() / 2;
+    (!of.is_empty()).then(|| *of.select_nth_unstable_by(middle, f64::total_cmp).1)
 }
 
 /// Empties a table by age, the oldest first.
--- a/src/types.rs
+++ b/src/types.rs
@@ -223,6 +223,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Lookup {
     pub id: LookupId,
+    pub query: QueryNo,
     pub index: IndexNo,
     pub customer: CustomerNo,
     /// When its gain falls, and when its client leaves.
