Part calls time out at the soft deadline

Cause: in jams nodes worked on parts whose lookups were late already; a part whose time-out has passed is not begun. Limit is the soft deadline while it lies ahead, then the client's end. Could hurt where late answers earn much; here they earn 0 to 30%.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -641,7 +641,8 @@
         let Some(lookup) = self.lookups.get(&id) else { return };
         let part = &lookup.parts[at];
         let (part_id, z, number) = (part.id, self.z(part), CallNo(part.calls.len() as u8));
-        let limit = lookup.end.since(self.now).max(Micros(1));
+        let due = if self.soon(lookup.soft) { lookup.end } else { lookup.soft };
+        let limit = due.since(self.now).max(Micros(1));
         let Some(node) = self.nodes.get_mut(&to) else { return };
         let depth = owed_z(node) + z;
         node.owed.insert((part_id, number), Owed { sent: self.now, z, depth });
