Scout before the rest while nodes fall; failures by index; cold share by lot; probe used nodes

The failure shows at the nodes; told to be the lookup's by connections broken under the same lookup at two nodes with nothing answered (bystanders outlive a fall by their other parts). While nodes fall (a broken connection, or the roster showing a new start before a node was missed), and for marked repeats, one node gets the lookup first; a deadly one is nacked. Costs one answer time then. - cold nodes: a 77th of the allowance is under a part, so nobody sent for 17 s; now so many windows make a turn, the first by lot.

--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -154,13 +154,24 @@
                 let (customer, shard) = (CustomerNo(f.u16()?), f.f32()?);
                 f.u64()?; // the key
                 let hint = Micros(f.u32()?.into());
+                let repeat = marks & 2 != 0;
                 let hint = (marks & 1 != 0 && hint.0 > 0).then_some(hint);
                 let (amount, index) = (f64::from(f.f32()?), IndexNo(f.u8()?));
                 let left = Micros(f.u32()?.into());
                 let query = QueryNo(u64::from(query.to_bits()));
                 guard(instance, || {
                     if shard < 0.0 {
-                        brain.lookup(now, LookupId(id), query, index, customer, amount as usize, left, out);
+                        brain.lookup(
+                            now,
+                            LookupId(id),
+                            query,
+                            index,
+                            customer,
+                            amount as usize,
+                            left,
+                            repeat,
+                            out,
+                        );
                     } else {
                         brain.part(now, PartId(id), query, ShardNo(shard as u32), amount, hint, out);
                     }
@@ -229,7 +240,8 @@
 fn ending(how: u16) -> Result<Ending, BadFrame> {
     Ok(match how {
         100 => Ending::Satisfied,
-        301 | 303 | 305 => Ending::MayHaveRun,
+        301 | 303 => Ending::MayHaveRun,
+        305 => Ending::Broken,
         302 | 304 => Ending::NeverRan,
         306 => Ending::Cancelled,
         307 => Ending::Unsent,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,13 +1,14 @@
 //! The decisions of a query router, all of them.
 //!
-//! Invoked through the methods of [`Brain`], one for each thing a router sees: a lookup and its parts, a part call's
-//! return, a probe's, the roster, a client that left, a timer. Each ends in `settle`, which goes through `RULES` until
-//! none fires. The module acts through [`Actions`], defined in `src/interface.rs`; `docs/design.md` gives the reasons.
+//! Invoked through the methods of [`Brain`], one for each thing a router sees: a lookup and its parts, a part
+//! call's return, a probe's, the roster, a client that left, a timer. Each ends in `settle`, which goes
+//! through `RULES` until none fires. The module acts through [`Actions`], defined in `src/interface.rs`;
+//! `docs/design.md` gives the reasons.
 //!
 //! The design (EC-Store's cost model) places every part. Beside it stand six mechanisms:
 //! 1. doubt: what a node's own answers show outweighs a report that says better;
 //! 2. again: another try after a failure, and one copy of a part that is late;
-//! 3. admission: a lookup is taken only if predicted in time, a customer beyond its share only with time to spare;
+//! 3. admission: a lookup is taken only if predicted in time, beyond a share only with time to spare;
 //! 4. cut: a lookup ends as soon as waiting gains nothing, with what is in or with nothing;
 //! 5. warm-up: a node that has just started gets this router's share of what it can bear;
 //! 6. roster: a watch kept up, and what it says of draining and gone nodes obeyed at once.
@@ -16,7 +17,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use nanorand::{Rng, WyRand};
+use nanorand::Rng;
 
 use crate::interface::Actions;
 use crate::types::*;
@@ -24,17 +25,18 @@
 #[cfg(test)]
 mod tests;
 
-/// m over mean o: nodes do a few parts at a time, so one more costs nearly as much as the call that takes it there.
+/// m over mean o: nodes do a few parts at a time, so one more costs nearly as much as the call.
 const PART_RATIO: f64 = 0.8;
 /// Weight of a new report or answer against what was known: a few answers make an opinion.
 const FRESH: f64 = 0.3;
 /// The same for what hardly changes: the mean hint, and the size of an index's lookups.
 const STEADY: f64 = FRESH * FRESH;
-/// A node is doubted when it answers so many times later than the middle node, and until it is within that many.
+/// A node is doubted when it answers so many times later than the middle node.
 const DOUBT: f64 = 2.5;
-const TRUST: f64 = 1.5;
 /// An answer within this share of the shortest soft deadline holds no lookup back, whatever the middle.
 const BRIEF: f64 = 0.25;
+/// Failures are remembered for so many of the shortest soft deadline: routers may hear that rarely.
+const LASTING: f64 = 8.0;
 /// A part is late after this many times the middle latency.
 const LATE: f64 = 4.0;
 /// The share of its time that a lookup of little gain may be predicted to take.
@@ -43,7 +45,9 @@
 const QUOTA_SECONDS: f64 = 2.0;
 /// Of the warm-up allowance; the rest covers parts heavier than the mean.
 const WARM_UP_SAFETY: f64 = 0.9;
-/// Parts out at a node before their number shows in its answers: it has cores, and a call costs as much as a part.
+/// A part this many times the mean counts as one.
+const LARGE: f64 = 1.5;
+/// Parts out at a node before their number shows in its answers: it has cores.
 const FREE_DEPTH: f64 = 2.0;
 /// Mean o that the whole gain of a lookup is worth, when a part's crossing of zones is priced.
 const CROSSING: f64 = 20.0;
@@ -57,14 +61,15 @@
 /// How often time alone makes the rules run, and the margin kept before a client's end.
 const BEAT: Micros = Micros(10_000);
 
+#[derive(Default)]
 pub struct Brain {
     pub tariff: Tariff,
-    chance: WyRand,
+    chance: Chance,
     now: Micros,
     beating: bool,
     /// Emptied by the roster: a node that is gone and owes nothing is dropped.
     pub nodes: BTreeMap<NodeId, Node>,
-    /// Nodes by cell, made anew by the roster, and those whose doubt may change: they owe, answered of late or are doubted.
+    /// Nodes by cell, made anew by the roster, and those whose doubt may change.
     cells: BTreeMap<CellNo, Vec<NodeId>>,
     watched: BTreeSet<NodeId>,
     /// The fleet's figures, taken anew before rules run if what they rest on has changed.
@@ -81,26 +86,19 @@
     extras: VecDeque<Micros>,
     ask_at: Option<Micros>,
     roster_lost: bool,
+    /// When a node last went down under its calls or came back before it was missed.
+    alarm_at: Option<Micros>,
     /// The last nack at admission, while such nacks come.
     shed_at: Option<Micros>,
 }
 
-/// What a rule has found to act on; a rule reads what it fills in.
-#[derive(Clone, Copy, Default)]
-struct Case {
-    lookup: LookupId,
-    at: usize,
-    node: NodeId,
-}
-
 /// A condition and an effect.
 type Rule = (fn(&Brain) -> Option<Case>, fn(&mut Brain, Case, &mut dyn Actions));
 
 /// Gone through in this order, from the top again after each that fires.
-const RULES: [Rule; 10] = [
+const RULES: [Rule; 9] = [
     (Brain::roster_is_due, Brain::ask_roster),
-    (Brain::whole_is_in, Brain::answer_whole),
-    (Brain::cut_is_due, Brain::answer_partly),
+    (Brain::answer_is_due, Brain::answer),
     (Brain::hopeless, Brain::give_up),
     (Brain::unplaced, Brain::place_or_nack),
     (Brain::needs_another_try, Brain::call_again),
@@ -110,44 +108,11 @@
     (Brain::probe_is_due, Brain::probe),
 ];
 
-/// The cost model's figures at one moment.
-#[derive(Clone, Copy, Default)]
-struct Survey {
-    mean_o: f64,
-    m: f64,
-    /// The middle node's answer latency, in microseconds, and its pace.
-    middle: Option<f64>,
-    pace: f64,
-}
-
-/// Where the parts of a lookup go, and which of their weight is predicted in time.
-struct Plan {
-    places: Vec<(usize, NodeId)>,
-    in_time: f64,
-    slowest: f64,
-}
-
 impl Brain {
     pub fn new(tariff: Tariff, seed: u64) -> Self {
-        Brain {
-            chance: WyRand::new_seed(seed),
-            now: Micros(0),
-            beating: false,
-            nodes: BTreeMap::new(),
-            cells: BTreeMap::new(),
-            watched: BTreeSet::new(),
-            survey: Survey::default(),
-            stale: true,
-            lookups: BTreeMap::new(),
-            mean_hint: None,
-            quota_left: vec![(0.0, Micros(0)); tariff.quotas.len()],
-            taken: VecDeque::new(),
-            extras: VecDeque::new(),
-            ask_at: tariff.roster_on_request.then_some(Micros(0)),
-            roster_lost: false,
-            shed_at: None,
-            tariff,
-        }
+        let quota_left = vec![(0.0, Micros(0)); tariff.quotas.len()];
+        let ask_at = tariff.roster_on_request.then_some(Micros(0));
+        Brain { chance: Chance::new(seed), stale: true, quota_left, ask_at, tariff, ..Brain::default() }
     }
 
     /// Counts a request for the budget, where one is set.
@@ -164,14 +129,14 @@
 
     pub fn lookup(
         &mut self, now: Micros, id: LookupId, query: QueryNo, index: IndexNo, customer: CustomerNo,
-        expected: usize, left: Micros, out: &mut dyn Actions,
+        expected: usize, left: Micros, repeat: bool, out: &mut dyn Actions,
     ) {
         self.now = now;
         self.take();
-        let row = &mut self.tariff.indexes[usize::from(index.0)];
+        let row = &mut self.tariff.indexes[index.at()];
         row.size = Some(blend(row.size, expected as f64, STEADY));
         let (soft, end) = (now + row.soft.min(left), now + left);
-        let lookup = Lookup { id, query, index, customer, soft, end, expected, ..Lookup::default() };
+        let lookup = Lookup { id, query, repeat, index, customer, soft, end, expected, ..Lookup::default() };
         self.lookups.insert(id, lookup);
         self.settle(out);
     }
@@ -196,11 +161,13 @@
     ) {
         self.now = now;
         let owed = self.nodes.get_mut(&node).and_then(|n| Some((n.owed.remove(&(part, call))?, n)));
-        if let Some((owed, n)) = owed.filter(|_| ending == Ending::Satisfied) {
-            n.pace = Some(blend(n.pace, lag.0 as f64 / (owed.depth + FREE_DEPTH), FRESH));
+        if let Some((owed, n)) = owed {
+            if ending == Ending::Satisfied {
+                n.pace = Some(blend(n.pace, lag.0 as f64 / (owed.depth + FREE_DEPTH), FRESH));
+            }
+            self.learn(node, owed.index, lag, ending);
         }
         self.read_report(node, report);
-        self.learn(node, lag, ending);
         // Returns still come for lookups that are over.
         if let Some(p) = self.lookups.values_mut().flat_map(|lk| &mut lk.parts).find(|p| p.id == part) {
             p.satisfied |= ending == Ending::Satisfied;
@@ -211,8 +178,8 @@
         self.settle(out);
     }
 
-    /// A probe that fails says nothing that a part call would not: it gives up sooner and is turned away sooner. One
-    /// that comes back brings the report and no trust: a hung node answers probes briskly.
+    /// A probe that fails says nothing that a part call would not: it gives up sooner and is turned away
+    /// sooner. One that comes back brings the report and no trust: a hung node answers probes briskly.
     pub fn probed(&mut self, now: Micros, node: NodeId, report: &[f64], out: &mut dyn Actions) {
         self.now = now;
         self.read_report(node, report);
@@ -231,11 +198,13 @@
             self.nodes.values_mut().for_each(|n| n.listing.phase = Phase::Gone);
         }
         for listing in list {
-            let lot = self.chance.generate();
+            let lot = self.chance.0.generate();
             let node = self.nodes.entry(listing.node).or_insert_with(|| Node { lot, ..Node::default() });
             if listing.started > node.listing.started {
-                // A new process: what the old one showed is void.
-                (node.report, node.latency, node.pace, node.strikes) = (None, None, None, 0);
+                // A new process: what the old one showed is void. Back before it was missed: it fell.
+                let fell = node.listing.node == listing.node && node.listing.phase == Phase::Ready;
+                self.alarm_at = fell.then_some(now).or(self.alarm_at);
+                *node = Node { lot: node.lot, owed: std::mem::take(&mut node.owed), ..Node::default() };
             }
             node.listing = *listing;
         }
@@ -255,11 +224,11 @@
         self.stale = true;
     }
 
-    /// The watch broke or could not be had. Without one the router soon counts as told of what it has not heard, so it
-    /// asks again; by chance, so that all routers do not ask a roster in trouble at the same moment.
+    /// The watch broke or could not be had. Without one the router soon counts as told of what it has not
+    /// heard, so it asks again; at a time by chance, so that not all routers ask at once.
     pub fn roster_failed(&mut self, now: Micros, out: &mut dyn Actions) {
         self.now = now;
-        let wait = ASK_AGAIN + Micros(self.chance.generate_range(0..ASK_AGAIN.0));
+        let wait = ASK_AGAIN + Micros(self.chance.0.generate_range(0..ASK_AGAIN.0));
         self.ask_at = Some(now + wait);
         if !std::mem::replace(&mut self.roster_lost, true) {
             out.log(&format!("roster: lost, {} nodes known, asking again", self.nodes.len()));
@@ -271,7 +240,8 @@
         self.now = now;
         self.beating = false;
         let (memory, nodes) = (self.memory(), &self.nodes);
-        let wanted = |n: &Node| n.doubted || !n.owed.is_empty() || now.since(n.seen).0 as f64 <= memory;
+        let wanted =
+            |n: &Node| n.doubted.is_some() || !n.owed.is_empty() || now.since(n.seen).0 as f64 <= memory;
         self.watched.retain(|id| nodes.get(id).is_some_and(wanted));
         self.settle(out);
     }
@@ -292,7 +262,7 @@
         while let Some((then, case)) = RULES.iter().find_map(|(when, then)| Some((then, when(self)?))) {
             then(self, case, out);
         }
-        let idle = self.lookups.is_empty() && self.watched.is_empty() && !self.tariff.probing;
+        let idle = self.lookups.is_empty() && self.watched.is_empty();
         let waits = !idle || self.ask_at.or(self.shed_at).is_some();
         if waits && !std::mem::replace(&mut self.beating, true) {
             out.timer(self.beat(), TimerId(0));
@@ -301,6 +271,10 @@
 
     // Rules: roster and probes.
 
+    fn watched_nodes(&self) -> impl Iterator<Item = &Node> {
+        self.watched.iter().filter_map(|id| self.nodes.get(id))
+    }
+
     fn roster_is_due(&self) -> Option<Case> {
         self.ask_at.filter(|&at| at <= self.now).map(|_| Case::default())
     }
@@ -314,8 +288,10 @@
         if self.tariff.reporting != Reporting::OnProbe || !self.tariff.probing {
             return None;
         }
-        let due = |n: &&Node| n.probed.is_none_or(|at| self.now.since(at) >= PROBE_EVERY);
-        self.ready().find(due).map(|n| Case { node: n.listing.node, ..Case::default() })
+        let recent = |at: Micros| self.now.since(at) < PROBE_EVERY;
+        let used = |n: &Node| !n.owed.is_empty() || n.sends.back().is_some_and(|(at, _)| recent(*at));
+        let due = |n: &&Node| used(n) && n.probed.is_none_or(|at| !recent(at));
+        self.watched_nodes().find(due).map(|n| Case { node: n.listing.node, ..Case::default() })
     }
 
     fn probe(&mut self, case: Case, out: &mut dyn Actions) {
@@ -325,8 +301,12 @@
 
     // Rules: the ends of a lookup.
 
+    fn find(&self, wanted: impl Fn(&Lookup) -> bool) -> Option<Case> {
+        self.lookups.values().find(|lk| wanted(lk)).map(|lk| Case { lookup: lk.id, ..Case::default() })
+    }
+
     fn row(&self, lookup: &Lookup) -> &IndexRow {
-        &self.tariff.indexes[usize::from(lookup.index.0)]
+        &self.tariff.indexes[lookup.index.at()]
     }
 
     /// The weight that makes the present step whole, and the least that may be answered.
@@ -341,38 +321,25 @@
 
     fn whole(&self, lookup: &Lookup) -> bool {
         let all_in = lookup.parts.iter().all(|p| p.satisfied);
-        let enough = if lookup.second { all_in } else { all_in || weight_in(lookup) >= self.bars(lookup).0 };
-        complete(lookup) && enough
-    }
-
-    fn whole_is_in(&self) -> Option<Case> {
-        self.lookups.values().find(|lk| self.whole(lk)).map(|lk| Case { lookup: lk.id, ..Case::default() })
+        let enough = if lookup.second { all_in } else { all_in || lookup.weight_in() >= self.bars(lookup).0 };
+        lookup.complete() && enough
     }
 
-    fn answer_whole(&mut self, case: Case, out: &mut dyn Actions) {
-        let id = case.lookup;
-        let whole = self.lookups.get(&id).is_some_and(|lk| !lk.second || lk.first_whole);
-        self.answer(id, whole, out);
-    }
-
-    /// An answer in part is due when its gain is about to fall, or when nothing more can come.
-    fn cut_is_due(&self) -> Option<Case> {
-        let due = |lk: &&Lookup| {
-            let enough = complete(lk) && weight_in(lk) + SHORT > self.bars(lk).1 && weight_in(lk) > 0.0;
+    /// An answer is due when it is whole; one in part when its gain is about to fall, or no more can come.
+    fn answer_is_due(&self) -> Option<Case> {
+        self.find(|lk| {
+            let enough = lk.complete() && lk.weight_in() + SHORT > self.bars(lk).1 && lk.weight_in() > 0.0;
             let last = || lk.parts.iter().all(|p| p.satisfied || self.spent(lk, p));
-            enough && (self.soon(lk.soft) || last())
-        };
-        self.lookups.values().find(due).map(|lk| Case { lookup: lk.id, ..Case::default() })
-    }
-
-    fn answer_partly(&mut self, case: Case, out: &mut dyn Actions) {
-        self.answer(case.lookup, false, out);
+            self.whole(lk) || enough && (self.soon(lk.soft) || last())
+        })
     }
 
-    fn answer(&mut self, id: LookupId, whole: bool, out: &mut dyn Actions) {
+    fn answer(&mut self, case: Case, out: &mut dyn Actions) {
+        let id = case.lookup;
+        let whole = self.lookups.get(&id).is_some_and(|lk| self.whole(lk) && (!lk.second || lk.first_whole));
         out.answer(id, whole);
         let Some(lookup) = self.lookups.get_mut(&id) else { return };
-        let second_step = self.tariff.indexes[usize::from(lookup.index.0)].second_step;
+        let second_step = self.tariff.indexes[lookup.index.at()].second_step;
         if lookup.second || second_step == 0 {
             return self.close(id, out);
         }
@@ -385,31 +352,51 @@
 
     /// No call is out, and none may follow.
     fn spent(&self, lookup: &Lookup, part: &Part) -> bool {
-        !part.satisfied && calls_out(part) == 0 && !self.may_call(lookup, part)
+        !part.satisfied && part.calls_out() == 0 && !self.may_call(lookup, part)
     }
 
     /// Given up as soon as what is in and may still come is too little, and just before the client's end.
     fn hopeless(&self) -> Option<Case> {
-        let lost = |lk: &&Lookup| {
-            if !complete(lk) {
+        let lost = |lk: &Lookup| {
+            if !lk.complete() {
                 return self.soon(lk.end);
             }
             let spent: f64 = lk.parts.iter().filter(|p| self.spent(lk, p)).map(|p| p.weight).sum();
-            let short = spent > 0.0 && 1.0 - spent + SHORT < self.bars(lk).1;
+            let short = self.deadly(lk) || spent > 0.0 && 1.0 - spent + SHORT < self.bars(lk).1;
             short || self.soon(lk.end)
         };
-        self.lookups.values().find(lost).map(|lk| Case { lookup: lk.id, ..Case::default() })
+        self.find(lost)
     }
 
     fn give_up(&mut self, case: Case, out: &mut dyn Actions) {
-        self.refuse(case.lookup, Micros(0), out);
+        let deadly = self.lookups.get(&case.lookup).is_some_and(|lk| self.deadly(lk));
+        self.refuse(case.lookup, Micros(if deadly { u64::MAX } else { 0 }), out);
+    }
+
+    /// Some lookups bring down each node that begins a part of them: connections break at one node after the
+    /// other and nothing is ever answered. A node's own fall other lookups outlive by other parts. Hurts
+    /// a lookup that two falling nodes meet by chance.
+    fn deadly(&self, lookup: &Lookup) -> bool {
+        lookup.broken_at() > usize::from(!lookup.repeat) && lookup.weight_in() == 0.0 && !lookup.second
+    }
+
+    /// While nodes fall, and for a client's repeat, one node is tried before the others see the lookup.
+    fn wary(&self, lookup: &Lookup) -> bool {
+        let alarmed = self.alarm_at.is_some_and(|at| self.now.since(at) < self.tariff.warm_within);
+        (alarmed || lookup.repeat) && lookup.weight_in() == 0.0 && !lookup.second
+    }
+
+    /// A scout is out, and less than half of the time is gone.
+    fn scouting(&self, lookup: &Lookup) -> bool {
+        let first = lookup.sent_out().min();
+        first.is_some_and(|at| self.now.since(at) < lookup.soft.since(self.now)) && self.wary(lookup)
     }
 
     /// A nack where a repeat is harmless, else an abort.
     fn refuse(&mut self, id: LookupId, come_back: Micros, out: &mut dyn Actions) {
         let Some(lookup) = self.lookups.get(&id) else { return };
         let harmless = self.row(lookup).repeat == Repeat::Idempotent
-            || !lookup.second && lookup.parts.iter().all(|p| !p.calls.iter().any(may_have_run));
+            || !lookup.second && lookup.parts.iter().all(|p| !p.calls.iter().any(Call::may_have_run));
         if harmless {
             out.nack(id, self.tariff.longest_advice.map_or(Micros(0), |longest| come_back.min(longest)));
         } else {
@@ -435,21 +422,19 @@
     // Rules: placement.
 
     fn unplaced(&self) -> Option<Case> {
-        self.lookups
-            .values()
-            .find(|lk| !lk.placed && complete(lk))
-            .map(|lk| Case { lookup: lk.id, ..Case::default() })
+        self.find(|lk| !lk.placed && lk.complete() && !self.scouting(lk))
     }
 
     fn place_or_nack(&mut self, case: Case, out: &mut dyn Actions) {
         let id = case.lookup;
         let Some(lookup) = self.lookups.get(&id) else { return };
         let (customer, second, least) = (lookup.customer, lookup.second, self.bars(lookup).1);
-        let within_share = second || self.draw_quota(customer);
+        let first = !second && lookup.parts.iter().all(|p| p.calls.is_empty());
+        let within_share = !first || self.draw_quota(customer);
         let Some(lookup) = self.lookups.get(&id) else { return };
         let left = lookup.soft.since(self.now).0 as f64 * self.time_allowed(lookup, within_share);
         let plan = self.plan(lookup, left);
-        if !second && plan.in_time + SHORT < least {
+        if first && plan.in_time + SHORT < least {
             if self.shed_at.replace(self.now).is_none() {
                 let (slowest, left, placed) = (plan.slowest / 1e3, left / 1e3, plan.places.len());
                 out.log(&format!("shedding: {placed} parts in {slowest:.0} ms, allowed {left:.0}"));
@@ -457,8 +442,10 @@
             let excess = Micros((plan.slowest - left).max(BEAT.0 as f64) as u64);
             return self.refuse(id, excess, out);
         }
-        self.lookups.entry(id).and_modify(|lk| lk.placed = true);
-        for (at, node) in plan.places {
+        let scout = plan.places.first().filter(|_| self.wary(lookup) && lookup.sent_out().count() == 0);
+        let scout = scout.map(|(_, node)| *node);
+        self.lookups.entry(id).and_modify(|lk| lk.placed = scout.is_none());
+        for (at, node) in plan.places.into_iter().filter(|(_, node)| scout.is_none_or(|s| s == *node)) {
             self.call(id, at, node, out);
         }
     }
@@ -472,8 +459,8 @@
         out.log(&format!("shedding: over, {} lookups in hand", self.lookups.len()));
     }
 
-    /// The share of its time that a lookup may be predicted to take: all of it where the gain for its work is the best
-    /// there is, less for others, so that they give way first when nodes are busy.
+    /// The share of its time that a lookup may be predicted to take: all of it where the gain for its work is
+    /// the best there is, less for others, so that they give way first when nodes are busy.
     fn time_allowed(&self, lookup: &Lookup, within_share: bool) -> f64 {
         let size = |row: &IndexRow| row.size.filter(|_| !self.tariff.gain_by_work).unwrap_or(1.0);
         let density = |row: &IndexRow| row.gain / size(row);
@@ -510,7 +497,14 @@
             if read.is_empty() { self.memory() } else { read.iter().sum::<f64>() / read.len() as f64 };
         let pace = median(self.ready().filter_map(|n| n.pace)).unwrap_or(0.0);
         let middle = median(self.ready().filter_map(|n| n.latency));
-        Survey { mean_o, m: mean_o * PART_RATIO, middle, pace }
+        // What a warm node surely does: the work of one core, or as many parts as the middle node has
+        // reported. A large fleet always has one odd report: so the middle.
+        let reported = self.tariff.gauges.contains(&Gauge::LatencyMs);
+        let known = |n: &Node| if reported { n.report.map(|ms| ms * 1e3) } else { n.latency };
+        let work = self.mean_hint.or_else(|| median(self.ready().filter_map(known)));
+        let best = median(self.ready().map(|n| n.best_rate).filter(|rate| *rate > 0.0)).unwrap_or(0.0);
+        let rate = best.max(1e6 / work.unwrap_or(self.memory()));
+        Survey { mean_o, m: mean_o * PART_RATIO, middle, pace, rate }
     }
 
     /// A node's o as reported, or from its answers where it is not.
@@ -523,31 +517,45 @@
         if t.gauges.contains(&Gauge::LatencyMs) {
             return node.report.or(node.latency.map(|micros| micros / 1e3));
         }
-        // A queue of none is no free ride: a call costs a node work of its own, told in parts of the mean size.
+        // A queue of none is no free ride: a call costs a node work of its own, told in mean parts.
         node.report.map(|queue| queue + self.mean_hint.map_or(1.0, |hint| t.call_cost.0 as f64 / hint))
     }
 
-    /// The answer latency to expect: as smoothed, fading towards the middle, and no less than the oldest call's age.
-    fn belief(&self, node: &Node) -> f64 {
-        let middle = self.survey.middle.unwrap_or(0.0);
-        let fade = (-(self.now.since(node.seen).0 as f64) / self.memory()).exp();
-        let latency = middle + (node.latency.unwrap_or(middle) - middle) * fade;
-        // A hung node reports briskly while parts vanish: what it owes says how late it is at least.
-        let age = node.owed.values().map(|owed| self.now.since(owed.sent).0).max().unwrap_or(0);
-        latency.max(age as f64)
+    /// The answer latency to expect for an index: as smoothed, later by how often the node failed that index,
+    /// both fading, and no less than the age of what it owes. Age counts from its last answer: a lost answer
+    /// is not a hung node.
+    fn belief(&self, node: &Node, index: IndexNo) -> f64 {
+        let (middle, lasting) = (self.survey.middle.unwrap_or(0.0), self.memory() * LASTING);
+        let known = node.latency.unwrap_or(middle);
+        let latency = middle + (known - middle) * self.fade(node.seen, self.memory());
+        let age = node.owed.values().map(|owed| self.overdue(node, owed, index)).fold(0.0, f64::max);
+        (latency + self.feared(node, index, lasting)).max(age)
+    }
+
+    fn fade(&self, since: Micros, lasting: f64) -> f64 {
+        (-(self.now.since(since).0 as f64) / lasting).exp()
+    }
+
+    /// How much later its failures make a node: each as an answer as late as the shortest aim.
+    fn feared(&self, node: &Node, index: IndexNo, lasting: f64) -> f64 {
+        let standing = node.standing(index);
+        standing.fear * self.fade(standing.at, lasting) * self.memory()
     }
 
-    /// The answer latency of a part that would be the last of so many more: the node's pace goes on, and it answers no
-    /// sooner than what it owes is old.
-    fn predicted(&self, node: &Node, more: f64) -> f64 {
-        let depth = owed_z(node) + more;
-        let owing = |owed: &Owed| self.now.since(owed.sent).0 as f64 / (owed.depth + FREE_DEPTH);
+    fn overdue(&self, node: &Node, owed: &Owed, index: IndexNo) -> f64 {
+        self.now.since(owed.sent.max(node.standing(index).answered)).0 as f64
+    }
+
+    /// The answer latency of a part that would be the last of so many more: the node's pace goes on, and it
+    /// answers no sooner than what it owes is old.
+    fn predicted(&self, node: &Node, index: IndexNo, more: f64) -> f64 {
+        let depth = node.owed_z() + more;
+        let owing = |owed: &Owed| self.overdue(node, owed, index) / (owed.depth + FREE_DEPTH);
         // A node not heard from yet is no better than the middle, and one that warms up is slower.
         let known = node.pace.unwrap_or(self.survey.pace / self.warmth(node));
-        let paced = node.owed.values().map(owing).fold(known, f64::max) * (depth + FREE_DEPTH);
-        // A struck node is tried again in a while, or a router that saw all fail would nack for good.
-        let struck = node.strikes > 0 && (self.now.since(node.seen).0 as f64) < self.memory();
-        paced.max(node.latency.filter(|_| struck).unwrap_or(0.0))
+        // Fear is short here, or a router that saw all fail would nack for good.
+        let feared = self.feared(node, index, self.memory());
+        node.owed.values().map(owing).fold(known, f64::max) * (depth + FREE_DEPTH) + feared
     }
 
     /// How long an opinion of a node lasts unrefreshed: the shortest soft deadline.
@@ -556,16 +564,14 @@
     }
 
     /// The design's o of a node, our own parts out included.
-    fn o(&self, node: &Node) -> f64 {
+    fn o(&self, node: &Node, index: IndexNo) -> f64 {
         let survey = &self.survey;
         let mut o = self.reading(node).unwrap_or(survey.mean_o);
-        if let Some(middle) = survey.middle.filter(|_| node.doubted) {
-            o = o.max(survey.mean_o * self.belief(node) / middle.max(1.0));
-        }
+        o = self.doubt(node, index).map_or(o, |late| o.max(survey.mean_o * late));
         if node.listing.zone != self.tariff.zone {
             o += survey.mean_o * self.tariff.crossing * CROSSING;
         }
-        o + survey.m * owed_z(node)
+        o + survey.m * node.owed_z()
     }
 
     fn z(&self, part: &Part) -> f64 {
@@ -600,22 +606,23 @@
 
     fn plan(&self, lookup: &Lookup, left: f64) -> Plan {
         let mut planned: BTreeMap<NodeId, f64> = BTreeMap::new();
-        let mut plan = Plan { places: Vec::new(), in_time: 0.0, slowest: 0.0 };
+        let mut plan = Plan::default();
         // Visited in order of choice: parts with few holders first, the heavier first among equals.
         let choice = |(at, part): (usize, &Part)| (self.held_by(part.shard).count(), self.z(part), at);
-        let mut order: Vec<_> = lookup.parts.iter().enumerate().map(choice).collect();
+        let open = |(_, part): &(usize, &Part)| part.calls_out() == 0 && self.may_call(lookup, part);
+        let mut order: Vec<_> = lookup.parts.iter().enumerate().filter(open).map(choice).collect();
         order.sort_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)).then(a.2.cmp(&b.2)));
         for (_, z, at) in order {
             let part = &lookup.parts[at];
             let added = |n: &Node| {
-                let fixed = if planned.contains_key(&n.listing.node) { 0.0 } else { self.o(n) };
+                let fixed = if planned.contains_key(&n.listing.node) { 0.0 } else { self.o(n, lookup.index) };
                 fixed + self.survey.m * z
             };
             let latency = |n: &Node| {
                 let more = planned.get(&n.listing.node).copied().unwrap_or(0.0) + z;
-                self.predicted(n, more) * MARGIN
+                self.predicted(n, lookup.index, more) * MARGIN
             };
-            // A discount stacks parts behind the chosen: holders that would answer late give way to those that would not.
+            // A discount stacks parts behind the chosen: late holders give way to those in time.
             let mut holders = self.holders(part, &planned);
             if holders.iter().any(|n| latency(n) <= left) {
                 holders.retain(|n| latency(n) <= left);
@@ -641,13 +648,14 @@
         let Some(lookup) = self.lookups.get(&id) else { return };
         let part = &lookup.parts[at];
         let (part_id, z, number) = (part.id, self.z(part), CallNo(part.calls.len() as u8));
+        let index = lookup.index;
         let due = if self.soon(lookup.soft) { lookup.end } else { lookup.soft };
         let limit = due.since(self.now).max(Micros(1));
         let Some(node) = self.nodes.get_mut(&to) else { return };
-        let depth = owed_z(node) + z;
-        node.owed.insert((part_id, number), Owed { sent: self.now, z, depth });
-        let (now, window) = (self.now, self.tariff.fall_window);
-        drop_front(&mut node.sends, |(at, _)| now.since(*at) > window);
+        let depth = node.owed_z() + z;
+        node.owed.insert((part_id, number), Owed { sent: self.now, index, z, depth });
+        let (now, kept) = (self.now, self.tariff.warm_within);
+        drop_front(&mut node.sends, |(at, _)| now.since(*at) > kept);
         node.sends.push_back((self.now, z.max(1.0)));
         self.watched.insert(to);
         if number.0 > 0 && self.tariff.extra_window.is_some() {
@@ -664,7 +672,7 @@
     /// Whether the rules let a part have a call, first or further, now.
     fn may_call(&self, lookup: &Lookup, part: &Part) -> bool {
         let calls = &part.calls;
-        let first_run = calls.iter().find(|c| may_have_run(c)).map(|c| c.sent);
+        let first_run = calls.iter().find(|c| c.may_have_run()).map(|c| c.sent);
         let harmless = match self.row(lookup).repeat {
             Repeat::Idempotent => true,
             // Two beats are kept back: the window is the nodes', and the call has yet to reach one.
@@ -672,7 +680,7 @@
             Repeat::OnceOnly => first_run.is_none(),
         };
         let tries_left = self.tariff.most_calls.is_none_or(|most| calls.len() < most) && calls.len() < 255;
-        let alone = self.tariff.second_copies || calls_out(part) == 0;
+        let alone = self.tariff.second_copies || part.calls_out() == 0;
         let budget = calls.is_empty() || self.within_budget();
         !part.satisfied && harmless && tries_left && alone && budget && !self.soon(lookup.end)
     }
@@ -687,18 +695,18 @@
 
     /// A part without a call out gets one, elsewhere if it can.
     fn needs_another_try(&self) -> Option<Case> {
-        self.find_call(|_, part| calls_out(part) == 0)
+        self.find_call(|lk, part| part.calls_out() == 0 && (lk.outlived() || lk.sent_out().count() == 0))
     }
 
-    /// One late part holds back its lookup: it gets a copy while that may still be in time. One copy out at a time: when
-    /// everything is late, more would only add to it.
+    /// One late part holds back its lookup: it gets a copy while that may still be in time. One copy out at a
+    /// time: when everything is late, more would only add to it.
     fn needs_a_copy(&self) -> Option<Case> {
         let middle = Micros(self.survey.middle? as u64);
-        if self.lookups.values().flat_map(|lk| &lk.parts).any(|p| calls_out(p) > 1) {
+        if self.lookups.values().flat_map(|lk| &lk.parts).any(|p| p.calls_out() > 1) {
             return None;
         }
         let late = |c: &Call| c.ending.is_none() && self.now.since(c.sent) > middle.times(LATE);
-        self.find_call(|lk, part| part.calls.iter().any(late) && self.now + middle < lk.soft)
+        self.find_call(|lk, part| lk.outlived() && part.calls.iter().any(late) && self.now + middle < lk.soft)
     }
 
     fn find_call(&self, wanted: impl Fn(&Lookup, &Part) -> bool) -> Option<Case> {
@@ -711,8 +719,8 @@
                     |n: &Node| part.calls.iter().all(|c| c.ending.is_some() || c.node != n.listing.node);
                 let mut holders = self.holders(part, &BTreeMap::new());
                 holders.retain(|n| free(n));
-                let node = self.cheapest(&holders, |n| self.o(n))?;
-                Some(Case { lookup: lk.id, at, node: node.listing.node })
+                let node = self.cheapest(&holders, |n| self.o(n, lk.index))?;
+                Some(Case { lookup: lk.id, at, node: node.listing.node, ..Case::default() })
             })
         })
     }
@@ -737,57 +745,59 @@
         }
     }
 
-    /// A failed call counts as an answer as late as the shortest soft deadline: refusals, lost connections, errors and
-    /// silence are one symptom, and fade alike.
-    fn learn(&mut self, id: NodeId, lag: Micros, ending: Ending) {
-        let worst = self.memory();
+    /// Refusals, lost connections, errors and silence are one symptom. What shows the process down counts for
+    /// every index; an error, or a call given up when late, only for its own: a node may fail one and serve
+    /// the others.
+    fn learn(&mut self, id: NodeId, index: IndexNo, lag: Micros, ending: Ending) {
+        self.alarm_at = Some(self.now).filter(|_| ending == Ending::Broken).or(self.alarm_at);
+        let late = self.survey.middle.is_some_and(|middle| lag.0 as f64 > middle * LATE);
         let Some(node) = self.nodes.get_mut(&id) else { return };
-        let seen = match ending {
-            Ending::Satisfied => lag.0 as f64,
-            Ending::MayHaveRun | Ending::NeverRan => worst.max(lag.0 as f64),
-            Ending::Cancelled | Ending::Unsent => return,
+        let fear = match ending {
+            Ending::Satisfied => 0.0,
+            Ending::Unsent => return,
+            Ending::Cancelled if !late => return,
+            _ => 1.0,
         };
-        node.strikes = if ending == Ending::Satisfied { 0 } else { node.strikes + 1 };
-        node.latency = Some(blend(node.latency, seen, FRESH));
-        node.seen = self.now;
+        if ending == Ending::Satisfied {
+            (node.latency, node.seen) = (Some(blend(node.latency, lag.0 as f64, FRESH)), self.now);
+        }
+        node.standings.resize(self.tariff.indexes.len(), Standing::default());
+        for (at, standing) in node.standings.iter_mut().enumerate() {
+            if at == index.at() || matches!(ending, Ending::NeverRan | Ending::Broken) {
+                standing.fear += (fear - standing.fear) * FRESH;
+                standing.at = self.now;
+                standing.answered = if fear > 0.0 { standing.answered } else { self.now };
+            }
+        }
         self.watched.insert(id);
         self.stale = true;
     }
 
-    fn doubts(&self, node: &Node) -> bool {
-        let Some(known) = self.survey.middle else { return false };
-        let bar = if node.doubted { TRUST * known } else { (DOUBT * known).max(self.memory() * BRIEF) };
-        self.belief(node) > bar
+    /// How many times later than the middle a node is for an index, where that counts.
+    fn doubt(&self, node: &Node, index: IndexNo) -> Option<f64> {
+        let (middle, belief) = (self.survey.middle?.max(1.0), self.belief(node, index));
+        (belief > (DOUBT * middle).max(self.memory() * BRIEF)).then_some(belief / middle)
     }
 
     fn doubt_has_changed(&self) -> Option<Case> {
-        let changed = |n: &&Node| n.doubted != self.doubts(n);
-        let mut watched = self.watched.iter().filter_map(|id| self.nodes.get(id));
-        watched.find(changed).map(|n| Case { node: n.listing.node, ..Case::default() })
+        let indexes = || (0..self.tariff.indexes.len() as u8).map(IndexNo);
+        let doubted = |n: &Node| indexes().find(|index| self.doubt(n, *index).is_some());
+        let mut now = self.watched_nodes().map(|n| (n, doubted(n)));
+        let (n, index) = now.find(|(n, index)| index.is_some() != n.doubted.is_some())?;
+        Some(Case { index: index.unwrap_or_default(), node: n.listing.node, ..Case::default() })
     }
 
     fn change_doubt(&mut self, case: Case, out: &mut dyn Actions) {
         let Some(node) = self.nodes.get(&case.node) else { return };
-        let (late, strikes) = (self.belief(node) / 1e3, node.strikes);
-        let word = if node.doubted { "trusted" } else { "doubted" };
-        let middle = self.survey.middle.unwrap_or(0.0) / 1e3;
-        out.log(&format!(
-            "node {:x}: {word}, {late:.0} ms against {middle:.0}, strikes {strikes}",
-            case.node.0
-        ));
-        self.nodes.entry(case.node).and_modify(|n| n.doubted = !n.doubted);
+        let (id, index, word) = (case.node.0, case.index, node.doubted.map_or("doubted", |_| "trusted"));
+        let (late, middle) = (self.belief(node, index) / 1e3, self.survey.middle.unwrap_or(0.0) / 1e3);
+        let failing = node.standing(index).fear * 100.0;
+        out.log(&format!("node {id:x}: {word}, {late:.0} ms against {middle:.0}, failing {failing:.0}%"));
+        self.nodes.entry(case.node).and_modify(|n| n.doubted = n.doubted.is_none().then_some(index));
     }
 
     // Warm-up.
 
-    /// The work of a part of the mean size, in microseconds: as hinted, as nodes report it, or the quickest answers.
-    fn work(&self) -> f64 {
-        let reported = self.tariff.gauges.contains(&Gauge::LatencyMs);
-        let known = |n: &Node| if reported { n.report.map(|ms| ms * 1e3) } else { n.latency };
-        let quickest = || self.nodes.values().filter_map(known).fold(self.memory(), f64::min);
-        self.mean_hint.unwrap_or_else(quickest)
-    }
-
     /// The share of its capacity that a node surely had when the window began.
     fn warmth(&self, node: &Node) -> f64 {
         let (t, age) = (&self.tariff, self.now.since(node.listing.started));
@@ -797,43 +807,26 @@
         t.cold_share + (1.0 - t.cold_share) * age.since(t.fall_window).over(t.warm_within)
     }
 
-    /// Whether a node can bear so much more. One that has just started bears a multiple of what it can do at that age,
-    /// in any window; this router keeps to its own share of that, by what one warm core does.
+    /// Whether a node can bear so much more. One that has just started bears a multiple of what it can do at
+    /// that age, in any window; this router keeps to its share of that. Where the share is under one part, it
+    /// may send one in so many windows, the first by lot: many routers that each sent one at once would push
+    /// the node over.
     fn has_room(&self, node: &Node, more: f64) -> bool {
         let (t, warmth) = (&self.tariff, self.warmth(node));
         if warmth >= 1.0 || t.fall_window.0 == 0 {
             return true;
         }
-        // What a warm node surely does: the work of one core, or as many parts as one has reported.
-        let rate = self.nodes.values().map(|n| n.best_rate).fold(1e6 / self.work(), f64::max);
-        let allowed = t.fall_multiple * warmth * (t.fall_window.0 as f64 / 1e6 * rate) / t.routers;
-        let sent: f64 =
-            node.sends.iter().filter(|(at, _)| self.now.since(*at) <= t.fall_window).map(|(_, z)| z).sum();
-        sent + more <= allowed * WARM_UP_SAFETY
+        let window = t.fall_window.0 as f64;
+        let share = t.fall_multiple * warmth * window / 1e6 * self.survey.rate * WARM_UP_SAFETY / t.routers;
+        let span = Micros((window / share.min(1.0)) as u64);
+        let sent =
+            node.sends.iter().filter(|(at, _)| self.now.since(*at) <= span).map(|(_, z)| z).sum::<f64>();
+        let lot = span.times(f64::from(node.lot) / f64::from(u32::MAX));
+        let turn = share >= 1.0 || self.now.since(node.listing.started) > lot && more <= LARGE;
+        turn && sent + more <= share.max(LARGE)
     }
 }
 
-fn complete(lookup: &Lookup) -> bool {
-    lookup.parts.len() >= lookup.expected && lookup.expected > 0
-}
-
-fn weight_in(lookup: &Lookup) -> f64 {
-    lookup.parts.iter().filter(|p| p.satisfied).map(|p| p.weight).sum()
-}
-
-/// Our parts out at a node, in parts of the mean size.
-fn owed_z(node: &Node) -> f64 {
-    node.owed.values().map(|owed| owed.z).sum()
-}
-
-fn calls_out(part: &Part) -> usize {
-    part.calls.iter().filter(|c| c.ending.is_none()).count()
-}
-
-fn may_have_run(call: &Call) -> bool {
-    !matches!(call.ending, Some(Ending::NeverRan | Ending::Unsent))
-}
-
 fn median(of: impl Iterator<Item = f64>) -> Option<f64> {
     let mut of: Vec<f64> = of.collect();
     let middle = of.len() / 2;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,5 +1,5 @@
-//! The one way in which the decision module acts on the world. Every front (the bench's wire today) implements
-//! [`Actions`]; nothing here decides.
+//! The one way in which the decision module acts on the world. Every front (the bench's wire today)
+//! implements [`Actions`]; nothing here decides.
 
 use crate::types::{CallNo, LookupId, Micros, NodeId, PartId, TimerId};
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,8 +1,10 @@
 //! Ids, times and the plain state that the decision module keeps. No value that tunes a decision lives here.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::{Add, AddAssign};
 
+use nanorand::WyRand;
+
 macro_rules! id {
     ($($(#[$doc:meta])* $name:ident($inner:ty)),* $(,)?) => {$(
         $(#[$doc])*
@@ -30,6 +32,12 @@
     TimerId(u64),
 }
 
+impl IndexNo {
+    pub fn at(self) -> usize {
+        self.0.into()
+    }
+}
+
 impl Micros {
     /// The time from `earlier` to this one; zero if `earlier` lies ahead.
     pub fn since(self, earlier: Micros) -> Micros {
@@ -94,6 +102,8 @@
     Satisfied,
     /// Failed; it may have run.
     MayHaveRun,
+    /// The connection broke while it was out; it may have run.
+    Broken,
     /// Stopped at our own word; it may have run and says nothing about the node.
     Cancelled,
     /// Failed at the node and certainly never ran.
@@ -173,11 +183,22 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Owed {
     pub sent: Micros,
+    pub index: IndexNo,
     pub z: f64,
     /// This router's parts out at the node when it was sent, itself included.
     pub depth: f64,
 }
 
+/// How a node serves one index, as this router has seen it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Standing {
+    /// Smoothed share of calls that failed, and when that last changed.
+    pub fear: f64,
+    pub at: Micros,
+    /// Its last answer.
+    pub answered: Micros,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Node {
     pub listing: Listing,
@@ -190,11 +211,12 @@
     /// Smoothed answer latency as this router has seen it, in microseconds, and when that last changed.
     pub latency: Option<f64>,
     pub seen: Micros,
+    /// How it stands by index; filled at its first return.
+    pub standings: Vec<Standing>,
     /// Smoothed answer latency for each part of this router's that was out, in microseconds.
     pub pace: Option<f64>,
-    /// Failures since its last answer.
-    pub strikes: u32,
-    pub doubted: bool,
+    /// The index for which it is doubted.
+    pub doubted: Option<IndexNo>,
     pub probed: Option<Micros>,
     /// Part calls out; each is taken off when it returns.
     pub owed: BTreeMap<(PartId, CallNo), Owed>,
@@ -202,6 +224,17 @@
     pub sends: VecDeque<(Micros, f64)>,
 }
 
+impl Node {
+    /// Our parts out, in parts of the mean size.
+    pub fn owed_z(&self) -> f64 {
+        self.owed.values().map(|owed| owed.z).sum()
+    }
+
+    pub fn standing(&self, index: IndexNo) -> Standing {
+        self.standings.get(index.at()).copied().unwrap_or_default()
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct Call {
     pub node: NodeId,
@@ -224,6 +257,8 @@
 pub struct Lookup {
     pub id: LookupId,
     pub query: QueryNo,
+    /// A client's repeat of an earlier lookup, as far as clients say so.
+    pub repeat: bool,
     pub index: IndexNo,
     pub customer: CustomerNo,
     /// When its gain falls, and when its client leaves.
@@ -236,3 +271,88 @@
     pub second: bool,
     pub first_whole: bool,
 }
+
+impl Call {
+    pub fn may_have_run(&self) -> bool {
+        !matches!(self.ending, Some(Ending::NeverRan | Ending::Unsent))
+    }
+}
+
+impl Part {
+    pub fn calls_out(&self) -> usize {
+        self.calls.iter().filter(|c| c.ending.is_none()).count()
+    }
+}
+
+impl Lookup {
+    /// All parts of its step have come.
+    pub fn complete(&self) -> bool {
+        self.parts.len() >= self.expected && self.expected > 0
+    }
+
+    pub fn weight_in(&self) -> f64 {
+        self.parts.iter().filter(|p| p.satisfied).map(|p| p.weight).sum()
+    }
+
+    /// When each call that is out was made.
+    pub fn sent_out(&self) -> impl Iterator<Item = Micros> + '_ {
+        let calls = self.parts.iter().flat_map(|p| &p.calls);
+        calls.filter(|c| c.ending.is_none()).map(|c| c.sent)
+    }
+
+    /// Nodes at which connections broke under it.
+    pub fn broken_at(&self) -> usize {
+        let broken = |c: &&Call| c.ending == Some(Ending::Broken);
+        let calls = self.parts.iter().flat_map(|p| &p.calls).filter(broken);
+        calls.map(|c| c.node).collect::<BTreeSet<_>>().len()
+    }
+
+    /// No node has fallen under it, or one has outlived it.
+    pub fn outlived(&self) -> bool {
+        self.weight_in() > 0.0 || self.second || self.broken_at() == 0
+    }
+}
+
+/// The cost model's figures at one moment.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Survey {
+    pub mean_o: f64,
+    pub m: f64,
+    /// The middle node's answer latency, in microseconds, and its pace.
+    pub middle: Option<f64>,
+    pub pace: f64,
+    /// Parts a second that a warm node surely does.
+    pub rate: f64,
+}
+
+/// Where the parts of a lookup go, and which of their weight is predicted in time.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    pub places: Vec<(usize, NodeId)>,
+    pub in_time: f64,
+    pub slowest: f64,
+}
+
+/// What a rule has found to act on; a rule reads what it fills in.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Case {
+    pub lookup: LookupId,
+    pub at: usize,
+    pub node: NodeId,
+    pub index: IndexNo,
+}
+
+/// A router's own source of chance.
+pub struct Chance(pub WyRand);
+
+impl Chance {
+    pub fn new(seed: u64) -> Self {
+        Chance(WyRand::new_seed(seed))
+    }
+}
+
+impl Default for Chance {
+    fn default() -> Self {
+        Chance::new(0)
+    }
+}
