A lookup is as late as the latest of its parts: admission spreads their mean by their number

Cause: at size lookups have 25 to 130 parts; a margin of a quarter on each node's mean, fit for 4 to 7, took lookups that could not be in time. The mean of the parts is spread by the logarithm of their number, less where some may be missing and where the client came with little time (no sign of load). Could hurt where latencies spread little.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -51,8 +51,11 @@
 const FREE_DEPTH: f64 = 2.0;
 /// Mean o that the whole gain of a lookup is worth, when a part's crossing of zones is priced.
 const CROSSING: f64 = 20.0;
-/// Predictions are means: a lookup is as late as the latest of its parts.
+/// Predictions are means: a part may be so much later.
 const MARGIN: f64 = 1.25;
+/// A lookup is as late as the latest of its parts: so many times their mean, and so many more with each logarithm of
+/// their number, less where some may be missing.
+const LATEST: (f64, f64, f64) = (0.5, 0.9, 0.4);
 /// Sums of weights may fall so much short.
 const SHORT: f64 = 0.00005;
 const PROBE_EVERY: Micros = Micros(1_000_000);
@@ -136,7 +139,8 @@
         let row = &mut self.tariff.indexes[index.at()];
         row.size = Some(blend(row.size, expected as f64, STEADY));
         let (soft, end) = (now + row.soft.min(left), now + left);
-        let lookup = Lookup { id, query, repeat, index, customer, soft, end, expected, ..Lookup::default() };
+        let lookup =
+            Lookup { id, query, repeat, index, customer, soft, end, left, expected, ..Lookup::default() };
         self.lookups.insert(id, lookup);
         self.settle(out);
     }
@@ -606,7 +610,7 @@
 
     fn plan(&self, lookup: &Lookup, left: f64) -> Plan {
         let mut planned: BTreeMap<NodeId, f64> = BTreeMap::new();
-        let mut plan = Plan::default();
+        let (mut plan, mut sum) = (Plan::default(), 0.0);
         // Visited in order of choice: parts with few holders first, the heavier first among equals.
         let choice = |(at, part): (usize, &Part)| (self.held_by(part.shard).count(), self.z(part), at);
         let open = |(_, part): &(usize, &Part)| part.calls_out() == 0 && self.may_call(lookup, part);
@@ -635,7 +639,14 @@
             }
             plan.slowest = plan.slowest.max(latency);
             plan.places.push((at, node.listing.node));
-        }
+            sum += latency / MARGIN;
+        }
+        let (parts, short) =
+            (plan.places.len().max(1) as f64, lookup.left.over(self.row(lookup).soft).min(1.0));
+        let spread = if self.bars(lookup).1 < 1.0 { LATEST.2 } else { LATEST.1 };
+        let latest = sum / parts * (LATEST.0 + spread * parts.ln() * short);
+        plan.slowest = plan.slowest.max(latest);
+        plan.in_time = if latest > left { 0.0 } else { plan.in_time };
         plan
     }
 
--- a/src/types.rs
+++ b/src/types.rs
@@ -264,6 +264,8 @@
     /// When its gain falls, and when its client leaves.
     pub soft: Micros,
     pub end: Micros,
+    /// The time that its client gave it.
+    pub left: Micros,
     /// Parts of the present step that are to come in all.
     pub expected: usize,
     pub parts: Vec<Part>,
