A lookup that broke its scout's connection is nacked, and its repeats are known

Each deadly lookup killed two nodes on its first try and one more with each repeat. Now one broken scout is enough, and the router keeps index, customer and shards of a deadly lookup until its client's time ends: a marked repeat of it is nacked unseen by any node. Covers any lookup that fells nodes, whatever it shares; hurts a bystander whose scout falls by another's hand.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,5 +1,4 @@
 //! The decisions of a query router, all of them.
-//!
 //! Invoked through the methods of [`Brain`], one for each thing a router sees: a lookup and its parts, a part
 //! call's return, a probe's, the roster, a client that left, a timer. Each ends in `settle`, which goes
 //! through `RULES` until none fires. The module acts through [`Actions`], defined in `src/interface.rs`;
@@ -53,8 +52,8 @@
 const CROSSING: f64 = 20.0;
 /// Predictions are means: a part may be so much later.
 const MARGIN: f64 = 1.25;
-/// A lookup is as late as the latest of its parts: so many times their mean, and so many more with each logarithm of
-/// their number, less where some may be missing.
+/// A lookup is as late as the latest of its parts: so many times their mean, and so many more with each
+/// logarithm of their number, less where some may be missing.
 const LATEST: (f64, f64, f64) = (0.5, 0.9, 0.4);
 /// Sums of weights may fall so much short.
 const SHORT: f64 = 0.00005;
@@ -91,11 +90,13 @@
     roster_lost: bool,
     /// When a node last went down under its calls or came back before it was missed.
     alarm_at: Option<Micros>,
+    /// What lookups that brought nodes down looked like, to know their repeats by; emptied as their clients'
+    /// time ends.
+    fatal: VecDeque<(Micros, Print)>,
     /// The last nack at admission, while such nacks come.
     shed_at: Option<Micros>,
 }
 
-/// A condition and an effect.
 type Rule = (fn(&Brain) -> Option<Case>, fn(&mut Brain, Case, &mut dyn Actions));
 
 /// Gone through in this order, from the top again after each that fires.
@@ -128,8 +129,6 @@
         }
     }
 
-    // What a router sees.
-
     pub fn lookup(
         &mut self, now: Micros, id: LookupId, query: QueryNo, index: IndexNo, customer: CustomerNo,
         expected: usize, left: Micros, repeat: bool, out: &mut dyn Actions,
@@ -250,13 +249,9 @@
         self.settle(out);
     }
 
-    fn beat(&self) -> Micros {
-        BEAT.max(self.tariff.tick)
-    }
-
     /// Whether a time comes too soon to wait for another beat or two.
     fn soon(&self, at: Micros) -> bool {
-        self.now + self.beat() + self.beat() >= at
+        self.now + BEAT.max(self.tariff.tick).times(2.0) >= at
     }
 
     fn settle(&mut self, out: &mut dyn Actions) {
@@ -269,12 +264,10 @@
         let idle = self.lookups.is_empty() && self.watched.is_empty();
         let waits = !idle || self.ask_at.or(self.shed_at).is_some();
         if waits && !std::mem::replace(&mut self.beating, true) {
-            out.timer(self.beat(), TimerId(0));
+            out.timer(BEAT.max(self.tariff.tick), TimerId(0));
         }
     }
 
-    // Rules: roster and probes.
-
     fn watched_nodes(&self) -> impl Iterator<Item = &Node> {
         self.watched.iter().filter_map(|id| self.nodes.get(id))
     }
@@ -303,8 +296,6 @@
         out.probe(case.node);
     }
 
-    // Rules: the ends of a lookup.
-
     fn find(&self, wanted: impl Fn(&Lookup) -> bool) -> Option<Case> {
         self.lookups.values().find(|lk| wanted(lk)).map(|lk| Case { lookup: lk.id, ..Case::default() })
     }
@@ -361,27 +352,30 @@
 
     /// Given up as soon as what is in and may still come is too little, and just before the client's end.
     fn hopeless(&self) -> Option<Case> {
-        let lost = |lk: &Lookup| {
-            if !lk.complete() {
-                return self.soon(lk.end);
-            }
-            let spent: f64 = lk.parts.iter().filter(|p| self.spent(lk, p)).map(|p| p.weight).sum();
-            let short = self.deadly(lk) || spent > 0.0 && 1.0 - spent + SHORT < self.bars(lk).1;
-            short || self.soon(lk.end)
-        };
-        self.find(lost)
+        self.find(|lk| {
+            let spent = || lk.parts.iter().filter(|p| self.spent(lk, p)).map(|p| p.weight).sum::<f64>();
+            let short = |spent: f64| spent > 0.0 && 1.0 - spent + SHORT < self.bars(lk).1;
+            self.soon(lk.end) || lk.complete() && (self.deadly(lk) || short(spent()))
+        })
     }
 
     fn give_up(&mut self, case: Case, out: &mut dyn Actions) {
-        let deadly = self.lookups.get(&case.lookup).is_some_and(|lk| self.deadly(lk));
-        self.refuse(case.lookup, Micros(if deadly { u64::MAX } else { 0 }), out);
+        let deadly = self.lookups.get(&case.lookup).filter(|lk| self.deadly(lk));
+        let (now, fatal) = (self.now, deadly.map(|lk| (lk.end, lk.print())));
+        let come_back = fatal.as_ref().map_or(Micros(0), |_| Micros(u64::MAX));
+        drop_front(&mut self.fatal, |(end, _)| *end < now);
+        self.fatal.extend(fatal);
+        self.refuse(case.lookup, come_back, out);
     }
 
     /// Some lookups bring down each node that begins a part of them: connections break at one node after the
-    /// other and nothing is ever answered. A node's own fall other lookups outlive by other parts. Hurts
-    /// a lookup that two falling nodes meet by chance.
+    /// other and nothing is ever answered; a node's own fall other lookups outlive by other parts. One that
+    /// broke its scout's, or a repeat of such a one, needs no second proof. Hurts a lookup that falling nodes
+    /// meet.
     fn deadly(&self, lookup: &Lookup) -> bool {
-        lookup.broken_at() > usize::from(!lookup.repeat) && lookup.weight_in() == 0.0 && !lookup.second
+        let known = || self.fatal.iter().any(|(_, print)| *print == lookup.print());
+        let fell = lookup.broken_at() > usize::from(lookup.placed && !lookup.repeat);
+        fell && !lookup.outlived() || lookup.repeat && lookup.complete() && known()
     }
 
     /// While nodes fall, and for a client's repeat, one node is tried before the others see the lookup.
@@ -423,8 +417,6 @@
         }
     }
 
-    // Rules: placement.
-
     fn unplaced(&self) -> Option<Case> {
         self.find(|lk| !lk.placed && lk.complete() && !self.scouting(lk))
     }
@@ -598,7 +590,8 @@
         let z = self.z(part);
         let fit = |n: &&Node| {
             let more = planned.get(&n.listing.node).copied().unwrap_or(0.0);
-            n.listing.phase == Phase::Ready && self.has_room(n, more + z.max(1.0))
+            let free = part.calls.iter().all(|c| c.ending.is_some() || c.node != n.listing.node);
+            n.listing.phase == Phase::Ready && free && self.has_room(n, more + z.max(1.0))
         };
         let mut fit: Vec<&Node> = self.held_by(part.shard).filter(fit).collect();
         let untried = |n: &&Node| part.calls.iter().all(|c| c.node != n.listing.node);
@@ -634,9 +627,7 @@
             let Some(node) = self.cheapest(&holders, added) else { continue };
             let latency = latency(node);
             *planned.entry(node.listing.node).or_default() += z;
-            if latency <= left {
-                plan.in_time += part.weight;
-            }
+            plan.in_time += if latency <= left { part.weight } else { 0.0 };
             plan.slowest = plan.slowest.max(latency);
             plan.places.push((at, node.listing.node));
             sum += latency / MARGIN;
@@ -678,8 +669,6 @@
         out.part_call(part_id, to, limit);
     }
 
-    // Rules: further part calls.
-
     /// Whether the rules let a part have a call, first or further, now.
     fn may_call(&self, lookup: &Lookup, part: &Part) -> bool {
         let calls = &part.calls;
@@ -726,10 +715,7 @@
                 if part.satisfied || !wanted(lk, part) || !self.may_call(lk, part) {
                     return None;
                 }
-                let free =
-                    |n: &Node| part.calls.iter().all(|c| c.ending.is_some() || c.node != n.listing.node);
-                let mut holders = self.holders(part, &BTreeMap::new());
-                holders.retain(|n| free(n));
+                let holders = self.holders(part, &BTreeMap::new());
                 let node = self.cheapest(&holders, |n| self.o(n, lk.index))?;
                 Some(Case { lookup: lk.id, at, node: node.listing.node, ..Case::default() })
             })
@@ -740,8 +726,6 @@
         self.call(case.lookup, case.at, case.node, out);
     }
 
-    // Evidence.
-
     fn read_report(&mut self, id: NodeId, report: &[f64]) {
         let gauges = &self.tariff.gauges;
         // A figure that is none, or below nothing, says nothing.
@@ -807,8 +791,6 @@
         self.nodes.entry(case.node).and_modify(|n| n.doubted = n.doubted.is_none().then_some(index));
     }
 
-    // Warm-up.
-
     /// The share of its capacity that a node surely had when the window began.
     fn warmth(&self, node: &Node) -> f64 {
         let (t, age) = (&self.tariff, self.now.since(node.listing.started));
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -348,6 +348,18 @@
     assert_eq!(brain.lookups.is_empty(), nacked);
 }
 
+#[test_case(true, true; "its repeat")]
+#[test_case(false, false; "a like one that is no repeat")]
+fn a_repeat_of_a_deadly_lookup_is_known(repeat: bool, nacked: bool) {
+    let mut brain = router(tariff(), 3);
+    let fresh = Lookup { repeat, ..lookup(&brain, &[1.0], &[]) };
+    brain.fatal.push_back((fresh.end, fresh.print()));
+    hold(&mut brain, fresh);
+    let mut tape = Tape::default();
+    brain.settle(&mut tape);
+    assert_eq!(tape.0 == [Did::Nack(Micros(0))], nacked);
+}
+
 #[test_case(true, 1; "a scout goes first")]
 #[test_case(false, 2; "no node has fallen")]
 fn while_nodes_fall_one_tries_a_lookup_first(alarmed: bool, calls: usize) {
--- a/src/types.rs
+++ b/src/types.rs
@@ -309,12 +309,20 @@
         calls.map(|c| c.node).collect::<BTreeSet<_>>().len()
     }
 
+    /// What it has in common with its repeats.
+    pub fn print(&self) -> Print {
+        (self.index, self.customer, self.parts.iter().map(|p| p.shard).collect())
+    }
+
     /// No node has fallen under it, or one has outlived it.
     pub fn outlived(&self) -> bool {
         self.weight_in() > 0.0 || self.second || self.broken_at() == 0
     }
 }
 
+/// Index, customer and shards of a lookup.
+pub type Print = (IndexNo, CustomerNo, Vec<ShardNo>);
+
 /// The cost model's figures at one moment.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Survey {
