A node gone without a drain alarms, too

Hurts after any crash: scouts cost lookups one answer time while the alarm lasts (the warm-up time).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -203,10 +203,11 @@
         for listing in list {
             let lot = self.chance.0.generate();
             let node = self.nodes.entry(listing.node).or_insert_with(|| Node { lot, ..Node::default() });
-            if listing.started > node.listing.started {
-                // A new process: what the old one showed is void. Back before it was missed: it fell.
-                let fell = node.listing.node == listing.node && node.listing.phase == Phase::Ready;
-                self.alarm_at = fell.then_some(now).or(self.alarm_at);
+            // Gone without a drain, or back before it was missed: it fell. A new process: what was known is void.
+            let anew = listing.started > node.listing.started;
+            let fell = node.listing.node == listing.node && node.listing.phase == Phase::Ready;
+            self.alarm_at = (fell && (anew || listing.phase == Phase::Gone)).then_some(now).or(self.alarm_at);
+            if anew {
                 *node = Node { lot: node.lot, owed: std::mem::take(&mut node.owed), ..Node::default() };
             }
             node.listing = *listing;
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -508,3 +508,15 @@
     brain.probed(now, NodeId(1), &[], &mut Tape::default());
     assert_eq!(brain.nodes[&NodeId(1)].standing(IndexNo(0)).fear, 0.0);
 }
+
+#[test_case(Phase::Ready, Phase::Gone, 0, true; "gone without a drain")]
+#[test_case(Phase::Draining, Phase::Gone, 0, false; "gone after a drain")]
+#[test_case(Phase::Ready, Phase::Ready, 9, true; "back before it was missed")]
+fn the_roster_tells_of_nodes_that_fell(was: Phase, phase: Phase, started: u64, alarmed: bool) {
+    let mut brain = router(tariff(), 1);
+    (node(&mut brain, 1).listing.phase, brain.alarm_at) = (was, None);
+    let now = brain.now;
+    let listing = Listing { node: NodeId(1), phase, started: Micros(started), ..Listing::default() };
+    brain.roster(now, &[listing], false, &mut Tape::default());
+    assert_eq!(brain.alarm_at.is_some(), alarmed);
+}
