--- a/src/brain.rs
+++ b/src/brain.rs
@@ -741,17 +741,14 @@
         }
     }
 
-    /// Refusals, lost connections, errors and silence are one symptom. What shows the process down counts for
-    /// every index; an error, or a call given up when late, only for its own: a node may fail one and serve
-    /// the others.
+    /// Refusals, lost connections and errors are one symptom. What shows the process down counts for every
+    /// index, an error only for its own: a node may fail one and serve the others.
     fn learn(&mut self, id: NodeId, index: IndexNo, lag: Micros, ending: Ending) {
         self.alarm_at = Some(self.now).filter(|_| ending == Ending::Broken).or(self.alarm_at);
-        let late = self.survey.middle.is_some_and(|middle| lag.0 as f64 > middle * LATE);
         let Some(node) = self.nodes.get_mut(&id) else { return };
         let fear = match ending {
             Ending::Satisfied => 0.0,
-            Ending::Unsent => return,
-            Ending::Cancelled if !late => return,
+            Ending::Cancelled | Ending::Unsent => return,
             _ => 1.0,
         };
         if ending == Ending::Satisfied {
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -313,14 +313,13 @@
 }
 
 // A node that fails one index and serves the others, against one that is down.
-#[test_case(Ending::NeverRan, 2, true; "no connection")]
-#[test_case(Ending::Broken, 2, true; "connection broke")]
-#[test_case(Ending::MayHaveRun, 2, false; "error")]
-#[test_case(Ending::Cancelled, 500, false; "given up when late")]
-fn a_failure_counts_for_what_it_shows(ending: Ending, lag: u64, others_too: bool) {
+#[test_case(Ending::NeverRan, true; "no connection")]
+#[test_case(Ending::Broken, true; "connection broke")]
+#[test_case(Ending::MayHaveRun, false; "error")]
+fn a_failure_counts_for_what_it_shows(ending: Ending, others_too: bool) {
     let mut brain = router(tariff(), 1);
     brain.tariff.indexes.push(brain.tariff.indexes[0].clone());
-    brain.learn(NodeId(1), IndexNo(1), ms(lag), ending);
+    brain.learn(NodeId(1), IndexNo(1), ms(2), ending);
     let fears = [0, 1].map(|at| brain.nodes[&NodeId(1)].standing(IndexNo(at)).fear);
     assert_eq!(fears, [if others_too { FRESH } else { 0.0 }, FRESH]);
 }
