--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -519,3 +519,19 @@
     brain.roster(now, &[listing], false, &mut Tape::default());
     assert_eq!(brain.alarm_at.is_some(), alarmed);
 }
+
+// Odd input: the process stays alive, and the lookup gets one final answer before its client leaves.
+#[test_case(1, 1, 0, 3000; "a plain lookup and no time")]
+#[test_case(1, 1, 1000, 0; "no node at all")]
+#[test_case(1, u32::MAX, 1000, 3000; "a shard out of range, thousands of nodes")]
+#[test_case(0, 1, 1000, 1; "no part expected")]
+#[test_case(usize::MAX, 1, 1000, 1; "more parts expected than can come")]
+fn odd_lookups_get_one_final_answer(expected: usize, shard: u32, left: u64, nodes: u64) {
+    let (mut brain, mut tape) = (router(Tariff { cells: 7, reach: 9, ..tariff() }, nodes), Tape::default());
+    let (now, id, query, out) = (brain.now, LookupId(1), QueryNo(1), &mut tape);
+    brain.lookup(now, id, query, IndexNo(0), CustomerNo(9), expected, ms(left), false, out);
+    brain.part(now, PartId(1), query, ShardNo(shard), 1.0, None, out);
+    brain.elapsed(now + ms(left.saturating_sub(15)), TimerId(0), out);
+    let ends = tape.0.iter().filter(|did| matches!(did, Did::Answer(_) | Did::Nack(_) | Did::Abort));
+    assert_eq!((ends.count(), brain.lookups.len()), (1, 0));
+}
