--- a/src/brain.rs
+++ b/src/brain.rs
@@ -53,8 +53,8 @@
 /// Predictions are means: a part may be so much later.
 const MARGIN: f64 = 1.25;
 /// A lookup is as late as the latest of its parts: so many times their mean, and so many more with each
-/// logarithm of their number, less where some may be missing.
-const LATEST: (f64, f64, f64) = (0.5, 0.9, 0.4);
+/// logarithm of their number.
+const LATEST: (f64, f64) = (0.5, 0.9);
 /// Sums of weights may fall so much short.
 const SHORT: f64 = 0.00005;
 const PROBE_EVERY: Micros = Micros(1_000_000);
@@ -203,7 +203,8 @@
         for listing in list {
             let lot = self.chance.0.generate();
             let node = self.nodes.entry(listing.node).or_insert_with(|| Node { lot, ..Node::default() });
-            // Gone without a drain, or back before it was missed: it fell. A new process: what was known is void.
+            // Gone without a drain, or back before it was missed: it fell. A new process: what was known is
+            // void.
             let anew = listing.started > node.listing.started;
             let fell = node.listing.node == listing.node && node.listing.phase == Phase::Ready;
             self.alarm_at = (fell && (anew || listing.phase == Phase::Gone)).then_some(now).or(self.alarm_at);
@@ -465,6 +466,7 @@
             self.tariff.indexes.iter().filter(|row| row.size.is_some()).map(density).fold(0.0, f64::max);
         let share = if within_share { 1.0 } else { self.tariff.over_share_gain };
         let rank = if best > 0.0 { share * density(self.row(lookup)) / best } else { 1.0 };
+        let rank = if lookup.left < self.row(lookup).soft { 1.0 } else { rank };
         SPARE_TIME + (1.0 - SPARE_TIME) * rank
     }
 
@@ -633,12 +635,13 @@
             plan.places.push((at, node.listing.node));
             sum += latency / MARGIN;
         }
-        let (parts, short) =
-            (plan.places.len().max(1) as f64, lookup.left.over(self.row(lookup).soft).min(1.0));
-        let spread = if self.bars(lookup).1 < 1.0 { LATEST.2 } else { LATEST.1 };
-        let latest = sum / parts * (LATEST.0 + spread * parts.ln() * short);
-        plan.slowest = plan.slowest.max(latest);
-        plan.in_time = if latest > left { 0.0 } else { plan.in_time };
+        let parts = plan.places.len().max(1) as f64;
+        let latest = sum / parts * (LATEST.0 + LATEST.1 * parts.ln());
+        // Not where some may be missing; and a client that gives less than the aim is no sign of load.
+        let holds = self.bars(lookup).1 >= 1.0 && lookup.left >= self.row(lookup).soft;
+        if holds && latest > left {
+            (plan.slowest, plan.in_time) = (plan.slowest.max(latest), 0.0);
+        }
         plan
     }
 
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -535,3 +535,19 @@
     let ends = tape.0.iter().filter(|did| matches!(did, Did::Answer(_) | Did::Nack(_) | Did::Abort));
     assert_eq!((ends.count(), brain.lookups.len()), (1, 0));
 }
+
+#[test_case(4, 1000, false; "few parts")]
+#[test_case(40, 1000, true; "many parts")]
+#[test_case(40, 900, false; "many parts, and a client with little time")]
+fn a_lookup_is_as_late_as_the_latest_of_its_parts(parts: usize, left: u64, nacked: bool) {
+    let (mut brain, mut tape) = (router(Tariff { cells: 64, reach: 1, ..tariff() }, 40), Tape::default());
+    for (cell, node) in brain.nodes.values_mut().enumerate() {
+        (node.listing.cell, node.pace) = (CellNo(cell as u32), Some(100_000.0));
+    }
+    brain = fresh(brain);
+    let mut held = Lookup { left: ms(left), ..lookup(&brain, &vec![1.0 / parts as f64; parts], &[]) };
+    held.parts.iter_mut().enumerate().for_each(|(at, part)| part.shard = ShardNo(at as u32));
+    hold(&mut brain, held);
+    brain.settle(&mut tape);
+    assert_eq!(tape.0.iter().any(|did| matches!(did, Did::Nack(_))), nacked);
+}
--- a/src/brain/tests/helpers.rs
+++ b/src/brain/tests/helpers.rs
@@ -103,6 +103,7 @@
         id: LookupId(1),
         soft: brain.now + ms(1000),
         end: brain.now + ms(3000),
+        left: ms(3000),
         expected: weights.len(),
         parts: weights.iter().enumerate().map(part).collect(),
         placed: !calls.is_empty(),
