--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,7 +6,7 @@
 //!
 //! The design (EC-Store's cost model) places every part. Beside it stand six mechanisms:
 //! 1. doubt: what a node's own answers show outweighs a report that says better;
-//! 2. again: another try after a failure, and one copy of a part that is late;
+//! 2. again: another try after a failure, one copy of a late part, none for a lookup that brings nodes down;
 //! 3. admission: a lookup is taken only if predicted in time, beyond a share only with time to spare;
 //! 4. cut: a lookup ends as soon as waiting gains nothing, with what is in or with nothing;
 //! 5. warm-up: a node that has just started gets this router's share of what it can bear;
@@ -386,10 +386,11 @@
         (alarmed || lookup.repeat) && lookup.weight_in() == 0.0 && !lookup.second
     }
 
-    /// A scout is out, and less than half of the time is gone.
+    /// A scout is out, and less than a quarter of the time is gone.
     fn scouting(&self, lookup: &Lookup) -> bool {
         let first = lookup.sent_out().min();
-        first.is_some_and(|at| self.now.since(at) < lookup.soft.since(self.now)) && self.wary(lookup)
+        first.is_some_and(|at| self.now.since(at).times(3.0) < lookup.soft.since(self.now))
+            && self.wary(lookup)
     }
 
     /// A nack where a repeat is harmless, else an abort.
