--- a/src/brain.rs
+++ b/src/brain.rs
@@ -88,10 +88,9 @@
     extras: VecDeque<Micros>,
     ask_at: Option<Micros>,
     roster_lost: bool,
-    /// When a node last went down under its calls or came back before it was missed.
+    /// When a node last fell, as its connections or the roster told.
     alarm_at: Option<Micros>,
-    /// What lookups that brought nodes down looked like, to know their repeats by; emptied as their clients'
-    /// time ends.
+    /// Deadly lookups, to know repeats by; emptied at a later give-up, once their clients' time is over.
     fatal: VecDeque<(Micros, Print)>,
     /// The last nack at admission, while such nacks come.
     shed_at: Option<Micros>,
@@ -169,15 +168,16 @@
                 n.pace = Some(blend(n.pace, lag.0 as f64 / (owed.depth + FREE_DEPTH), FRESH));
             }
             self.learn(node, owed.index, lag, ending);
-        }
-        self.read_report(node, report);
-        // Returns still come for lookups that are over.
-        if let Some(p) = self.lookups.values_mut().flat_map(|lk| &mut lk.parts).find(|p| p.id == part) {
-            p.satisfied |= ending == Ending::Satisfied;
-            if let Some(call) = p.calls.get_mut(usize::from(call.0)) {
-                call.ending = Some(ending);
+            // Returns still come for lookups, and for first steps, that are over.
+            let parts = self.lookups.get_mut(&owed.lookup).map(|lk| &mut lk.parts);
+            if let Some(p) = parts.and_then(|parts| parts.get_mut(owed.at)).filter(|p| p.id == part) {
+                p.satisfied |= ending == Ending::Satisfied;
+                if let Some(call) = p.calls.get_mut(usize::from(call.0)) {
+                    call.ending = Some(ending);
+                }
             }
         }
+        self.read_report(node, report);
         self.settle(out);
     }
 
@@ -201,12 +201,11 @@
             self.nodes.values_mut().for_each(|n| n.listing.phase = Phase::Gone);
         }
         for listing in list {
-            let lot = self.chance.0.generate();
+            let (lot, known) = (self.chance.0.generate(), self.nodes.contains_key(&listing.node));
             let node = self.nodes.entry(listing.node).or_insert_with(|| Node { lot, ..Node::default() });
-            // Gone without a drain, or back before it was missed: it fell. A new process: what was known is
-            // void.
+            // Gone without a drain, or back before it was missed: it fell. A new process is not known.
             let anew = listing.started > node.listing.started;
-            let fell = node.listing.node == listing.node && node.listing.phase == Phase::Ready;
+            let fell = known && node.listing.phase == Phase::Ready;
             self.alarm_at = (fell && (anew || listing.phase == Phase::Gone)).then_some(now).or(self.alarm_at);
             if anew {
                 *node = Node { lot: node.lot, owed: std::mem::take(&mut node.owed), ..Node::default() };
@@ -372,18 +371,17 @@
 
     /// Some lookups bring down each node that begins a part of them: connections break at one node after the
     /// other and nothing is ever answered; a node's own fall other lookups outlive by other parts. One that
-    /// broke its scout's, or a repeat of such a one, needs no second proof. Hurts a lookup that falling nodes
-    /// meet.
+    /// broke its scout's, or a repeat of such, needs no second proof. Hurts one that falling nodes meet.
     fn deadly(&self, lookup: &Lookup) -> bool {
         let known = || self.fatal.iter().any(|(_, print)| *print == lookup.print());
-        let fell = lookup.broken_at() > usize::from(lookup.placed && !lookup.repeat);
-        fell && !lookup.outlived() || lookup.repeat && lookup.complete() && known()
+        let fell = || lookup.broken_at() > usize::from(lookup.placed && !lookup.repeat);
+        lookup.unanswered() && fell() || lookup.repeat && lookup.complete() && known()
     }
 
     /// While nodes fall, and for a client's repeat, one node is tried before the others see the lookup.
     fn wary(&self, lookup: &Lookup) -> bool {
         let alarmed = self.alarm_at.is_some_and(|at| self.now.since(at) < self.tariff.warm_within);
-        (alarmed || lookup.repeat) && lookup.weight_in() == 0.0 && !lookup.second
+        (alarmed || lookup.repeat) && lookup.unanswered()
     }
 
     /// A scout is out, and less than a quarter of the time is gone.
@@ -441,7 +439,7 @@
             let excess = Micros((plan.slowest - left).max(BEAT.0 as f64) as u64);
             return self.refuse(id, excess, out);
         }
-        let scout = plan.places.first().filter(|_| self.wary(lookup) && lookup.sent_out().count() == 0);
+        let scout = plan.places.first().filter(|_| self.wary(lookup) && lookup.sent_out().next().is_none());
         let scout = scout.map(|(_, node)| *node);
         self.lookups.entry(id).and_modify(|lk| lk.placed = scout.is_none());
         for (at, node) in plan.places.into_iter().filter(|(_, node)| scout.is_none_or(|s| s == *node)) {
@@ -497,8 +495,7 @@
             if read.is_empty() { self.memory() } else { read.iter().sum::<f64>() / read.len() as f64 };
         let pace = median(self.ready().filter_map(|n| n.pace)).unwrap_or(0.0);
         let middle = median(self.ready().filter_map(|n| n.latency));
-        // What a warm node surely does: the work of one core, or as many parts as the middle node has
-        // reported. A large fleet always has one odd report: so the middle.
+        // What a warm node surely does: one core's work, or what the middle reported; a few are always odd.
         let reported = self.tariff.gauges.contains(&Gauge::LatencyMs);
         let known = |n: &Node| if reported { n.report.map(|ms| ms * 1e3) } else { n.latency };
         let work = self.mean_hint.or_else(|| median(self.ready().filter_map(known)));
@@ -597,12 +594,9 @@
             let free = part.calls.iter().all(|c| c.ending.is_some() || c.node != n.listing.node);
             n.listing.phase == Phase::Ready && free && self.has_room(n, more + z.max(1.0))
         };
-        let mut fit: Vec<&Node> = self.held_by(part.shard).filter(fit).collect();
+        let fit: Vec<&Node> = self.held_by(part.shard).filter(fit).collect();
         let untried = |n: &&Node| part.calls.iter().all(|c| c.node != n.listing.node);
-        if fit.iter().any(untried) {
-            fit.retain(untried);
-        }
-        fit
+        prefer(fit, untried)
     }
 
     fn plan(&self, lookup: &Lookup, left: f64) -> Plan {
@@ -624,10 +618,7 @@
                 self.predicted(n, lookup.index, more) * MARGIN
             };
             // A discount stacks parts behind the chosen: late holders give way to those in time.
-            let mut holders = self.holders(part, &planned);
-            if holders.iter().any(|n| latency(n) <= left) {
-                holders.retain(|n| latency(n) <= left);
-            }
+            let holders = prefer(self.holders(part, &planned), |n| latency(n) <= left);
             let Some(node) = self.cheapest(&holders, added) else { continue };
             let latency = latency(node);
             *planned.entry(node.listing.node).or_default() += z;
@@ -660,7 +651,7 @@
         let limit = due.since(self.now).max(Micros(1));
         let Some(node) = self.nodes.get_mut(&to) else { return };
         let depth = node.owed_z() + z;
-        node.owed.insert((part_id, number), Owed { sent: self.now, index, z, depth });
+        node.owed.insert((part_id, number), Owed { lookup: id, at, index, sent: self.now, z, depth });
         let (now, kept) = (self.now, self.tariff.warm_within);
         drop_front(&mut node.sends, |(at, _)| now.since(*at) > kept);
         node.sends.push_back((self.now, z.max(1.0)));
@@ -700,7 +691,7 @@
 
     /// A part without a call out gets one, elsewhere if it can.
     fn needs_another_try(&self) -> Option<Case> {
-        self.find_call(|lk, part| part.calls_out() == 0 && (lk.outlived() || lk.sent_out().count() == 0))
+        self.find_call(|lk, part| part.calls_out() == 0 && (lk.outlived() || lk.sent_out().next().is_none()))
     }
 
     /// One late part holds back its lookup: it gets a copy while that may still be in time. One copy out at a
@@ -711,7 +702,7 @@
             return None;
         }
         let late = |c: &Call| c.ending.is_none() && self.now.since(c.sent) > middle.times(LATE);
-        self.find_call(|lk, part| lk.outlived() && part.calls.iter().any(late) && self.now + middle < lk.soft)
+        self.find_call(|lk, part| part.calls.iter().any(late) && self.now + middle < lk.soft && lk.outlived())
     }
 
     fn find_call(&self, wanted: impl Fn(&Lookup, &Part) -> bool) -> Option<Case> {
@@ -761,7 +752,7 @@
         node.standings.resize(self.tariff.indexes.len(), Standing::default());
         for (at, standing) in node.standings.iter_mut().enumerate() {
             if at == index.at() || matches!(ending, Ending::NeverRan | Ending::Broken) {
-                standing.fear += (fear - standing.fear) * FRESH;
+                standing.fear = blend(Some(standing.fear), fear, FRESH);
                 standing.at = self.now;
                 standing.answered = if fear > 0.0 { standing.answered } else { self.now };
             }
@@ -781,7 +772,7 @@
         let doubted = |n: &Node| indexes().find(|index| self.doubt(n, *index).is_some());
         let mut now = self.watched_nodes().map(|n| (n, doubted(n)));
         let (n, index) = now.find(|(n, index)| index.is_some() != n.doubted.is_some())?;
-        Some(Case { index: index.unwrap_or_default(), node: n.listing.node, ..Case::default() })
+        Some(Case { index: index.or(n.doubted)?, node: n.listing.node, ..Case::default() })
     }
 
     fn change_doubt(&mut self, case: Case, out: &mut dyn Actions) {
@@ -828,6 +819,16 @@
     (!of.is_empty()).then(|| *of.select_nth_unstable_by(middle, f64::total_cmp).1)
 }
 
+/// Those wanted, if there are any, else all.
+fn prefer<T: Copy>(of: Vec<T>, wanted: impl Fn(&T) -> bool) -> Vec<T> {
+    let kept: Vec<T> = of.iter().copied().filter(wanted).collect();
+    if kept.is_empty() {
+        of
+    } else {
+        kept
+    }
+}
+
 /// Empties a table by age, the oldest first.
 fn drop_front<T>(of: &mut VecDeque<T>, old: impl Fn(&T) -> bool) {
     while of.front().is_some_and(&old) {
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -501,7 +501,7 @@
 }
 
 #[test]
-fn a_failed_probe_is_no_strike() {
+fn a_failed_probe_is_no_failed_call() {
     let mut brain = router(tariff(), 1);
     let now = brain.now;
     brain.probed(now, NodeId(1), &[], &mut Tape::default());
@@ -551,3 +551,23 @@
     brain.settle(&mut tape);
     assert_eq!(tape.0.iter().any(|did| matches!(did, Did::Nack(_))), nacked);
 }
+
+#[test]
+fn a_return_finds_its_part_by_the_call_made() {
+    let (mut brain, mut tape) = (router(tariff(), 1), Tape::default());
+    let held = lookup(&brain, &[0.5, 0.5], &[]);
+    hold(&mut brain, held);
+    brain.settle(&mut tape);
+    brain.returned(brain.now, PartId(2), CallNo(0), NodeId(1), ms(5), Ending::Satisfied, &[], &mut tape);
+    let came: Vec<bool> = brain.lookups[&LookupId(1)].parts.iter().map(|p| p.satisfied).collect();
+    assert_eq!(came, [false, true]);
+}
+
+#[test]
+fn trust_is_told_of_the_index_that_was_doubted() {
+    let mut brain = router(tariff(), 1);
+    brain.tariff.indexes.push(brain.tariff.indexes[0].clone());
+    node(&mut brain, 1).doubted = Some(IndexNo(1));
+    brain.watched.insert(NodeId(1));
+    assert_eq!(brain.doubt_has_changed().map(|case| case.index), Some(IndexNo(1)));
+}
--- a/src/brain/tests/helpers.rs
+++ b/src/brain/tests/helpers.rs
@@ -120,6 +120,6 @@
     brain.watched.insert(NodeId(node));
     let sent = Micros(brain.now.0 - age.0);
     let owed = (0..parts)
-        .map(|n| ((PartId(1000 + n), CallNo(0)), Owed { sent, index: IndexNo(0), z: 1.0, depth: 1.0 }));
+        .map(|n| ((PartId(1000 + n), CallNo(0)), Owed { sent, z: 1.0, depth: 1.0, ..Owed::default() }));
     brain.nodes.get_mut(&NodeId(node)).expect("a node of the router").owed.extend(owed);
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -180,10 +180,13 @@
 }
 
 /// A part call that is still out.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Owed {
-    pub sent: Micros,
+    /// The lookup and the place of the part among its parts.
+    pub lookup: LookupId,
+    pub at: usize,
     pub index: IndexNo,
+    pub sent: Micros,
     pub z: f64,
     /// This router's parts out at the node when it was sent, itself included.
     pub depth: f64,
@@ -314,9 +317,14 @@
         (self.index, self.customer, self.parts.iter().map(|p| p.shard).collect())
     }
 
+    /// No part of it, in either step, has been answered.
+    pub fn unanswered(&self) -> bool {
+        self.weight_in() == 0.0 && !self.second
+    }
+
     /// No node has fallen under it, or one has outlived it.
     pub fn outlived(&self) -> bool {
-        self.weight_in() > 0.0 || self.second || self.broken_at() == 0
+        !self.unanswered() || self.broken_at() == 0
     }
 }
 
