--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -6,9 +6,9 @@
 use ternpick::brain::Brain;
 use ternpick::interface::Actions;
 use ternpick::types::*;
+use ternpick_tariff as tariff;
 
 use crate::frame::{BadFrame, Batch, Fields, Reply};
-use crate::tariff;
 
 mod event {
     pub const PONG: u8 = 16;
@@ -125,7 +125,8 @@
         let instance = f.u32()?;
         if code == event::BEGIN {
             let (seed, size) = (f.u64()?, f.u32()? as usize);
-            self.instances.insert(instance, Brain::new(tariff::read(f.bytes(size)?)?, seed));
+            self.instances
+                .insert(instance, Brain::new(tariff::tariff(&tariff::parse(f.bytes(size)?)?)?, seed));
             return Ok(None);
         }
         let Some(brain) = self.instances.get_mut(&instance) else {
--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -2,7 +2,6 @@
 
 mod frame;
 mod host;
-mod tariff;
 
 use std::io::{self, BufReader, Write};
 use std::process::ExitCode;
--- /dev/null
+++ b/router/src/lifecycle/start.rs
@@ -0,0 +1,66 @@
+//! Start: from a configuration to a router that serves.
+
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+use async_io::Async;
+use event_listener::Event;
+use futures_lite::future;
+use ternpick::brain::Brain;
+
+use crate::lifecycle::clock::Clock;
+use crate::lifecycle::config::Opening;
+use crate::lifecycle::{stop, watch};
+use crate::memory::descriptors::Descriptors;
+use crate::stages::book::Office;
+use crate::stages::{route, take_in, Desk, Router};
+
+/// Serves until told to stop and nothing taken is left unanswered.
+pub fn serve(opening: Opening) -> Result<(), String> {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
+    let Opening { name, listen, discovery, seed, sockets, known, tariff, bounds } = opening;
+    let discovery: SocketAddr = discovery.parse().map_err(|_| "discovery's address is none".to_owned())?;
+    let listener = TcpListener::bind(listen).and_then(Async::new);
+    let listener = listener.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+    let (bounds, asked) = (Rc::new(bounds), tariff.roster_on_request);
+    let office = Office { bounds: Rc::clone(&bounds), ..Office::default() };
+    let router = Rc::new(Router {
+        clock: Clock::start(),
+        bounds,
+        descriptors: Descriptors::new(sockets),
+        clients: Rc::default(),
+        executor: Rc::new(LocalExecutor::new()),
+        desk: RefCell::new(Desk { brain: Brain::new(tariff, seed), office }),
+        turn: Event::new(),
+        watch: Event::new(),
+        stopping: Cell::new(None),
+        closing: Event::new(),
+        accepts_no_more: Cell::new(false),
+    });
+    let executor = Rc::clone(&router.executor);
+    future::block_on(executor.run(async {
+        executor
+            .spawn(watch::watch(Rc::clone(&router), discovery, known["index"].as_u64().unwrap_or(0)))
+            .detach();
+        executor.spawn(route::turns(Rc::clone(&router))).detach();
+        // The tasks are to listen before they are called upon.
+        future::yield_now().await;
+        if !known.is_null() {
+            watch::take_list(&router, &known).unwrap_or_else(|what| {
+                log::warn!("roster: the known list is passed over, {what}");
+                0
+            });
+        }
+        if !asked {
+            router.watch.notify(1);
+        }
+        log::info!("{name} serves on {listen}, {} nodes known", router.desk.borrow().office.nodes.count());
+        let accepting = executor.spawn(take_in::accept(Rc::clone(&router), listener));
+        stop::until_told(&router).await?;
+        accepting.await;
+        stop::when_done(&router).await;
+        Ok(())
+    }))
+}
--- /dev/null
+++ b/router/src/lifecycle/stop.rs
@@ -0,0 +1,54 @@
+//! Stop: on SIGTERM or SIGINT a router goes on accepting and serving for a while, then leaves by itself once
+//! nothing that it has taken is unanswered.
+
+use async_io::Timer;
+use async_signal::{Signal, Signals};
+use futures_lite::StreamExt;
+use ternpick::types::Micros;
+
+use crate::stages::Router;
+
+/// New connections may go on coming for so long after the signal, by the protocol.
+const STILL_ACCEPTS: Micros = Micros(700_000);
+/// How often it is looked whether all is answered.
+const LOOK_AGAIN: Micros = Micros(5_000);
+
+/// Waits for the signal, and then for the time in which connections still come.
+pub async fn until_told(router: &Router) -> Result<(), String> {
+    let signals = Signals::new([Signal::Term, Signal::Int]);
+    let mut signals = signals.map_err(|e| format!("cannot wait for signals: {e}"))?;
+    signals.next().await;
+    let now = router.clock.now();
+    router.stopping.set(Some(now));
+    let lookups = router.desk.borrow().office.ledger.lookups();
+    log::info!("stopping: {lookups} lookups in hand, {} clients", router.descriptors.clients());
+    Timer::at(router.clock.instant(now + STILL_ACCEPTS)).await;
+    router.closing.notify(usize::MAX);
+    Ok(())
+}
+
+/// Closes idle connections and waits until none is busy, or until no client waits any more.
+pub async fn when_done(router: &Router) {
+    let longest = router.bounds.longest_deadline.unwrap_or_default();
+    let last = router.clock.now() + longest;
+    router.accepts_no_more.set(true);
+    router.clients.close_idle();
+    while router.descriptors.clients() > 0 && router.clock.now() < last {
+        Timer::at(router.clock.instant(router.clock.now() + LOOK_AGAIN)).await;
+    }
+    let desk = router.desk.borrow();
+    let (office, counts) = (&desk.office, &desk.office.counts);
+    log::info!(
+        "stopped: {} lookups taken, {} satisfied, {} nacked, {} aborted, {} lapsed, {} turned away; \
+         {} part calls, {} connections to nodes, {} peers at the highest",
+        counts.taken,
+        counts.satisfied,
+        counts.nacked,
+        counts.aborted,
+        counts.lapsed,
+        counts.turned_away,
+        counts.calls,
+        office.nodes.opened,
+        router.descriptors.highest()
+    );
+}
--- /dev/null
+++ b/router/src/lifecycle/watch.rs
@@ -0,0 +1,121 @@
+//! The watch of the roster: kept up call after call until one fails; then the module says when to ask again.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::future;
+use serde_json::Value;
+use ternpick::types::{Micros, Phase};
+
+use crate::memory::ring::Ring;
+use crate::stages::Router;
+use crate::wire::discovery;
+use crate::wire::http::Reader;
+
+/// The longest that a call may wait, by the protocol.
+const LONGEST_WAIT: Micros = Micros(60_000_000);
+/// Past its wait, a call has failed: from then on news counts as told.
+const OVERDUE: Micros = Micros(2_000_000);
+/// Between an answer without news that came before its time and the next call: a watch goes on for 200 ms.
+const PAUSE: Duration = Duration::from_millis(100);
+const IN_BOUND: usize = 16 * 1024;
+
+/// Takes a list in: the nodes' addresses here, the rest by the module.
+pub fn take_list(router: &Router, list: &Value) -> Result<u64, &'static str> {
+    let (version, full) = discovery::version(list)?;
+    let entries = list["endpoints"].as_array().map_or(&[][..], Vec::as_slice);
+    router.play(|brain, now, out| {
+        let mut listings = Vec::with_capacity(entries.len());
+        for entry in entries {
+            match discovery::entry(entry, &out.bounds.zone_names) {
+                Ok((name, address, mut listing)) => {
+                    listing.node = out.nodes.list(&name, address, listing.phase);
+                    listings.push(listing);
+                }
+                Err(what) => log::warn!("roster: an entry is skipped, {what}: {entry}"),
+            }
+        }
+        if full {
+            let listed: Vec<_> = listings.iter().map(|listing| listing.node).collect();
+            out.nodes.keep_only(&listed);
+        }
+        let gone = listings.iter().filter(|listing| listing.phase == Phase::Gone).count();
+        log::debug!("roster: version {version}, {} entries, {gone} gone", listings.len());
+        brain.roster(now, &listings, full, out);
+        out.nodes.forget_gone();
+    });
+    Ok(version)
+}
+
+/// Watches whenever the module wants it, from the version that the router started with.
+pub async fn watch(router: Rc<Router>, discovery: SocketAddr, mut version: u64) {
+    let wait = router.bounds.ask_within.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT);
+    let mut kept: Option<Async<TcpStream>> = None;
+    let mut wanted = router.watch.listen();
+    loop {
+        wanted.await;
+        wanted = router.watch.listen();
+        loop {
+            let began = router.clock.now();
+            let limit = router.clock.instant(began + wait + OVERDUE);
+            let late = async {
+                Timer::at(limit).await;
+                Err("no answer in time".to_owned())
+            };
+            let called = call(&mut kept, discovery, version, wait);
+            let told = match future::or(called, late).await {
+                Ok(list) => take_list(&router, &list).map_err(str::to_owned),
+                Err(what) => Err(what),
+            };
+            match told {
+                Ok(newer) if newer == version && router.clock.now().since(began) < wait => {
+                    Timer::after(PAUSE).await;
+                }
+                Ok(newer) => version = newer,
+                Err(what) => {
+                    log::debug!("roster: a call failed, {what}");
+                    kept = None;
+                    router.play(|brain, now, out| brain.roster_failed(now, out));
+                    break;
+                }
+            }
+        }
+    }
+}
+
+/// One call, on the kept connection if there is one.
+async fn call(
+    kept: &mut Option<Async<TcpStream>>, discovery: SocketAddr, after: u64, wait: Micros,
+) -> Result<Value, String> {
+    let words = |e: std::io::Error| e.to_string();
+    let stream = match kept.take() {
+        Some(stream) => stream,
+        None => Async::<TcpStream>::connect(discovery).await.map_err(words)?,
+    };
+    let request = discovery::watch(&discovery.to_string(), after, wait);
+    let mut rest = &request[..];
+    while !rest.is_empty() {
+        let count = stream.write_with(|mut stream| stream.write(rest)).await.map_err(words)?;
+        rest = &rest[count..];
+    }
+    let (mut input, mut answer) = (Ring::new(IN_BOUND), Reader::of_answers(discovery::LIST_BOUND));
+    while !answer.read(&mut input).map_err(|fault| format!("{fault:?}"))? {
+        stream.readable().await.map_err(words)?;
+        match stream.get_ref().read(input.free()) {
+            Ok(0) => return Err("the connection ended".into()),
+            Ok(count) => input.filled_more(count),
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
+            Err(e) => return Err(words(e)),
+        }
+    }
+    if answer.status() != Some(200) {
+        return Err(format!("status {}", answer.status().unwrap_or_default()));
+    }
+    if !answer.closes() {
+        *kept = Some(stream);
+    }
+    discovery::parse(answer.body())
+}
--- /dev/null
+++ b/router/src/main.rs
@@ -0,0 +1,12 @@
+//! The ternpick query router: the decisions of the `ternpick` library on real sockets.
+
+mod lifecycle;
+mod memory;
+mod stages;
+mod wire;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    lifecycle::cli::run()
+}
--- /dev/null
+++ b/router/src/memory/descriptors.rs
@@ -0,0 +1,77 @@
+//! The one count of file descriptors. A [`Permit`] stands for one and is given back when it is dropped.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use event_listener::Event;
+
+/// What the process holds beside its peers: the standard streams, the poller and its timer, the signals'
+/// pipe, the listener, discovery, and some to spare.
+const OWN: usize = 32;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Peer {
+    Client,
+    Node,
+}
+
+/// Clients may hold three quarters of what there is and nodes half, so neither can shut the other out.
+pub struct Descriptors {
+    total: usize,
+    clients: Cell<usize>,
+    nodes: Cell<usize>,
+    highest: Cell<usize>,
+    /// Told when one is given back.
+    freed: Event,
+}
+
+pub struct Permit {
+    of: Rc<Descriptors>,
+    peer: Peer,
+}
+
+impl Descriptors {
+    pub fn new(limit: usize) -> Rc<Self> {
+        let total = limit.saturating_sub(OWN).max(2);
+        let (clients, nodes, highest) = (Cell::new(0), Cell::new(0), Cell::new(0));
+        Rc::new(Descriptors { total, clients, nodes, highest, freed: Event::new() })
+    }
+
+    pub fn take(self: &Rc<Self>, peer: Peer) -> Option<Permit> {
+        let (used, most) = match peer {
+            Peer::Client => (&self.clients, self.total * 3 / 4),
+            Peer::Node => (&self.nodes, self.total / 2),
+        };
+        let all = self.clients.get() + self.nodes.get();
+        if used.get() >= most || all >= self.total {
+            return None;
+        }
+        used.set(used.get() + 1);
+        self.highest.set(self.highest.get().max(all + 1));
+        Some(Permit { of: Rc::clone(self), peer })
+    }
+
+    /// The most that peers held at a time.
+    pub fn highest(&self) -> usize {
+        self.highest.get()
+    }
+
+    pub fn clients(&self) -> usize {
+        self.clients.get()
+    }
+
+    pub fn freed(&self) -> event_listener::EventListener {
+        self.freed.listen()
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let used = match self.peer {
+            Peer::Client => &self.of.clients,
+            Peer::Node => &self.of.nodes,
+        };
+        used.set(used.get().saturating_sub(1));
+        self.of.freed.notify(usize::MAX);
+    }
+}
--- /dev/null
+++ b/router/src/memory/nodes.rs
@@ -0,0 +1,203 @@
+//! Nodes by name, and the connections to them.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use event_listener::Event;
+use ternpick::types::{Micros, NodeId, Phase};
+
+use crate::memory::descriptors::Permit;
+use crate::memory::ledger::CallKey;
+use crate::memory::ring::Ring;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionId(pub u64);
+
+/// Bytes that may wait for a node to read them.
+pub const OUT_BOUND: usize = 256 * 1024;
+
+pub struct Connection {
+    pub node: NodeId,
+    pub address: SocketAddr,
+    pub open: bool,
+    /// Carries no more calls, and is closed once it carries none.
+    pub retired: bool,
+    pub out: Ring,
+    /// Bytes ever put into `out`, and ever taken off it by the socket.
+    pub queued: u64,
+    pub written: u64,
+    /// Calls out on it, by the id that their answers name.
+    pub carries: HashMap<Rc<str>, CallKey>,
+    /// Calls that will share a frame each, for when it is up or has room.
+    pub waiting: VecDeque<Vec<CallKey>>,
+    pub probes: usize,
+    pub used: Micros,
+    /// Tells its task that there is something to write, or that it is retired.
+    pub stirred: Rc<Event>,
+    _permit: Permit,
+}
+
+impl Connection {
+    /// Whether it has nothing to wait for.
+    pub fn idle(&self) -> bool {
+        self.carries.is_empty() && self.waiting.is_empty() && self.probes == 0 && self.out.is_empty()
+    }
+
+    /// Puts a whole frame into its buffer, or nothing if there is no room.
+    pub fn push(&mut self, frame: &[u8], now: Micros) -> bool {
+        let pushed = self.out.push(frame);
+        if pushed {
+            self.queued += frame.len() as u64;
+            self.used = now;
+            self.stirred.notify(1);
+        }
+        pushed
+    }
+}
+
+pub struct Node {
+    pub name: String,
+    pub address: SocketAddr,
+    pub phase: Phase,
+    connections: Vec<ConnectionId>,
+}
+
+#[derive(Default)]
+pub struct Nodes {
+    next: u64,
+    /// Emptied of nodes that are gone and have no connection left.
+    nodes: BTreeMap<NodeId, Node>,
+    ids: HashMap<String, NodeId>,
+    connections: BTreeMap<ConnectionId, Connection>,
+    pub opened: u64,
+}
+
+impl Nodes {
+    /// Takes one line of the roster in: the same name is the same node, wherever it listens.
+    pub fn list(&mut self, name: &str, address: SocketAddr, phase: Phase) -> NodeId {
+        let id = self.ids.get(name).copied().unwrap_or_else(|| {
+            self.next += 1;
+            self.ids.insert(name.to_owned(), NodeId(self.next));
+            NodeId(self.next)
+        });
+        let node = self.nodes.entry(id).or_insert_with(|| Node {
+            name: name.to_owned(),
+            address,
+            phase,
+            connections: Vec::new(),
+        });
+        let moved = std::mem::replace(&mut node.address, address) != address;
+        node.phase = phase;
+        if moved || phase == Phase::Gone {
+            self.retire(id);
+        }
+        id
+    }
+
+    /// Marks all nodes as gone that a whole list did not name.
+    pub fn keep_only(&mut self, listed: &[NodeId]) {
+        let left: Vec<NodeId> = self.nodes.keys().filter(|id| !listed.contains(id)).copied().collect();
+        for id in left {
+            self.nodes.entry(id).and_modify(|node| node.phase = Phase::Gone);
+            self.retire(id);
+        }
+    }
+
+    fn retire(&mut self, id: NodeId) {
+        let ids = self.nodes.get(&id).map(|node| node.connections.clone()).unwrap_or_default();
+        for id in ids {
+            if let Some(connection) = self.connections.get_mut(&id) {
+                connection.retired = true;
+                connection.stirred.notify(1);
+            }
+        }
+    }
+
+    pub fn forget_gone(&mut self) {
+        let Nodes { nodes, ids, .. } = self;
+        nodes.retain(|_, node| {
+            let kept = node.phase != Phase::Gone || !node.connections.is_empty();
+            if !kept {
+                ids.remove(&node.name);
+            }
+            kept
+        });
+    }
+
+    pub fn node(&self, id: NodeId) -> Option<&Node> {
+        self.nodes.get(&id)
+    }
+
+    pub fn count(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// A node's connections that may carry more, those that are up first.
+    pub fn usable(&self, id: NodeId) -> impl Iterator<Item = (ConnectionId, &Connection)> {
+        let ids = || self.nodes.get(&id).into_iter().flat_map(|node| &node.connections);
+        let of = move |open: bool| {
+            let known = ids().filter_map(|id| Some((*id, self.connections.get(id)?)));
+            known.filter(move |(_, connection)| connection.open == open && !connection.retired)
+        };
+        of(true).chain(of(false))
+    }
+
+    pub fn connect(&mut self, node: NodeId, now: Micros, permit: Permit) -> Option<ConnectionId> {
+        self.next += 1;
+        let (id, of) = (ConnectionId(self.next), self.nodes.get_mut(&node)?);
+        of.connections.push(id);
+        let connection = Connection {
+            node,
+            address: of.address,
+            open: false,
+            retired: false,
+            out: Ring::new(OUT_BOUND),
+            queued: 0,
+            written: 0,
+            carries: HashMap::new(),
+            waiting: VecDeque::new(),
+            probes: 0,
+            used: now,
+            stirred: Rc::new(Event::new()),
+            _permit: permit,
+        };
+        self.connections.insert(id, connection);
+        self.opened += 1;
+        Some(id)
+    }
+
+    pub fn connection(&self, id: ConnectionId) -> Option<&Connection> {
+        self.connections.get(&id)
+    }
+
+    pub fn connection_mut(&mut self, id: ConnectionId) -> Option<&mut Connection> {
+        self.connections.get_mut(&id)
+    }
+
+    /// Lets a retired connection see whether it still carries something.
+    pub fn stir_retired(&self, id: ConnectionId) {
+        if let Some(connection) = self.connections.get(&id).filter(|connection| connection.retired) {
+            connection.stirred.notify(1);
+        }
+    }
+
+    /// The one place where a connection is taken off.
+    pub fn disconnect(&mut self, id: ConnectionId) -> Option<Connection> {
+        let connection = self.connections.remove(&id)?;
+        if let Some(node) = self.nodes.get_mut(&connection.node) {
+            node.connections.retain(|of| *of != id);
+        }
+        self.forget_gone();
+        Some(connection)
+    }
+
+    /// Retires the connection that has stood idle longest; false if none is idle.
+    pub fn retire_longest_idle(&mut self) -> bool {
+        let idle = self.connections.values_mut().filter(|c| c.idle() && !c.retired);
+        let Some(connection) = idle.min_by_key(|c| c.used) else { return false };
+        connection.retired = true;
+        connection.stirred.notify(1);
+        true
+    }
+}
--- /dev/null
+++ b/router/src/stages/mod.rs
@@ -0,0 +1,69 @@
+//! The stages that a request passes: take_in, admit, route, send, relay, book.
+
+pub mod admit;
+pub mod book;
+pub mod relay;
+pub mod route;
+pub mod send;
+pub mod take_in;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use async_executor::LocalExecutor;
+use event_listener::Event;
+use ternpick::brain::Brain;
+use ternpick::types::Micros;
+use ternpick_tariff::Bounds;
+
+use crate::lifecycle::clock::Clock;
+use crate::memory::clients::Clients;
+use crate::memory::descriptors::Descriptors;
+use crate::stages::book::Office;
+
+/// The decisions and the books that they act on.
+pub struct Desk {
+    pub brain: Brain,
+    pub office: Office,
+}
+
+/// One router: what its tasks share. No borrow of the desk is held while a task waits.
+pub struct Router {
+    pub clock: Clock,
+    pub bounds: Rc<Bounds>,
+    pub descriptors: Rc<Descriptors>,
+    pub clients: Rc<Clients>,
+    pub executor: Rc<LocalExecutor<'static>>,
+    pub desk: RefCell<Desk>,
+    /// An input has been played, so orders may wait to be carried out.
+    pub turn: Event,
+    /// The module wants the roster watched.
+    pub watch: Event,
+    /// When the router was told to stop.
+    pub stopping: Cell<Option<Micros>>,
+    /// Told when the listener is to go.
+    pub closing: Event,
+    /// The listener is gone: a connection ends with the request on it.
+    pub accepts_no_more: Cell<bool>,
+}
+
+impl Router {
+    /// Plays one input. What the module wants done is noted, and carried out when all inputs that are ready
+    /// have been played.
+    pub fn play<R>(&self, input: impl FnOnce(&mut Brain, Micros, &mut Office) -> R) -> R {
+        let mut desk = self.desk.borrow_mut();
+        let Desk { brain, office } = &mut *desk;
+        let now = self.clock.now();
+        office.now = now;
+        let result = input(brain, now, office);
+        if std::mem::take(&mut office.watch_wanted) {
+            self.watch.notify(1);
+        }
+        self.turn.notify(1);
+        result
+    }
+
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get().is_some()
+    }
+}
--- /dev/null
+++ b/router/src/stages/route.rs
@@ -0,0 +1,93 @@
+//! Route: hands the module its inputs, and after each turn has what it wants carried out.
+
+use std::rc::Rc;
+
+use async_io::Timer;
+use futures_lite::future;
+use ternpick::types::{CustomerNo, Ending, IndexNo, LookupId, Micros, PartId, QueryNo, ShardNo};
+
+use crate::stages::book::Return;
+use crate::stages::{send, Router};
+
+/// Plays a lookup and all its parts.
+pub fn take(
+    router: &Router, id: LookupId, index: IndexNo, left: Micros, repeat: bool,
+    parts: Vec<(PartId, ShardNo, f64, Option<Micros>)>,
+) {
+    let query = QueryNo(id.0);
+    router.play(|brain, now, out| {
+        out.counts.taken += 1;
+        brain.lookup(now, id, query, index, CustomerNo(0), parts.len(), left, repeat, out);
+        for (part, shard, weight, hint) in parts {
+            brain.part(now, part, query, shard, weight, hint, out);
+        }
+    });
+}
+
+/// A client has left before its answer.
+pub fn lapse(router: &Router, id: LookupId) {
+    router.play(|brain, now, out| {
+        if out.ledger.lookup(id).is_some() {
+            out.lapse(id);
+            brain.lapsed(now, id, out);
+        }
+    });
+}
+
+/// Tells the module of one call's end.
+pub fn returned(router: &Router, back: Return, report: &[f64]) {
+    let Return { key: (part, number), call, ending } = back;
+    router.play(|brain, now, out| {
+        brain.returned(now, part, number, call.node, now.since(call.sent), ending, report, out);
+    });
+}
+
+/// Plays what time and the module's own word have brought about.
+fn play_due(router: &Router) {
+    loop {
+        let (now, mut desk) = (router.clock.now(), router.desk.borrow_mut());
+        desk.office.now = now;
+        let cancels = desk.brain.tariff.cancels;
+        let office = &mut desk.office;
+        if let Some(back) = office.returns.pop_front() {
+            drop(desk);
+            returned(router, back, &[]);
+        } else if let Some(key) = office.ledger.overdue(now) {
+            let written = office.ledger.call(key).is_some_and(|call| send::is_written(&office.nodes, call));
+            office.give_up(key, if written { Ending::MayHaveRun } else { Ending::NeverRan }, cancels);
+        } else if office.timers.first().is_some_and(|(at, _)| *at <= now) {
+            let Some((_, timer)) = office.timers.pop_first() else { return };
+            drop(desk);
+            router.play(|brain, now, out| brain.elapsed(now, timer, out));
+        } else {
+            return;
+        }
+    }
+}
+
+fn next_due(router: &Router) -> Option<Micros> {
+    let desk = router.desk.borrow();
+    let timer = desk.office.timers.first().map(|(at, _)| *at);
+    timer.into_iter().chain(desk.office.ledger.next_due()).min()
+}
+
+/// The turns of a router: wakes on inputs and on time, lets the inputs that are ready be played first, then
+/// has all orders carried out together, so that parts for one node share a call.
+pub async fn turns(router: Rc<Router>) {
+    loop {
+        let turn = router.turn.listen();
+        future::yield_now().await;
+        play_due(&router);
+        send::carry_out(&router);
+        match next_due(&router) {
+            Some(at) => {
+                let timer = Timer::at(router.clock.instant(at));
+                let time = async {
+                    timer.await;
+                };
+                future::or(turn, time).await;
+            }
+            None => turn.await,
+        }
+    }
+}
--- /dev/null
+++ b/router/src/stages/send.rs
@@ -0,0 +1,242 @@
+//! Send: part calls become frames on connections to nodes, opened as needed.
+
+use std::io::{ErrorKind, Write};
+use std::net::TcpStream;
+use std::rc::Rc;
+
+use async_io::{Async, Timer};
+use futures_lite::future;
+use ternpick::types::{Ending, Micros, NodeId};
+
+use crate::memory::descriptors::Peer;
+use crate::memory::ledger::{CallKey, CallOut, Place};
+use crate::memory::nodes::{ConnectionId, Nodes};
+use crate::stages::book::Office;
+use crate::stages::{relay, Router};
+use crate::wire::frames;
+
+/// Whether the last byte of a call's frame has left.
+pub fn is_written(nodes: &Nodes, call: &CallOut) -> bool {
+    match call.place {
+        Place::Queued(id, end) => nodes.connection(id).is_none_or(|connection| connection.written >= end),
+        Place::Ordered | Place::Waiting(_) => false,
+    }
+}
+
+/// Carries out the orders of a turn: those for one node share calls, up to the number in the settings.
+pub fn carry_out(router: &Rc<Router>) {
+    let mut desk = router.desk.borrow_mut();
+    let office = &mut desk.office;
+    office.now = router.clock.now();
+    let mut orders = std::mem::take(&mut office.orders);
+    while let Some(node) = orders.first().and_then(|key| Some(office.ledger.call(*key)?.node)) {
+        let (frame, rest) = split(office, orders, node);
+        orders = rest;
+        send_frame(router, office, node, frame);
+    }
+    for node in std::mem::take(&mut office.probes) {
+        let known = office.nodes.usable(node).next().map(|(id, _)| id);
+        let Some(id) = known.or_else(|| open(router, office, node)) else { continue };
+        let now = office.now;
+        if let Some(connection) = office.nodes.connection_mut(id) {
+            connection.probes += usize::from(connection.push(&frames::load_probe(), now));
+        }
+    }
+}
+
+/// The next frame for a node, and the orders left over.
+fn split(office: &Office, orders: Vec<CallKey>, node: NodeId) -> (Vec<CallKey>, Vec<CallKey>) {
+    let mut room = office.bounds.parts_a_call.min(office.bounds.parts_a_connection);
+    orders.into_iter().partition(|key| {
+        let shares = room > 0 && office.ledger.call(*key).is_some_and(|call| call.node == node);
+        room -= usize::from(shares);
+        shares
+    })
+}
+
+/// Gives a frame's calls to the first connection with room for them, or to a new one.
+fn send_frame(router: &Rc<Router>, office: &mut Office, node: NodeId, frame: Vec<CallKey>) {
+    let most = office.bounds.parts_a_connection;
+    let fits = |id: ConnectionId, carried: usize| {
+        carried + frame.len() <= most && frame.iter().all(|key| !office.ledger.carried(*key, id))
+    };
+    let found = office.nodes.usable(node).find(|(id, connection)| {
+        let waiting = connection.waiting.iter().map(Vec::len).sum::<usize>();
+        fits(*id, connection.carries.len() + waiting)
+    });
+    let found = found.map(|(id, _)| id).or_else(|| open(router, office, node));
+    let Some(id) = found else {
+        frame.into_iter().for_each(|key| office.end_call(key, Ending::NeverRan));
+        return;
+    };
+    frame.iter().for_each(|key| office.ledger.place(*key, Place::Waiting(id)));
+    if let Some(connection) = office.nodes.connection_mut(id) {
+        connection.waiting.push_back(frame);
+    }
+    fill(office, id);
+}
+
+fn open(router: &Rc<Router>, office: &mut Office, node: NodeId) -> Option<ConnectionId> {
+    office.nodes.node(node)?;
+    let Some(permit) = router.descriptors.take(Peer::Node) else {
+        office.nodes.retire_longest_idle();
+        return None;
+    };
+    let id = office.nodes.connect(node, office.now, permit)?;
+    router.executor.spawn(connection(Rc::clone(router), id)).detach();
+    Some(id)
+}
+
+/// Moves frames that wait into the connection's buffer while it is up and has room.
+fn fill(office: &mut Office, id: ConnectionId) {
+    let Office { nodes, ledger, now, .. } = office;
+    let Some(connection) = nodes.connection_mut(id).filter(|connection| connection.open) else { return };
+    while let Some(keys) = connection.waiting.pop_front() {
+        let mut rest = Vec::new();
+        let calls = || keys.iter().filter_map(|key| Some((*key, ledger.call(*key)?)));
+        for (_, call) in calls() {
+            let Some((held, part)) = ledger.part(call) else { continue };
+            let wait_ms = call.due.since(*now).0.div_ceil(1000).max(1);
+            frames::add_part(
+                &mut rest,
+                &call.id,
+                part.shard.0,
+                wait_ms,
+                held.key.as_deref(),
+                &held.statement,
+            );
+        }
+        if !connection.push(&frames::call(&rest), *now) {
+            return connection.waiting.push_front(keys);
+        }
+        let end = connection.queued;
+        let carried: Vec<_> = calls().map(|(key, call)| (Rc::clone(&call.id), key)).collect();
+        for (name, key) in carried {
+            connection.carries.insert(name, key);
+            ledger.place(key, Place::Queued(id, end));
+        }
+    }
+}
+
+/// A connection's whole life: dialled, used, and closed when it breaks, is retired or has stood idle.
+async fn connection(router: Rc<Router>, id: ConnectionId) {
+    let address = router.desk.borrow().office.nodes.connection(id).map(|connection| connection.address);
+    let Some(address) = address else { return };
+    let dial = async { Async::<TcpStream>::connect(address).await.ok() };
+    let stream = match router.bounds.dial_timeout {
+        Some(limit) => future::or(dial, late(&router, router.clock.now() + limit)).await,
+        None => dial.await,
+    };
+    if let Some(stream) = stream {
+        // Frames are small, and each is wanted at once.
+        let _ = stream.get_ref().set_nodelay(true);
+        came_up(&router, id);
+        let talk = future::or(write(&router, id, &stream), relay::read(&router, id, &stream));
+        let what = future::or(talk, idle(&router, id)).await;
+        log::debug!("connection to {address}: {what}");
+    } else {
+        log::debug!("connection to {address}: could not be made");
+    }
+    lost(&router, id);
+}
+
+fn came_up(router: &Router, id: ConnectionId) {
+    let mut desk = router.desk.borrow_mut();
+    desk.office.now = router.clock.now();
+    if let Some(connection) = desk.office.nodes.connection_mut(id) {
+        connection.open = true;
+    }
+    fill(&mut desk.office, id);
+}
+
+async fn late(router: &Router, at: Micros) -> Option<Async<TcpStream>> {
+    Timer::at(router.clock.instant(at)).await;
+    None
+}
+
+/// Ends what was out on a connection. What was not written whole has never run.
+fn lost(router: &Router, id: ConnectionId) {
+    let mut desk = router.desk.borrow_mut();
+    let office = &mut desk.office;
+    office.now = router.clock.now();
+    let Some(connection) = office.nodes.disconnect(id) else { return };
+    for key in connection.waiting.into_iter().flatten() {
+        office.end_call(key, Ending::NeverRan);
+    }
+    let mut carried: Vec<CallKey> = connection.carries.into_values().collect();
+    carried.sort();
+    for key in carried {
+        let written = office.ledger.call(key).is_some_and(|call| match call.place {
+            Place::Queued(_, end) => connection.written >= end,
+            Place::Ordered | Place::Waiting(_) => false,
+        });
+        office.end_call(key, if written { Ending::Broken } else { Ending::NeverRan });
+    }
+    router.turn.notify(1);
+}
+
+/// Writes what stands in the connection's buffer whenever something does.
+async fn write(router: &Router, id: ConnectionId, stream: &Async<TcpStream>) -> &'static str {
+    loop {
+        let stirred = {
+            let desk = router.desk.borrow();
+            let Some(connection) = desk.office.nodes.connection(id) else { return "gone" };
+            connection.stirred.listen()
+        };
+        match write_out(router, id, stream) {
+            Ok(true) => stirred.await,
+            Ok(false) => {
+                if stream.writable().await.is_err() {
+                    return "cannot be written";
+                }
+            }
+            Err(what) => return what,
+        }
+    }
+}
+
+/// Writes until the buffer is empty (true) or the socket full; a retired connection ends when it carries nothing.
+fn write_out(router: &Router, id: ConnectionId, stream: &Async<TcpStream>) -> Result<bool, &'static str> {
+    let mut desk = router.desk.borrow_mut();
+    let office = &mut desk.office;
+    office.now = router.clock.now();
+    loop {
+        let Some(connection) = office.nodes.connection_mut(id) else { return Err("gone") };
+        if connection.out.is_empty() {
+            if connection.retired && connection.idle() {
+                return Err("retired");
+            }
+            return Ok(true);
+        }
+        match stream.get_ref().write(connection.out.filled()) {
+            Ok(0) => return Err("takes nothing"),
+            Ok(count) => {
+                connection.out.consume(count);
+                connection.written += count as u64;
+                fill(office, id);
+            }
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return Err("broke"),
+        }
+    }
+}
+
+/// Ends a connection that has stood idle so long that the node is about to close it.
+async fn idle(router: &Router, id: ConnectionId) -> &'static str {
+    let Some(limit) = router.bounds.idle_close else { return future::pending().await };
+    let limit = limit.since(router.bounds.dial_timeout.unwrap_or_default());
+    loop {
+        let at = {
+            let desk = router.desk.borrow();
+            let Some(connection) = desk.office.nodes.connection(id) else { return "gone" };
+            let now = router.clock.now();
+            match connection.idle() {
+                true if connection.used + limit <= now => return "idle",
+                true => connection.used + limit,
+                false => now + limit,
+            }
+        };
+        Timer::at(router.clock.instant(at)).await;
+    }
+}
--- /dev/null
+++ b/router/src/stages/take_in.rs
@@ -0,0 +1,231 @@
+//! Take in: accepts clients' connections, reads their requests one at a time, and writes the answers.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::future;
+use ternpick::types::Micros;
+
+use crate::memory::clients::Reply;
+use crate::memory::descriptors::{Peer, Permit};
+use crate::memory::ring::Ring;
+use crate::stages::admit::{admit, Admitted};
+use crate::stages::{route, Router};
+use crate::wire::http::{self, Fault, Reader, BODY_BOUND, HEAD_BOUND};
+
+const IN_BOUND: usize = HEAD_BOUND;
+/// The longest answer: as long a body as the protocol knows, and its head.
+const OUT_BOUND: usize = BODY_BOUND + HEAD_BOUND;
+/// Before accepting is tried again after a failure that is not the peer's.
+const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
+
+/// Accepts connections until the router is told that the listener is to go, and then what still waits.
+pub async fn accept(router: Rc<Router>, listener: Async<TcpListener>) {
+    let closing = router.closing.listen();
+    future::or(
+        async {
+            loop {
+                let permit = permit(&router).await;
+                match listener.accept().await {
+                    Ok((stream, _)) => spawn(&router, stream, permit),
+                    Err(e) => {
+                        log::warn!("cannot accept: {e}");
+                        Timer::after(ACCEPT_AGAIN).await;
+                    }
+                }
+            }
+        },
+        closing,
+    )
+    .await;
+    while let (Some(permit), Ok((stream, _))) =
+        (router.descriptors.take(Peer::Client), listener.get_ref().accept())
+    {
+        match Async::new(stream) {
+            Ok(stream) => spawn(&router, stream, permit),
+            Err(e) => log::warn!("cannot accept: {e}"),
+        }
+    }
+}
+
+/// Waits for a descriptor for a client; the connection idle longest makes room.
+async fn permit(router: &Router) -> Permit {
+    loop {
+        let freed = router.descriptors.freed();
+        if let Some(permit) = router.descriptors.take(Peer::Client) {
+            return permit;
+        }
+        router.clients.close_longest_idle();
+        freed.await;
+    }
+}
+
+fn spawn(router: &Rc<Router>, stream: Async<TcpStream>, permit: Permit) {
+    let task = client(Rc::clone(router), stream, permit);
+    router.executor.spawn(task).detach();
+}
+
+/// A client's connection, its buffers, and its descriptor, given back in this order when the task ends.
+struct Line {
+    stream: Async<TcpStream>,
+    input: Ring,
+    output: Ring,
+    ended: bool,
+    _permit: Permit,
+}
+
+/// A connection's whole life: one request after the other.
+async fn client(router: Rc<Router>, stream: Async<TcpStream>, permit: Permit) {
+    let _ = stream.get_ref().set_nodelay(true);
+    let (input, output) = (Ring::new(IN_BOUND), Ring::new(OUT_BOUND));
+    let mut line = Line { stream, input, output, ended: false, _permit: permit };
+    let mut request = Reader::of_requests();
+    while one_request(&router, &mut line, &mut request).await {}
+}
+
+/// Reads and answers one request; false if the connection ends with it.
+async fn one_request(router: &Rc<Router>, line: &mut Line, request: &mut Reader) -> bool {
+    if line.input.is_empty() && !idle(router, line).await {
+        return false;
+    }
+    let (_busy, began) = (router.clients.busy(), router.clock.now());
+    let read = match within(router, began, read_request(line, request)).await {
+        None => return false,
+        Some(read) => read,
+    };
+    let (answer, last) = match read {
+        Err(Stop::Ended) => return false,
+        Err(Stop::Fault(fault)) => {
+            let (status, what) = fault.status();
+            ((status, String::new(), format!("{what}\n")), true)
+        }
+        Ok(()) => {
+            let answer = match admit(router, request, began) {
+                Admitted::Answer(status, headers, body) => (status, headers, body),
+                Admitted::Held(id, reply) => match wait(line, &reply).await {
+                    Some(answer) => answer,
+                    None => {
+                        route::lapse(router, id);
+                        return false;
+                    }
+                },
+            };
+            let last = request.closes() || answer.0 == 400;
+            (answer, last)
+        }
+    };
+    let (status, headers, body) = answer;
+    let last = last || router.is_stopping();
+    let body = if request.method() == "HEAD" { String::new() } else { body };
+    if !line.output.push(&http::answer(status, &headers, &body, last)) {
+        log::warn!("an answer of {} bytes is longer than its bound", body.len());
+        return false;
+    }
+    let written = within(router, router.clock.now(), write_all(line)).await.unwrap_or(false);
+    written && !last
+}
+
+/// Waits on a connection between requests; false if it is to end.
+async fn idle(router: &Router, line: &mut Line) -> bool {
+    let place = router.clients.idle(router.clock.now());
+    let told = place.told.listen();
+    let waits_on = !router.accepts_no_more.get() && {
+        let more = async { line.stream.readable().await.is_ok() };
+        let ends = async {
+            told.await;
+            false
+        };
+        future::or(more, ends).await
+    };
+    // A request that has come meanwhile is still served.
+    take_bytes(line).is_ok_and(|some| some || waits_on)
+}
+
+/// Bounds what a slow client may hold up: after the longest time that any client waits, nobody does.
+async fn within<T>(router: &Router, from: Micros, what: impl std::future::Future<Output = T>) -> Option<T> {
+    let Some(longest) = router.bounds.longest_deadline else { return Some(what.await) };
+    let at = router.clock.instant(from + longest);
+    future::or(async { Some(what.await) }, async {
+        Timer::at(at).await;
+        None
+    })
+    .await
+}
+
+/// Why no request could be read.
+enum Stop {
+    Ended,
+    Fault(Fault),
+}
+
+/// Reads bytes that are there; false if there are none just now.
+fn take_bytes(line: &mut Line) -> Result<bool, Stop> {
+    let free = line.input.free();
+    if free.is_empty() {
+        return Ok(true);
+    }
+    match line.stream.get_ref().read(free) {
+        Ok(0) => {
+            line.ended = true;
+            Err(Stop::Ended)
+        }
+        Ok(count) => {
+            line.input.filled_more(count);
+            Ok(true)
+        }
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {
+            line.input.rest();
+            Ok(false)
+        }
+        Err(_) => Err(Stop::Ended),
+    }
+}
+
+async fn read_request(line: &mut Line, request: &mut Reader) -> Result<(), Stop> {
+    loop {
+        if request.read(&mut line.input).map_err(Stop::Fault)? {
+            return Ok(());
+        }
+        if !take_bytes(line)? {
+            line.stream.readable().await.map_err(|_| Stop::Ended)?;
+        }
+    }
+}
+
+/// Waits for a lookup's answer; none if the client has left before it.
+async fn wait(line: &mut Line, reply: &Reply) -> Option<(u16, String, String)> {
+    let answer = async { Some(reply.wait().await) };
+    future::or(answer, left(line)).await
+}
+
+/// Ends when the client has left. What it sends ahead waits, and a full buffer is read no further.
+async fn left<T>(line: &mut Line) -> Option<T> {
+    loop {
+        if line.input.room() == 0 {
+            return future::pending().await;
+        }
+        if line.stream.readable().await.is_err() || take_bytes(line).is_err() {
+            return None;
+        }
+    }
+}
+
+async fn write_all(line: &mut Line) -> bool {
+    while !line.output.is_empty() {
+        match line.stream.get_ref().write(line.output.filled()) {
+            Ok(0) => return false,
+            Ok(count) => line.output.consume(count),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                if line.stream.writable().await.is_err() {
+                    return false;
+                }
+            }
+            Err(_) => return false,
+        }
+    }
+    true
+}
--- a/adapter/src/tariff.rs
+++ b/tariff/src/lib.rs
@@ -1,9 +1,31 @@
-//! Reads the settings that come with an instance's start. Keys that it does not know are skipped.
+//! Reads the settings that come with a router's start, for every front. Keys that it does not know are skipped.
 
 use serde_json::Value;
 use ternpick::types::{Gauge, IndexRow, Micros, Repeat, Reporting, Tariff, ZoneNo};
 
-use crate::frame::BadFrame;
+/// What is wrong with the settings, in plain words.
+pub type BadTariff = String;
+
+/// What a front itself keeps to: names as peers word them, and the limits of its lookups and connections.
+/// A `None` is a limit that is not set.
+#[derive(Clone, Debug, Default)]
+pub struct Bounds {
+    pub index_names: Vec<String>,
+    pub zone_names: Vec<String>,
+    /// The figures of a load report, in the module's order.
+    pub columns: Vec<String>,
+    pub shards: Option<u32>,
+    /// Lookups and parts held at a time.
+    pub most_held: Option<usize>,
+    pub parts_a_call: usize,
+    pub parts_a_connection: usize,
+    pub dial_timeout: Option<Micros>,
+    pub idle_close: Option<Micros>,
+    /// The longest that any client waits for an answer.
+    pub longest_deadline: Option<Micros>,
+    /// How long a router may go without asking for the roster.
+    pub ask_within: Option<Micros>,
+}
 
 fn num(from: &Value, key: &str) -> Option<f64> {
     from[key].as_f64()
@@ -21,23 +43,49 @@
     from[key].as_array().map_or(&[], Vec::as_slice)
 }
 
-pub fn read(text: &[u8]) -> Result<Tariff, BadFrame> {
-    let all: Value = serde_json::from_slice(text).map_err(|e| format!("settings that are not JSON: {e}"))?;
+fn texts(from: &[Value], of: impl Fn(&Value) -> &Value) -> Vec<String> {
+    from.iter().map(|row| of(row).as_str().unwrap_or_default().to_owned()).collect()
+}
+
+/// Reads settings as they come on a wire, as text.
+pub fn parse(text: &[u8]) -> Result<Value, BadTariff> {
+    serde_json::from_slice(text).map_err(|e| format!("settings that are not JSON: {e}"))
+}
+
+pub fn bounds(all: &Value) -> Bounds {
+    let (limits, extra) = (&all["ceilings"], &all["extra"]);
+    let count = |from: &Value, key: &str| num(from, key).filter(|n| *n >= 1.0).map(|n| n as usize);
+    Bounds {
+        index_names: texts(rows(all, "classes"), |row| &row["name"]),
+        zone_names: texts(rows(all, "areas"), |name| name),
+        columns: texts(rows(&all["report"], "columns"), |name| name),
+        shards: num(extra, "shards").map(|n| n as u32),
+        most_held: count(limits, "mostHeld"),
+        parts_a_call: count(extra, "bundleMax").unwrap_or(1),
+        parts_a_connection: count(limits, "streamsPerConn").unwrap_or(1),
+        dial_timeout: time(limits, "dialTimeout"),
+        idle_close: time(limits, "idleClose"),
+        longest_deadline: rows(all, "classes").iter().filter_map(|row| time(row, "deadline")).max(),
+        ask_within: time(&all["rules"], "askWithin"),
+    }
+}
+
+pub fn tariff(all: &Value) -> Result<Tariff, BadTariff> {
     if !all.is_object() {
         return Err("settings that are not a JSON object".into());
     }
     let (limits, rules, extra) = (&all["ceilings"], &all["rules"], &all["extra"]);
-    let indexes = rows(&all, "classes").iter().enumerate().map(|(at, row)| index(at, row, extra)).collect();
+    let indexes = rows(all, "classes").iter().enumerate().map(|(at, row)| index(at, row, extra)).collect();
     Ok(Tariff {
         indexes,
-        quotas: rows(&all, "projects")
+        quotas: rows(all, "projects")
             .iter()
             .map(|row| num(row, "quotaPerS").unwrap_or(f64::INFINITY))
             .collect(),
-        over_share_gain: num(&all, "overShareWorth").unwrap_or(1.0),
+        over_share_gain: num(all, "overShareWorth").unwrap_or(1.0),
         gain_by_work: all["valueBy"] == "work",
-        routers: num(&all, "balancers").unwrap_or(1.0).max(1.0),
-        zone: ZoneNo(num(&all, "zone").unwrap_or(0.0) as u16),
+        routers: num(all, "balancers").unwrap_or(1.0).max(1.0),
+        zone: ZoneNo(num(all, "zone").unwrap_or(0.0) as u16),
         crossing: num(&all["charges"], "crossZone").unwrap_or(0.0),
         cells: num(extra, "positions").map_or(1, |n| n as u32).max(1),
         reach: num(extra, "reach").map_or(1, |n| n as u32),
@@ -54,7 +102,7 @@
         second_copies: flag(limits, "secondCopies"),
         cancels: flag(limits, "cancel"),
         longest_advice: flag(limits, "retryAfter").then(|| time(limits, "maxRetryAfter").unwrap_or_default()),
-        tick: time(&all, "tick").unwrap_or_default(),
+        tick: time(all, "tick").unwrap_or_default(),
         cold_share: num(rules, "coldFrom").unwrap_or(1.0),
         warm_within: time(rules, "warmWithin").unwrap_or_default(),
         fall_multiple: num(rules, "fallMultiple").unwrap_or(f64::INFINITY),
