Frames leave at once or not at all; a fingerprinted repeat leaves time to dial

At fault were send's hand-over to the writing task and the module's may_call, which took a call for sent when it was ordered. Now frames are written in the turn; a call whose frame has not gone out in a dial's time was not made; a connection whose half-written call is over is closed; one that was silent since a call that timed out carries no more calls (a vanished peer resets them on its return; hurts by one handshake where the process only hung). The module keeps back a dial's time before a window's end.

--- a/router/src/memory/ledger.rs
+++ b/router/src/memory/ledger.rs
@@ -46,7 +46,10 @@
     /// The part's id as nodes are told it.
     pub id: Rc<str>,
     pub sent: Micros,
+    /// When its time is up.
     pub due: Micros,
+    /// When it is looked at: first to see that it has gone out, then as `due`.
+    look: Micros,
     pub place: Place,
 }
 
@@ -116,15 +119,18 @@
     }
 
     /// Writes a call in that the module wants made; none if the part is not in hand.
-    pub fn order(&mut self, part: PartId, node: NodeId, now: Micros, limit: Micros) -> Option<CallKey> {
+    pub fn order(
+        &mut self, part: PartId, node: NodeId, now: Micros, limit: Micros, dial: Option<Micros>,
+    ) -> Option<CallKey> {
         let (lookup, at) = *self.parts.get(&part)?;
         let held = self.lookups.get_mut(&lookup)?;
         let of = &mut held.parts[at];
         let key = (part, CallNo(of.calls));
         of.calls = of.calls.checked_add(1)?;
         let (id, due) = (format!("{}.{}", held.name, of.shard.0).into(), now + limit);
-        self.calls.insert(key, CallOut { lookup, at, node, id, sent: now, due, place: Place::Ordered });
-        self.due.insert((due, key));
+        let look = dial.map_or(due, |dial| due.min(now + dial));
+        self.calls.insert(key, CallOut { lookup, at, node, id, sent: now, due, look, place: Place::Ordered });
+        self.due.insert((look, key));
         Some(key)
     }
 
@@ -159,10 +165,18 @@
     /// The one place where a call is taken off.
     pub fn finish(&mut self, key: CallKey) -> Option<CallOut> {
         let call = self.calls.remove(&key)?;
-        self.due.remove(&(call.due, key));
+        self.due.remove(&(call.look, key));
         Some(call)
     }
 
+    /// Looks at a call again when its time is up.
+    pub fn look_when_due(&mut self, key: CallKey) {
+        let Some(call) = self.calls.get_mut(&key) else { return };
+        self.due.remove(&(call.look, key));
+        call.look = call.due;
+        self.due.insert((call.look, key));
+    }
+
     /// Keeps a part's value as a node gave it; a part counts once.
     pub fn keep(&mut self, call: &CallOut, value: &str) {
         let held = self.lookups.get_mut(&call.lookup);
@@ -171,7 +185,7 @@
         }
     }
 
-    /// When the next call's time is up.
+    /// When the next call is to be looked at.
     pub fn next_due(&self) -> Option<Micros> {
         self.due.first().map(|(at, _)| *at)
     }
--- a/router/src/memory/nodes.rs
+++ b/router/src/memory/nodes.rs
@@ -1,9 +1,10 @@
 //! Nodes by name, and the connections to them.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
+use async_io::Async;
 use event_listener::Event;
 use ternpick::types::{Micros, NodeId, Phase};
 
@@ -14,13 +15,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ConnectionId(pub u64);
 
-/// Bytes that may wait for a node to read them.
-pub const OUT_BOUND: usize = 256 * 1024;
-
 pub struct Connection {
     pub node: NodeId,
     pub address: SocketAddr,
-    pub open: bool,
+    /// Its socket, once it is up.
+    pub stream: Option<Rc<Async<TcpStream>>>,
     /// Carries no more calls, and is closed once it carries none.
     pub retired: bool,
     pub out: Ring,
@@ -32,7 +31,11 @@
     /// Calls that will share a frame each, for when it is up or has room.
     pub waiting: VecDeque<Vec<CallKey>>,
     pub probes: usize,
+    /// When it last carried something, and when it last brought something.
     pub used: Micros,
+    pub heard: Micros,
+    /// A frame on it is not to be finished.
+    pub abandoned: bool,
     /// Tells its task that there is something to write, or that it is retired.
     pub stirred: Rc<Event>,
     _permit: Permit,
@@ -138,27 +141,31 @@
         let ids = || self.nodes.get(&id).into_iter().flat_map(|node| &node.connections);
         let of = move |open: bool| {
             let known = ids().filter_map(|id| Some((*id, self.connections.get(id)?)));
-            known.filter(move |(_, connection)| connection.open == open && !connection.retired)
+            known.filter(move |(_, of)| of.stream.is_some() == open && !of.retired && !of.abandoned)
         };
         of(true).chain(of(false))
     }
 
-    pub fn connect(&mut self, node: NodeId, now: Micros, permit: Permit) -> Option<ConnectionId> {
+    pub fn connect(
+        &mut self, node: NodeId, now: Micros, out_bound: usize, permit: Permit,
+    ) -> Option<ConnectionId> {
         self.next += 1;
         let (id, of) = (ConnectionId(self.next), self.nodes.get_mut(&node)?);
         of.connections.push(id);
         let connection = Connection {
             node,
             address: of.address,
-            open: false,
+            stream: None,
             retired: false,
-            out: Ring::new(OUT_BOUND),
+            out: Ring::new(out_bound),
             queued: 0,
             written: 0,
             carries: HashMap::new(),
             waiting: VecDeque::new(),
             probes: 0,
             used: now,
+            heard: Micros(0),
+            abandoned: false,
             stirred: Rc::new(Event::new()),
             _permit: permit,
         };
@@ -175,6 +182,23 @@
         self.connections.get_mut(&id)
     }
 
+    /// Takes a call off its connection. A frame that has not left whole may neither be finished, since the call
+    /// is over, nor be left half: that connection ends.
+    pub fn unload(&mut self, id: ConnectionId, name: &str, end: u64) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.carries.remove(name);
+            connection.abandoned |= connection.written < end;
+            connection.stirred.notify(usize::from(connection.retired || connection.abandoned));
+        }
+    }
+
+    /// Retires a connection that has brought nothing since.
+    pub fn retire_silent(&mut self, id: ConnectionId, since: Micros) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.retired |= connection.heard < since;
+        }
+    }
+
     /// Lets a retired connection see whether it still carries something.
     pub fn stir_retired(&self, id: ConnectionId) {
         if let Some(connection) = self.connections.get(&id).filter(|connection| connection.retired) {
--- a/router/src/stages/book.rs
+++ b/router/src/stages/book.rs
@@ -10,6 +10,7 @@
 
 use crate::memory::ledger::{CallKey, CallOut, Ledger, Place};
 use crate::memory::nodes::Nodes;
+use crate::stages::send;
 use crate::wire::{frames, query};
 
 /// How many lookups were taken and how they ended.
@@ -60,12 +61,7 @@
                     connection.waiting.retain(|frame| !frame.is_empty());
                 }
             }
-            Place::Queued(id, _) => {
-                if let Some(connection) = self.nodes.connection_mut(id) {
-                    connection.carries.remove(&call.id);
-                }
-                self.nodes.stir_retired(id);
-            }
+            Place::Queued(id, end) => self.nodes.unload(id, &call.id, end),
         }
         self.returns.push_back(Return { key, call, ending });
     }
@@ -73,7 +69,8 @@
     /// Gives a call up: at the node too, if it may have heard of it.
     pub fn give_up(&mut self, key: CallKey, ending: Ending, cancels: bool) {
         let Some(call) = self.ledger.call(key) else { return };
-        if let (Place::Queued(id, _), true) = (call.place, cancels) {
+        let written = send::is_written(&self.nodes, call);
+        if let (Place::Queued(id, _), true) = (call.place, cancels && written) {
             let frame = frames::give_up(&call.id);
             if let Some(connection) = self.nodes.connection_mut(id) {
                 // A buffer too full for it: the node is not reading, and drops the part when its time is up.
@@ -87,9 +84,8 @@
     fn close(&mut self, id: LookupId, status: u16, headers: String, body: String) {
         let Some(held) = self.ledger.close(id) else { return };
         for part in &held.parts {
-            let unsent = |call: &CallOut| !matches!(call.place, Place::Queued(..));
-            let unsent: Vec<CallKey> =
-                self.ledger.out_of(part.id).filter(|(_, call)| unsent(call)).map(|(key, _)| key).collect();
+            let out = self.ledger.out_of(part.id).filter(|(_, call)| !send::is_written(&self.nodes, call));
+            let unsent: Vec<CallKey> = out.map(|(key, _)| key).collect();
             unsent.into_iter().for_each(|key| self.end_call(key, Ending::Unsent));
         }
         held.reply.set(status, headers, body);
@@ -104,7 +100,7 @@
 
 impl Actions for Office {
     fn part_call(&mut self, part: PartId, node: NodeId, limit: Micros) {
-        if let Some(key) = self.ledger.order(part, node, self.now, limit) {
+        if let Some(key) = self.ledger.order(part, node, self.now, limit, self.bounds.dial_timeout) {
             self.counts.calls += 1;
             self.orders.push(key);
         }
--- a/router/src/stages/relay.rs
+++ b/router/src/stages/relay.rs
@@ -27,7 +27,10 @@
         for _ in 0..READS {
             match stream.get_ref().read(input.free()) {
                 Ok(0) => return "ended by the node",
-                Ok(count) => input.filled_more(count),
+                Ok(count) => {
+                    input.filled_more(count);
+                    heard(router, id);
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == ErrorKind::Interrupted => continue,
                 Err(_) => return "broke",
@@ -53,6 +56,13 @@
     }
 }
 
+fn heard(router: &Router, id: ConnectionId) {
+    let (now, mut desk) = (router.clock.now(), router.desk.borrow_mut());
+    if let Some(connection) = desk.office.nodes.connection_mut(id) {
+        (connection.used, connection.heard) = (now, now);
+    }
+}
+
 fn take_frame(router: &Router, id: ConnectionId, letter: u8, rest: &[u8]) -> Result<(), frames::BadFrame> {
     match letter {
         b'a' => answer(router, id, rest),
@@ -74,7 +84,6 @@
         let mut desk = router.desk.borrow_mut();
         let office = &mut desk.office;
         let Some(connection) = office.nodes.connection_mut(id) else { return Err("gone") };
-        connection.used = router.clock.now();
         // Late answers, and those for ids never asked, are ordinary: the part was given up.
         let Some(key) = connection.carries.remove(name) else { return Ok(()) };
         let Some(call) = office.ledger.finish(key) else { return Ok(()) };
@@ -94,7 +103,6 @@
         let mut desk = router.desk.borrow_mut();
         let Some(connection) = desk.office.nodes.connection_mut(id) else { return Err("gone") };
         connection.probes = connection.probes.saturating_sub(1);
-        connection.used = router.clock.now();
         connection.node
     };
     let report = frames::report(text.trim_end(), &router.bounds.columns);
--- a/router/src/stages/route.rs
+++ b/router/src/stages/route.rs
@@ -6,7 +6,8 @@
 use futures_lite::future;
 use ternpick::types::{CustomerNo, Ending, IndexNo, LookupId, Micros, PartId, QueryNo, ShardNo};
 
-use crate::stages::book::Return;
+use crate::memory::ledger::{CallKey, Place};
+use crate::stages::book::{Office, Return};
 use crate::stages::{send, Router};
 
 /// Plays a lookup and all its parts.
@@ -53,8 +54,7 @@
             drop(desk);
             returned(router, back, &[]);
         } else if let Some(key) = office.ledger.overdue(now) {
-            let written = office.ledger.call(key).is_some_and(|call| send::is_written(&office.nodes, call));
-            office.give_up(key, if written { Ending::MayHaveRun } else { Ending::NeverRan }, cancels);
+            call_is_late(office, key, cancels);
         } else if office.timers.first().is_some_and(|(at, _)| *at <= now) {
             let Some((_, timer)) = office.timers.pop_first() else { return };
             drop(desk);
@@ -65,6 +65,21 @@
     }
 }
 
+/// A call whose frame has not gone out in the time of a dial was not made; one that has waits out its limit.
+/// A connection that has brought nothing since is not trusted with more: its peer may have vanished, and on
+/// its return would reset what is written to it.
+fn call_is_late(office: &mut Office, key: CallKey, cancels: bool) {
+    let Some(call) = office.ledger.call(key) else { return };
+    let (written, sent, place) = (send::is_written(&office.nodes, call), call.sent, call.place);
+    if written && call.due > office.now {
+        return office.ledger.look_when_due(key);
+    }
+    if let (Place::Queued(id, _), true) = (place, written) {
+        office.nodes.retire_silent(id, sent);
+    }
+    office.give_up(key, if written { Ending::MayHaveRun } else { Ending::NeverRan }, cancels);
+}
+
 fn next_due(router: &Router) -> Option<Micros> {
     let desk = router.desk.borrow();
     let timer = desk.office.timers.first().map(|(at, _)| *at);
--- a/router/src/stages/send.rs
+++ b/router/src/stages/send.rs
@@ -13,7 +13,8 @@
 use crate::memory::nodes::{ConnectionId, Nodes};
 use crate::stages::book::Office;
 use crate::stages::{relay, Router};
-use crate::wire::frames;
+use crate::wire::frames::{self, LINE_BOUND};
+use crate::wire::http::BODY_BOUND;
 
 /// Whether the last byte of a call's frame has left.
 pub fn is_written(nodes: &Nodes, call: &CallOut) -> bool {
@@ -72,8 +73,10 @@
     frame.iter().for_each(|key| office.ledger.place(*key, Place::Waiting(id)));
     if let Some(connection) = office.nodes.connection_mut(id) {
         connection.waiting.push_back(frame);
+        // What the socket does not take now, the connection's task writes; it also finds what is wrong.
+        connection.stirred.notify(1);
     }
-    fill(office, id);
+    let _ = write_out(office, id);
 }
 
 fn open(router: &Rc<Router>, office: &mut Office, node: NodeId) -> Option<ConnectionId> {
@@ -82,7 +85,9 @@
         office.nodes.retire_longest_idle();
         return None;
     };
-    let id = office.nodes.connect(node, office.now, permit)?;
+    // Room for the longest call at least.
+    let out_bound = office.bounds.parts_a_call * (BODY_BOUND + LINE_BOUND);
+    let id = office.nodes.connect(node, office.now, out_bound, permit)?;
     router.executor.spawn(connection(Rc::clone(router), id)).detach();
     Some(id)
 }
@@ -90,7 +95,7 @@
 /// Moves frames that wait into the connection's buffer while it is up and has room.
 fn fill(office: &mut Office, id: ConnectionId) {
     let Office { nodes, ledger, now, .. } = office;
-    let Some(connection) = nodes.connection_mut(id).filter(|connection| connection.open) else { return };
+    let Some(connection) = nodes.connection_mut(id).filter(|of| of.stream.is_some()) else { return };
     while let Some(keys) = connection.waiting.pop_front() {
         let mut rest = Vec::new();
         let calls = || keys.iter().filter_map(|key| Some((*key, ledger.call(*key)?)));
@@ -130,7 +135,10 @@
     if let Some(stream) = stream {
         // Frames are small, and each is wanted at once.
         let _ = stream.get_ref().set_nodelay(true);
-        came_up(&router, id);
+        let stream = Rc::new(stream);
+        if let Some(connection) = router.desk.borrow_mut().office.nodes.connection_mut(id) {
+            connection.stream = Some(Rc::clone(&stream));
+        }
         let talk = future::or(write(&router, id, &stream), relay::read(&router, id, &stream));
         let what = future::or(talk, idle(&router, id)).await;
         log::debug!("connection to {address}: {what}");
@@ -140,15 +148,6 @@
     lost(&router, id);
 }
 
-fn came_up(router: &Router, id: ConnectionId) {
-    let mut desk = router.desk.borrow_mut();
-    desk.office.now = router.clock.now();
-    if let Some(connection) = desk.office.nodes.connection_mut(id) {
-        connection.open = true;
-    }
-    fill(&mut desk.office, id);
-}
-
 async fn late(router: &Router, at: Micros) -> Option<Async<TcpStream>> {
     Timer::at(router.clock.instant(at)).await;
     None
@@ -175,19 +174,25 @@
     router.turn.notify(1);
 }
 
-/// Writes what stands in the connection's buffer whenever something does.
+/// Writes what stands in the connection's buffer, when the socket could not take it at once.
 async fn write(router: &Router, id: ConnectionId, stream: &Async<TcpStream>) -> &'static str {
     loop {
-        let stirred = {
-            let desk = router.desk.borrow();
+        let (stirred, written) = {
+            let mut desk = router.desk.borrow_mut();
+            desk.office.now = router.clock.now();
             let Some(connection) = desk.office.nodes.connection(id) else { return "gone" };
-            connection.stirred.listen()
+            (connection.stirred.listen(), write_out(&mut desk.office, id))
         };
-        match write_out(router, id, stream) {
+        match written {
             Ok(true) => stirred.await,
             Ok(false) => {
-                if stream.writable().await.is_err() {
-                    return "cannot be written";
+                let free = async { stream.writable().await.map_err(|_| "cannot be written").err() };
+                let stirred = async {
+                    stirred.await;
+                    None
+                };
+                if let Some(what) = future::or(free, stirred).await {
+                    return what;
                 }
             }
             Err(what) => return what,
@@ -195,25 +200,24 @@
     }
 }
 
-/// Writes until the buffer is empty (true) or the socket full; a retired connection ends when it carries nothing.
-fn write_out(router: &Router, id: ConnectionId, stream: &Async<TcpStream>) -> Result<bool, &'static str> {
-    let mut desk = router.desk.borrow_mut();
-    let office = &mut desk.office;
-    office.now = router.clock.now();
+/// Writes until the buffer is empty (true) or the socket full. An error is the connection's end: also that of
+/// a retired one that carries nothing, and of one with a frame that is not to be finished.
+fn write_out(office: &mut Office, id: ConnectionId) -> Result<bool, &'static str> {
     loop {
+        fill(office, id);
         let Some(connection) = office.nodes.connection_mut(id) else { return Err("gone") };
+        let Some(stream) = connection.stream.clone() else { return Ok(true) };
+        if connection.abandoned {
+            return Err("abandoned");
+        }
         if connection.out.is_empty() {
-            if connection.retired && connection.idle() {
-                return Err("retired");
-            }
-            return Ok(true);
+            return if connection.retired && connection.idle() { Err("retired") } else { Ok(true) };
         }
         match stream.get_ref().write(connection.out.filled()) {
             Ok(0) => return Err("takes nothing"),
             Ok(count) => {
                 connection.out.consume(count);
                 connection.written += count as u64;
-                fill(office, id);
             }
             Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(false),
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
--- a/router/src/stages/take_in.rs
+++ b/router/src/stages/take_in.rs
@@ -1,7 +1,7 @@
 //! Take in: accepts clients' connections, reads their requests one at a time, and writes the answers.
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +22,10 @@
 /// Before accepting is tried again after a failure that is not the peer's.
 const ACCEPT_AGAIN: Duration = Duration::from_millis(50);
 
+/// How much and how long is read on after a message that was refused.
+const LINGER_BYTES: usize = 4 * BODY_BOUND;
+const LINGER: Duration = Duration::from_secs(1);
+
 /// Accepts connections until the router is told that the listener is to go, and then what still waits.
 pub async fn accept(router: Rc<Router>, listener: Async<TcpListener>) {
     let closing = router.closing.listen();
@@ -73,7 +77,6 @@
     stream: Async<TcpStream>,
     input: Ring,
     output: Ring,
-    ended: bool,
     _permit: Permit,
 }
 
@@ -81,7 +84,7 @@
 async fn client(router: Rc<Router>, stream: Async<TcpStream>, permit: Permit) {
     let _ = stream.get_ref().set_nodelay(true);
     let (input, output) = (Ring::new(IN_BOUND), Ring::new(OUT_BOUND));
-    let mut line = Line { stream, input, output, ended: false, _permit: permit };
+    let mut line = Line { stream, input, output, _permit: permit };
     let mut request = Reader::of_requests();
     while one_request(&router, &mut line, &mut request).await {}
 }
@@ -92,18 +95,18 @@
         return false;
     }
     let (_busy, began) = (router.clients.busy(), router.clock.now());
-    let read = match within(router, began, read_request(line, request)).await {
-        None => return false,
-        Some(read) => read,
-    };
-    let (answer, last) = match read {
+    let read = within(router, began, read_request(line, request)).await;
+    let read = read.unwrap_or(Err(Stop::Fault(Fault::TooSlow)));
+    let (answer, mut last) = match read {
         Err(Stop::Ended) => return false,
         Err(Stop::Fault(fault)) => {
             let (status, what) = fault.status();
             ((status, String::new(), format!("{what}\n")), true)
         }
         Ok(()) => {
-            let answer = match admit(router, request, began) {
+            let (closes, admitted) = (request.closes(), admit(router, request, began));
+            request.forget_body();
+            let answer = match admitted {
                 Admitted::Answer(status, headers, body) => (status, headers, body),
                 Admitted::Held(id, reply) => match wait(line, &reply).await {
                     Some(answer) => answer,
@@ -113,21 +116,45 @@
                     }
                 },
             };
-            let last = request.closes() || answer.0 == 400;
-            (answer, last)
+            (answer, closes)
         }
     };
     let (status, headers, body) = answer;
-    let last = last || router.is_stopping();
+    // After a request that made no sense, what follows on its connection may make none either.
+    let bad = matches!(status, 400..=499 | 501 | 505);
+    last |= bad || router.is_stopping();
     let body = if request.method() == "HEAD" { String::new() } else { body };
     if !line.output.push(&http::answer(status, &headers, &body, last)) {
         log::warn!("an answer of {} bytes is longer than its bound", body.len());
         return false;
     }
     let written = within(router, router.clock.now(), write_all(line)).await.unwrap_or(false);
+    if written && bad {
+        linger(line).await;
+    }
     written && !last
 }
 
+/// Reads on for a while after a refused message: closed at once, its connection would be reset, and the client
+/// might never see why.
+async fn linger(line: &mut Line) {
+    let _ = line.stream.get_ref().shutdown(Shutdown::Write);
+    let mut left = LINGER_BYTES;
+    let drained = async {
+        while let Ok(some) = take_bytes(line) {
+            left = left.saturating_sub(line.input.filled().len());
+            line.input.consume(usize::MAX);
+            if left == 0 || !some && line.stream.readable().await.is_err() {
+                return;
+            }
+        }
+    };
+    let late = async {
+        Timer::after(LINGER).await;
+    };
+    future::or(drained, late).await;
+}
+
 /// Waits on a connection between requests; false if it is to end.
 async fn idle(router: &Router, line: &mut Line) -> bool {
     let place = router.clients.idle(router.clock.now());
@@ -168,10 +195,7 @@
         return Ok(true);
     }
     match line.stream.get_ref().read(free) {
-        Ok(0) => {
-            line.ended = true;
-            Err(Stop::Ended)
-        }
+        Ok(0) => Err(Stop::Ended),
         Ok(count) => {
             line.input.filled_more(count);
             Ok(true)
--- a/router/src/wire/frames.rs
+++ b/router/src/wire/frames.rs
@@ -5,6 +5,9 @@
 /// The longest frame that a node may send.
 pub const FRAME_BOUND: usize = 256 * 1024;
 
+/// The longest line of a part in a call, with what frames it.
+pub const LINE_BOUND: usize = 1024;
+
 /// Why a node's bytes cannot be read on; the connection ends with it.
 pub type BadFrame = &'static str;
 
--- a/router/src/wire/http.rs
+++ b/router/src/wire/http.rs
@@ -18,6 +18,8 @@
     HeadTooLarge,
     UnknownCoding,
     UnknownVersion,
+    /// It takes longer to come than anybody waits for its answer.
+    TooSlow,
 }
 
 impl Fault {
@@ -28,6 +30,7 @@
             Fault::BodyTooLarge => (413, "the body is too large"),
             Fault::HeadTooLarge => (431, "the head is too large"),
             Fault::UnknownCoding => (501, "only chunked transfer is known"),
+            Fault::TooSlow => (408, "the request came too slowly"),
             Fault::UnknownVersion => (505, "only HTTP/1.0 and 1.1 are known"),
         }
     }
@@ -229,6 +232,11 @@
         self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
     }
 
+    /// Gives the body's memory back while its answer is waited for.
+    pub fn forget_body(&mut self) {
+        self.body = Vec::new();
+    }
+
     pub fn body(&self) -> &[u8] {
         &self.body
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -668,11 +668,11 @@
     /// Whether the rules let a part have a call, first or further, now.
     fn may_call(&self, lookup: &Lookup, part: &Part) -> bool {
         let calls = &part.calls;
-        let first_run = calls.iter().find(|c| c.may_have_run()).map(|c| c.sent);
+        let (dial, first_run) = (self.tariff.dial, calls.iter().find(|c| c.may_have_run()).map(|c| c.sent));
         let harmless = match self.row(lookup).repeat {
             Repeat::Idempotent => true,
-            // Two beats are kept back: the window is the nodes', and the call has yet to reach one.
-            Repeat::Fingerprinted(window) => first_run.is_none_or(|sent| !self.soon(sent + window)),
+            // A dial and two beats are kept back: the window is the nodes', and the call has yet to reach one.
+            Repeat::Fingerprinted(window) => first_run.is_none_or(|s| !self.soon(s + window.since(dial))),
             Repeat::OnceOnly => first_run.is_none(),
         };
         let tries_left = self.tariff.most_calls.is_none_or(|most| calls.len() < most) && calls.len() < 255;
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -126,6 +126,18 @@
     assert_eq!(brain.may_call(&lookup, &lookup.parts[0]), may);
 }
 
+// On sockets a repeat that waits for a dial would reach its node after the window.
+#[test_case(100, 370, true; "time for a dial")]
+#[test_case(100, 390, false; "the dial would end too near the window's end")]
+#[test_case(600, 0, false; "no dial fits the window")]
+fn a_fingerprinted_repeat_leaves_time_to_dial(dial: u64, later: u64, may: bool) {
+    let mut brain = router(Tariff { dial: ms(dial), ..tariff() }, 2);
+    brain.tariff.indexes[0].repeat = Repeat::Fingerprinted(ms(500));
+    let lookup = lookup(&brain, &[1.0], &[RAN]);
+    brain.now += ms(later);
+    assert_eq!(brain.may_call(&lookup, &lookup.parts[0]), may);
+}
+
 #[test]
 fn no_second_copy_where_none_is_allowed() {
     let brain = router(Tariff { second_copies: false, ..tariff() }, 2);
--- a/src/types.rs
+++ b/src/types.rs
@@ -170,6 +170,8 @@
     pub cancels: bool,
     pub longest_advice: Option<Micros>,
     pub tick: Micros,
+    /// How long a call may wait for its connection.
+    pub dial: Micros,
     pub cold_share: f64,
     pub warm_within: Micros,
     pub fall_multiple: f64,
--- a/tariff/src/lib.rs
+++ b/tariff/src/lib.rs
@@ -102,6 +102,7 @@
         second_copies: flag(limits, "secondCopies"),
         cancels: flag(limits, "cancel"),
         longest_advice: flag(limits, "retryAfter").then(|| time(limits, "maxRetryAfter").unwrap_or_default()),
+        dial: time(limits, "dialTimeout").unwrap_or_default(),
         tick: time(all, "tick").unwrap_or_default(),
         cold_share: num(rules, "coldFrom").unwrap_or(1.0),
         warm_within: time(rules, "warmWithin").unwrap_or_default(),
