--- a/router/src/memory/descriptors.rs
+++ b/router/src/memory/descriptors.rs
@@ -75,3 +75,18 @@
         self.of.freed.notify(usize::MAX);
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn neither_kind_of_peer_shuts_the_other_out() {
+        let of = Descriptors::new(OWN + 16);
+        let all = |peer| -> Vec<Permit> { std::iter::from_fn(|| of.take(peer)).collect() };
+        let (clients, nodes) = (all(Peer::Client), all(Peer::Node));
+        assert_eq!((clients.len(), nodes.len(), of.highest()), (12, 4, 16));
+        drop(clients);
+        assert_eq!((of.clients(), all(Peer::Node).len(), all(Peer::Client).len()), (0, 4, 8));
+    }
+}
--- a/router/src/memory/nodes.rs
+++ b/router/src/memory/nodes.rs
@@ -225,3 +225,61 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::memory::descriptors::{Descriptors, Peer};
+    use test_case::test_case;
+
+    fn at(port: u16) -> SocketAddr {
+        ([127, 0, 0, 1], port).into()
+    }
+
+    fn connected() -> (Nodes, NodeId, ConnectionId) {
+        let mut nodes = Nodes::default();
+        let node = nodes.list("a", at(1), Phase::Ready);
+        let permit = Descriptors::new(100).take(Peer::Node).expect("a descriptor");
+        let id = nodes.connect(node, Micros(5), 100, permit).expect("a connection");
+        (nodes, node, id)
+    }
+
+    #[test_case(at(1), Phase::Ready, 1; "as it was")]
+    #[test_case(at(1), Phase::Draining, 1; "draining: it finishes what it has")]
+    #[test_case(at(2), Phase::Ready, 0; "listening elsewhere")]
+    #[test_case(at(1), Phase::Gone, 0; "gone")]
+    fn a_name_is_one_node_wherever_it_listens(address: SocketAddr, phase: Phase, usable: usize) {
+        let (mut nodes, node, _) = connected();
+        assert_eq!(nodes.list("a", address, phase), node);
+        assert_eq!(nodes.usable(node).count(), usable);
+    }
+
+    #[test]
+    fn a_node_that_a_whole_list_leaves_out_is_forgotten_with_its_last_connection() {
+        let (mut nodes, node, id) = connected();
+        nodes.keep_only(&[]);
+        nodes.forget_gone();
+        assert!(nodes.node(node).is_some() && nodes.connection(id).is_some_and(|of| of.retired));
+        nodes.disconnect(id);
+        assert_eq!(nodes.count(), 0);
+        assert_ne!(nodes.list("a", at(1), Phase::Ready), node, "a name forgotten comes back as another node");
+    }
+
+    #[test_case(4, false; "heard from since")]
+    #[test_case(9, true; "silent since")]
+    fn a_silent_connection_carries_no_more(since: u64, retired: bool) {
+        let (mut nodes, _, id) = connected();
+        nodes.connection_mut(id).expect("a connection").heard = Micros(6);
+        nodes.retire_silent(id, Micros(since));
+        assert_eq!(nodes.connection(id).map(|of| of.retired), Some(retired));
+    }
+
+    #[test]
+    fn only_an_idle_connection_makes_room() {
+        let (mut nodes, _, id) = connected();
+        nodes.connection_mut(id).expect("a connection").probes = 1;
+        assert!(!nodes.retire_longest_idle());
+        nodes.connection_mut(id).expect("a connection").probes = 0;
+        assert!(nodes.retire_longest_idle() && !nodes.retire_longest_idle());
+    }
+}
--- a/router/src/stages/book.rs
+++ b/router/src/stages/book.rs
@@ -152,3 +152,112 @@
     }
     format!("Retry-After: {}.{:03}\r\n", come_back.0 / 1_000_000, come_back.0 / 1000 % 1000)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::memory::clients::Reply;
+    use crate::memory::descriptors::{Descriptors, Peer};
+    use crate::memory::nodes::ConnectionId;
+    use ternpick::types::{Phase, ShardNo};
+    use test_case::test_case;
+
+    const MS: u64 = 1000;
+
+    /// A lookup of two parts with a call out for the first, on a connection where it has come as far as told:
+    /// ordered, waiting, in the buffer, half written, written.
+    fn office(far: u8) -> (Office, LookupId, CallKey, ConnectionId, Rc<Reply>) {
+        let bounds = Bounds { dial_timeout: Some(Micros(250 * MS)), ..Bounds::default() };
+        let mut office = Office { bounds: Rc::new(bounds), ..Office::default() };
+        let node = office.nodes.list("n", ([127, 0, 0, 1], 9).into(), Phase::Ready);
+        let permit = Descriptors::new(100).take(Peer::Node).expect("a descriptor");
+        let id = office.nodes.connect(node, Micros(0), 1 << 10, permit).expect("a connection");
+        let (shards, reply) = ([ShardNo(0), ShardNo(1)], Rc::new(Reply::default()));
+        let (lookup, parts) = office.ledger.open("r", "text", None, shards.into_iter(), Rc::clone(&reply));
+        office.part_call(parts[0], node, Micros(900 * MS));
+        let key = (parts[0], CallNo(0));
+        if far > 0 {
+            office.orders.clear();
+            office.ledger.place(key, Place::Waiting(id));
+        }
+        let connection = office.nodes.connection_mut(id).expect("a connection");
+        if far == 1 {
+            connection.waiting.push_back(vec![key]);
+        }
+        if far > 1 {
+            connection.carries.insert("r.0".into(), key);
+            (connection.queued, connection.written) = (10, [0, 5, 10][usize::from(far) - 2]);
+            office.ledger.place(key, Place::Queued(id, 10));
+        }
+        (office, lookup, key, id, reply)
+    }
+
+    fn nothing_is_out(office: &Office, id: ConnectionId) -> bool {
+        let connection = office.nodes.connection(id).expect("a connection");
+        let carries = !connection.carries.is_empty() || !connection.waiting.is_empty();
+        office.ledger.next_due().is_none() && office.orders.is_empty() && !carries
+    }
+
+    #[test_case(0; "ordered")]
+    #[test_case(1; "waiting")]
+    #[test_case(2; "in the buffer")]
+    #[test_case(3; "half written")]
+    #[test_case(4; "written")]
+    fn a_call_that_ends_gives_all_back_once(far: u8) {
+        let (mut office, _, key, id, _) = office(far);
+        office.end_call(key, Ending::Cancelled);
+        office.end_call(key, Ending::Broken);
+        assert!(nothing_is_out(&office, id));
+        let endings: Vec<Ending> = office.returns.iter().map(|back| back.ending).collect();
+        assert_eq!(endings, [Ending::Cancelled]);
+        // A frame that is not to be finished ends its connection.
+        let connection = office.nodes.connection(id).expect("a connection");
+        assert_eq!(connection.abandoned, matches!(far, 2 | 3));
+    }
+
+    #[test_case(0, true; "ordered")]
+    #[test_case(1, true; "waiting")]
+    #[test_case(3, true; "half written")]
+    #[test_case(4, false; "written: it returns in its own time")]
+    fn nothing_leaves_after_the_final_answer(far: u8, taken_off: bool) {
+        let (mut office, lookup, _, id, reply) = office(far);
+        office.nack(lookup, Micros(1500 * MS));
+        let answer = reply.answer.borrow().clone().expect("an answer");
+        assert_eq!((answer.0, answer.1.as_str()), (503, "Retry-After: 1.500\r\n"));
+        assert_eq!(office.ledger.held(), 0);
+        assert!(!office.ledger.knows("r"));
+        assert_eq!(nothing_is_out(&office, id), taken_off);
+        // A second word on a lookup that is over changes nothing.
+        office.abort(lookup);
+        assert_eq!(reply.answer.borrow().as_ref().map(|answer| answer.0), Some(503));
+    }
+
+    #[test_case(2, false; "not gone out")]
+    #[test_case(4, true; "gone out")]
+    fn a_part_given_up_is_named_to_a_node_that_knows_it(far: u8, named: bool) {
+        let (mut office, _, key, id, _) = office(far);
+        office.cancel(key.0, key.1);
+        let connection = office.nodes.connection(id).expect("a connection");
+        assert_eq!(connection.out.filled(), if named { frames::give_up("r.0") } else { Vec::new() });
+    }
+
+    #[test]
+    fn an_answer_holds_the_first_value_of_each_part_that_is_in() {
+        let (mut office, lookup, key, _, reply) = office(4);
+        let call = office.ledger.finish(key).expect("a call");
+        office.ledger.keep(&call, "first");
+        office.ledger.keep(&call, "second");
+        office.answer(lookup, false);
+        let body = reply.answer.borrow_mut().take().expect("an answer").2;
+        assert_eq!(body, r#"{"full":false,"pieces":[{"cell":"first","tablet":0}]}"#);
+    }
+
+    #[test]
+    fn a_call_is_looked_at_after_a_dial_and_when_its_time_is_up() {
+        let (mut office, _, key, _, _) = office(4);
+        assert_eq!(office.ledger.next_due(), Some(Micros(250 * MS)));
+        office.ledger.look_when_due(key);
+        assert_eq!(office.ledger.next_due(), Some(Micros(900 * MS)));
+        assert_eq!(office.ledger.overdue(Micros(900 * MS)), Some(key));
+    }
+}
--- a/router/src/wire/http.rs
+++ b/router/src/wire/http.rs
@@ -279,3 +279,99 @@
     );
     text.into_bytes()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    const PLAIN: &str =
+        "\r\nPOST /a/b?c=1 HTTP/1.1\r\nHost: x\r\nReq-Id:  7 \r\nContent-Length: 4\r\n\r\nbody";
+    const CHUNKS: &str = "POST /a/b HTTP/1.1\r\nReq-Id: 7\r\nTransfer-Encoding: Chunked\r\n\r\n\
+                          2;x=y\r\nbo\r\n2\r\ndy\r\n0\r\nTrailer: t\r\n\r\n";
+
+    /// Feeds a message piece by piece.
+    fn read(reader: &mut Reader, pieces: &[&[u8]]) -> Result<bool, Fault> {
+        let mut ring = Ring::new(1 << 20);
+        let mut whole = false;
+        for piece in pieces {
+            assert!(ring.push(piece));
+            whole = reader.read(&mut ring)?;
+        }
+        Ok(whole)
+    }
+
+    #[test_case(PLAIN; "with a length")]
+    #[test_case(CHUNKS; "in chunks")]
+    fn reads_alike_wherever_the_input_is_split(message: &str) {
+        for at in 0..message.len() {
+            let (first, second) = message.as_bytes().split_at(at);
+            let mut reader = Reader::of_requests();
+            assert_eq!(read(&mut reader, &[first, second]), Ok(true), "split at {at}");
+            assert_eq!((reader.method(), reader.path()), ("POST", "/a/b"));
+            assert_eq!((reader.header("req-id"), reader.body()), (Some("7"), &b"body"[..]));
+        }
+        let bytes: Vec<&[u8]> = message.as_bytes().chunks(1).collect();
+        assert_eq!(read(&mut Reader::of_requests(), &bytes), Ok(true));
+    }
+
+    #[test]
+    fn leaves_what_follows_for_the_next_message() {
+        let (mut ring, mut reader) = (Ring::new(1 << 20), Reader::of_requests());
+        assert!(ring.push(format!("{PLAIN}{CHUNKS}GET /z HTTP/1.0\r\n\r\n").as_bytes()));
+        for path in ["/a/b", "/a/b", "/z"] {
+            assert_eq!(reader.read(&mut ring), Ok(true));
+            assert_eq!((reader.path(), reader.closes()), (path, path == "/z"));
+        }
+        assert!(reader.body().is_empty() && reader.header("req-id").is_none());
+        assert_eq!(reader.read(&mut ring), Ok(false));
+    }
+
+    #[test_case("GET /\r\n\r\n", 400; "no version")]
+    #[test_case("GET  / HTTP/1.1\r\n\r\n", 400; "two blanks")]
+    #[test_case("GET / HTTP/1.1 x\r\n\r\n", 400; "too many words")]
+    #[test_case("GET / HTTP/2.0\r\n\r\n", 505; "another version")]
+    #[test_case("GET / HTTP/1.1\nHost: x\n\n", 400; "bare line feeds")]
+    #[test_case("GET / HTTP/1.1\r\nHost x\r\n\r\n", 400; "no colon")]
+    #[test_case("GET / HTTP/1.1\r\nHost : x\r\n\r\n", 400; "a blank in a name")]
+    #[test_case("GET / HTTP/1.1\r\n: x\r\n\r\n", 400; "no name")]
+    #[test_case("GET / HTTP/1.1\r\nA: \x01\r\n\r\n", 400; "a control character")]
+    #[test_case("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400; "two lengths")]
+    #[test_case("POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400; "both")]
+    #[test_case("POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\n", 400; "a signed length")]
+    #[test_case("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413; "too long")]
+    #[test_case("POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n", 413; "endless")]
+    #[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501; "another coding")]
+    #[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", 400; "a bad chunk size")]
+    #[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n\r\n", 400; "no chunk size")]
+    #[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", 400; "a long chunk")]
+    #[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n", 413; "endless chunk")]
+    fn refuses_what_makes_no_sense(message: &str, status: u16) {
+        let fault = read(&mut Reader::of_requests(), &[message.as_bytes()]);
+        assert_eq!(fault.map_err(|fault| fault.status().0), Err(status));
+    }
+
+    #[test_case("A: b\r\n"; "many short headers")]
+    #[test_case("no end of this line "; "one endless line")]
+    fn bounds_a_head(piece: &str) {
+        let message = format!("GET / HTTP/1.1\r\n{}", piece.repeat(HEAD_BOUND));
+        assert_eq!(read(&mut Reader::of_requests(), &[message.as_bytes()]), Err(Fault::HeadTooLarge));
+    }
+
+    #[test]
+    fn bounds_chunks_together() {
+        let chunk = format!("8000\r\n{}\r\n", "x".repeat(0x8000));
+        let message = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}{chunk}1\r\n");
+        assert_eq!(read(&mut Reader::of_requests(), &[message.as_bytes()]), Err(Fault::BodyTooLarge));
+    }
+
+    #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", Ok(Some(200)); "whole")]
+    #[test_case("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", Ok(Some(503)); "busy")]
+    #[test_case("HTTP/1.1 200 OK\r\n\r\n", Err(400); "as long as its connection")]
+    #[test_case("HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n", Ok(None); "no status")]
+    fn reads_answers(message: &str, status: Result<Option<u16>, u16>) {
+        let mut reader = Reader::of_answers(BODY_BOUND);
+        let read = read(&mut reader, &[message.as_bytes()]).map_err(|fault| fault.status().0);
+        assert_eq!(read.map(|whole| reader.status().filter(|_| whole)), status);
+    }
+}
--- a/router/src/wire/query.rs
+++ b/router/src/wire/query.rs
@@ -36,3 +36,42 @@
     let pieces: Vec<Value> = values.map(|(shard, value)| json!({"tablet": shard.0, "cell": value})).collect();
     json!({"full": whole, "pieces": pieces}).to_string()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    #[test_case(r#"{"tablets":[{"tablet":3,"fraction":0.5,"guess":9000},{"tablet":1,"fraction":0.5}]}"#, Some(2); "good")]
+    #[test_case(r#"{"tablets":[]}"#, None; "no parts")]
+    #[test_case(r#"[]"#, None; "not an object")]
+    #[test_case(r#"{"tablets":[{"tablet":3,"fraction":0.5},{"tablet":3,"fraction":0.5}]}"#, None; "doubled")]
+    #[test_case(r#"{"tablets":[{"tablet":8,"fraction":1}]}"#, None; "beyond the shards")]
+    #[test_case(r#"{"tablets":[{"tablet":-1,"fraction":1}]}"#, None; "below the shards")]
+    #[test_case(r#"{"tablets":[{"tablet":1.5,"fraction":1}]}"#, None; "between shards")]
+    #[test_case(r#"{"tablets":[{"tablet":1}]}"#, None; "no fraction")]
+    #[test_case(r#"{"tablets":[{"tablet":1,"fraction":-0.5}]}"#, None; "a negative fraction")]
+    #[test_case(r#"{"tablets":[{"tablet":1,"fraction":1e300}]}"#, None; "more than all")]
+    fn reads_parts(body: &str, count: Option<usize>) {
+        let fields = parse(body.as_bytes()).expect("JSON");
+        assert_eq!(parts(&fields, Some(8)).ok().map(|parts| parts.len()), count);
+    }
+
+    #[test_case(r#"9000"#, Some(Micros(9000)); "a guess")]
+    #[test_case(r#"null"#, None; "nothing")]
+    #[test_case(r#"-4"#, None; "below nothing")]
+    #[test_case(r#""9""#, None; "not a number")]
+    fn reads_guesses(guess: &str, hint: Option<Micros>) {
+        let body = format!(r#"{{"tablets":[{{"tablet":0,"fraction":1,"guess":{guess}}}]}}"#);
+        assert_eq!(parts(&parse(body.as_bytes()).unwrap(), None), Ok(vec![(ShardNo(0), 1.0, hint)]));
+    }
+
+    #[test]
+    fn answers_with_values_as_they_came() {
+        let text = answer(false, [(ShardNo(3), "5b\"e2")].into_iter());
+        assert_eq!(
+            parse(text.as_bytes()),
+            Ok(json!({"full": false, "pieces": [{"tablet": 3, "cell": "5b\"e2"}]}))
+        );
+    }
+}
