--- a/router/src/lifecycle/start.rs
+++ b/router/src/lifecycle/start.rs
@@ -22,7 +22,11 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let Opening { name, listen, discovery, seed, sockets, known, tariff, bounds } = opening;
     let discovery: SocketAddr = discovery.parse().map_err(|_| "discovery's address is none".to_owned())?;
-    let listener = TcpListener::bind(listen).and_then(Async::new);
+    let listener = TcpListener::bind(listen).and_then(|listener| {
+        // Connections that wait to be accepted are the router's already, so there is room for all it may hold.
+        rustix::net::listen(&listener, i32::try_from(sockets).unwrap_or(i32::MAX))?;
+        Async::new(listener)
+    });
     let listener = listener.map_err(|e| format!("cannot listen on {listen}: {e}"))?;
     let (bounds, asked) = (Rc::new(bounds), tariff.roster_on_request);
     let office = Office { bounds: Rc::clone(&bounds), ..Office::default() };
--- a/router/src/lifecycle/watch.rs
+++ b/router/src/lifecycle/watch.rs
@@ -32,7 +32,12 @@
         for entry in entries {
             match discovery::entry(entry, &out.bounds.zone_names) {
                 Ok((name, address, mut listing)) => {
-                    listing.node = out.nodes.list(&name, address, listing.phase);
+                    let (node, news) = out.nodes.list(&name, address, listing.phase);
+                    listing.node = node;
+                    // The module's lines name nodes by these numbers.
+                    if news {
+                        log::info!("roster: node {:x} is {name} at {address}", node.0);
+                    }
                     listings.push(listing);
                 }
                 Err(what) => log::warn!("roster: an entry is skipped, {what}: {entry}"),
--- a/router/src/memory/nodes.rs
+++ b/router/src/memory/nodes.rs
@@ -77,9 +77,11 @@
 }
 
 impl Nodes {
-    /// Takes one line of the roster in: the same name is the same node, wherever it listens.
-    pub fn list(&mut self, name: &str, address: SocketAddr, phase: Phase) -> NodeId {
-        let id = self.ids.get(name).copied().unwrap_or_else(|| {
+    /// Takes one line of the roster in: the same name is the same node, wherever it listens. Tells its id, and
+    /// whether it was not known there.
+    pub fn list(&mut self, name: &str, address: SocketAddr, phase: Phase) -> (NodeId, bool) {
+        let known = self.ids.get(name).copied();
+        let id = known.unwrap_or_else(|| {
             self.next += 1;
             self.ids.insert(name.to_owned(), NodeId(self.next));
             NodeId(self.next)
@@ -95,7 +97,7 @@
         if moved || phase == Phase::Gone {
             self.retire(id);
         }
-        id
+        (id, moved || known.is_none())
     }
 
     /// Marks all nodes as gone that a whole list did not name.
@@ -238,7 +240,7 @@
 
     fn connected() -> (Nodes, NodeId, ConnectionId) {
         let mut nodes = Nodes::default();
-        let node = nodes.list("a", at(1), Phase::Ready);
+        let (node, _) = nodes.list("a", at(1), Phase::Ready);
         let permit = Descriptors::new(100).take(Peer::Node).expect("a descriptor");
         let id = nodes.connect(node, Micros(5), 100, permit).expect("a connection");
         (nodes, node, id)
@@ -250,7 +252,7 @@
     #[test_case(at(1), Phase::Gone, 0; "gone")]
     fn a_name_is_one_node_wherever_it_listens(address: SocketAddr, phase: Phase, usable: usize) {
         let (mut nodes, node, _) = connected();
-        assert_eq!(nodes.list("a", address, phase), node);
+        assert_eq!(nodes.list("a", address, phase), (node, address != at(1)));
         assert_eq!(nodes.usable(node).count(), usable);
     }
 
@@ -262,7 +264,11 @@
         assert!(nodes.node(node).is_some() && nodes.connection(id).is_some_and(|of| of.retired));
         nodes.disconnect(id);
         assert_eq!(nodes.count(), 0);
-        assert_ne!(nodes.list("a", at(1), Phase::Ready), node, "a name forgotten comes back as another node");
+        assert_ne!(
+            nodes.list("a", at(1), Phase::Ready).0,
+            node,
+            "a name forgotten comes back as another node"
+        );
     }
 
     #[test_case(4, false; "heard from since")]
--- a/router/src/stages/book.rs
+++ b/router/src/stages/book.rs
@@ -169,7 +169,7 @@
     fn office(far: u8) -> (Office, LookupId, CallKey, ConnectionId, Rc<Reply>) {
         let bounds = Bounds { dial_timeout: Some(Micros(250 * MS)), ..Bounds::default() };
         let mut office = Office { bounds: Rc::new(bounds), ..Office::default() };
-        let node = office.nodes.list("n", ([127, 0, 0, 1], 9).into(), Phase::Ready);
+        let (node, _) = office.nodes.list("n", ([127, 0, 0, 1], 9).into(), Phase::Ready);
         let permit = Descriptors::new(100).take(Peer::Node).expect("a descriptor");
         let id = office.nodes.connect(node, Micros(0), 1 << 10, permit).expect("a connection");
         let (shards, reply) = ([ShardNo(0), ShardNo(1)], Rc::new(Reply::default()));
