--- a/router/src/lifecycle/watch.rs
+++ b/router/src/lifecycle/watch.rs
@@ -58,7 +58,7 @@
 /// Watches whenever the module wants it, from the version that the router started with.
 pub async fn watch(router: Rc<Router>, discovery: SocketAddr, mut version: u64) {
     let wait = router.bounds.ask_within.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT);
-    let mut kept: Option<Async<TcpStream>> = None;
+    let (mut kept, mut failing): (Option<Async<TcpStream>>, bool) = (None, false);
     let mut wanted = router.watch.listen();
     loop {
         wanted.await;
@@ -79,10 +79,12 @@
                 Ok(newer) if newer == version && router.clock.now().since(began) < wait => {
                     Timer::after(PAUSE).await;
                 }
-                Ok(newer) => version = newer,
+                Ok(newer) => (version, failing) = (newer, false),
                 Err(what) => {
-                    log::debug!("roster: a call failed, {what}");
-                    kept = None;
+                    // Why, once for each spell of failures; the module says that the roster is lost.
+                    let level = if failing { log::Level::Debug } else { log::Level::Info };
+                    log::log!(level, "roster: a call failed, {what}");
+                    (kept, failing) = (None, true);
                     router.play(|brain, now, out| brain.roster_failed(now, out));
                     break;
                 }
