Dial discovery within the dial time-out; hold no more descriptors than the process may

A limit in the configuration above the process's own would have made accepting fail again and again; the process's limit is raised, or used. A node whose connections never come up is now played by a test with a full backlog.

--- a/router/src/lifecycle/start.rs
+++ b/router/src/lifecycle/start.rs
@@ -8,6 +8,7 @@
 use async_io::Async;
 use event_listener::Event;
 use futures_lite::future;
+use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 use ternpick::brain::Brain;
 
 use crate::lifecycle::clock::Clock;
@@ -17,10 +18,24 @@
 use crate::stages::book::Office;
 use crate::stages::{route, take_in, Desk, Router};
 
+/// The descriptors that the process may really hold; its own limit is raised as far as wanted and allowed.
+fn descriptors(wanted: usize) -> usize {
+    let limit = getrlimit(Resource::Nofile);
+    let most = limit.maximum.map_or(wanted, |most| wanted.min(most as usize));
+    let current = limit.current.map_or(wanted, |now| now as usize);
+    let raised = Rlimit { current: Some(most as u64), ..limit };
+    if current >= wanted || setrlimit(Resource::Nofile, raised).is_ok() {
+        return most;
+    }
+    log::warn!("only {current} of {wanted} descriptors may be held");
+    current
+}
+
 /// Serves until told to stop and nothing taken is left unanswered.
 pub fn serve(opening: Opening) -> Result<(), String> {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let Opening { name, listen, discovery, seed, sockets, known, tariff, bounds } = opening;
+    let sockets = descriptors(sockets);
     let discovery: SocketAddr = discovery.parse().map_err(|_| "discovery's address is none".to_owned())?;
     let listener = TcpListener::bind(listen).and_then(|listener| {
         // Connections that wait to be accepted are the router's already, so there is room for all it may hold.
--- a/router/src/lifecycle/stop.rs
+++ b/router/src/lifecycle/stop.rs
@@ -21,7 +21,7 @@
     let now = router.clock.now();
     router.stopping.set(Some(now));
     let lookups = router.desk.borrow().office.ledger.lookups();
-    log::info!("stopping: {lookups} lookups in hand, {} clients", router.descriptors.clients());
+    log::info!("stopping: {lookups} lookups in hand");
     Timer::at(router.clock.instant(now + STILL_ACCEPTS)).await;
     router.closing.notify(usize::MAX);
     Ok(())
--- a/router/src/lifecycle/watch.rs
+++ b/router/src/lifecycle/watch.rs
@@ -11,7 +11,7 @@
 use ternpick::types::{Micros, Phase};
 
 use crate::memory::ring::Ring;
-use crate::stages::Router;
+use crate::stages::{send, Router};
 use crate::wire::discovery;
 use crate::wire::http::Reader;
 
@@ -70,7 +70,7 @@
                 Timer::at(limit).await;
                 Err("no answer in time".to_owned())
             };
-            let called = call(&mut kept, discovery, version, wait);
+            let called = call(&router, &mut kept, discovery, version, wait);
             let told = match future::or(called, late).await {
                 Ok(list) => take_list(&router, &list).map_err(str::to_owned),
                 Err(what) => Err(what),
@@ -95,12 +95,13 @@
 
 /// One call, on the kept connection if there is one.
 async fn call(
-    kept: &mut Option<Async<TcpStream>>, discovery: SocketAddr, after: u64, wait: Micros,
+    router: &Router, kept: &mut Option<Async<TcpStream>>, discovery: SocketAddr, after: u64, wait: Micros,
 ) -> Result<Value, String> {
     let words = |e: std::io::Error| e.to_string();
     let stream = match kept.take() {
         Some(stream) => stream,
-        None => Async::<TcpStream>::connect(discovery).await.map_err(words)?,
+        // A machine that has vanished is found out by the dial, not by the call's far longer wait.
+        None => send::dial(router, discovery).await.ok_or("the connection could not be made")?,
     };
     let request = discovery::watch(&discovery.to_string(), after, wait);
     let mut rest = &request[..];
--- a/router/src/stages/relay.rs
+++ b/router/src/stages/relay.rs
@@ -14,6 +14,8 @@
 
 /// Bytes of a node's that may wait to be read on.
 const IN_BOUND: usize = 16 * 1024;
+/// Bytes of a node's words that are logged.
+const WORDS: usize = 200;
 /// Reads in a row before other connections have their turn.
 const READS: usize = 16;
 
@@ -68,7 +70,10 @@
         b'a' => answer(router, id, rest),
         b'l' => load(router, id, rest),
         b'p' => Ok(()),
-        b'e' => Err("the node could not use a frame"),
+        b'e' => {
+            log::warn!("a node's words: {}", String::from_utf8_lossy(&rest[..rest.len().min(WORDS)]));
+            Err("the node could not use a frame")
+        }
         _ => Err("a frame of unknown letter"),
     }
 }
--- a/router/src/stages/send.rs
+++ b/router/src/stages/send.rs
@@ -1,12 +1,12 @@
 //! Send: part calls become frames on connections to nodes, opened as needed.
 
 use std::io::{ErrorKind, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
 use async_io::{Async, Timer};
 use futures_lite::future;
-use ternpick::types::{Ending, Micros, NodeId};
+use ternpick::types::{Ending, NodeId};
 
 use crate::memory::descriptors::Peer;
 use crate::memory::ledger::{CallKey, CallOut, Place};
@@ -127,12 +127,7 @@
 async fn connection(router: Rc<Router>, id: ConnectionId) {
     let address = router.desk.borrow().office.nodes.connection(id).map(|connection| connection.address);
     let Some(address) = address else { return };
-    let dial = async { Async::<TcpStream>::connect(address).await.ok() };
-    let stream = match router.bounds.dial_timeout {
-        Some(limit) => future::or(dial, late(&router, router.clock.now() + limit)).await,
-        None => dial.await,
-    };
-    if let Some(stream) = stream {
+    if let Some(stream) = dial(&router, address).await {
         // Frames are small, and each is wanted at once.
         let _ = stream.get_ref().set_nodelay(true);
         let stream = Rc::new(stream);
@@ -148,9 +143,15 @@
     lost(&router, id);
 }
 
-async fn late(router: &Router, at: Micros) -> Option<Async<TcpStream>> {
-    Timer::at(router.clock.instant(at)).await;
-    None
+/// A new connection, if it comes up in time.
+pub async fn dial(router: &Router, address: SocketAddr) -> Option<Async<TcpStream>> {
+    let dial = async { Async::<TcpStream>::connect(address).await.ok() };
+    let Some(limit) = router.bounds.dial_timeout else { return dial.await };
+    let late = async {
+        Timer::at(router.clock.instant(router.clock.now() + limit)).await;
+        None
+    };
+    future::or(dial, late).await
 }
 
 /// Ends what was out on a connection. What was not written whole has never run.
--- a/router/tests/sockets.rs
+++ b/router/tests/sockets.rs
@@ -358,6 +358,25 @@
     }
 }
 
+#[test]
+fn a_node_whose_connections_never_come_up_is_passed_over() {
+    // Nobody accepts, and once the backlog is full the system leaves further connections unanswered.
+    let vanished = TcpListener::bind(free()).expect("a listener");
+    let address = vanished.local_addr().expect("an address");
+    let short = Duration::from_millis(200);
+    let waiting: Vec<_> = std::iter::repeat_with(|| TcpStream::connect_timeout(&address, short))
+        .take(5000)
+        .map_while(Result::ok)
+        .collect();
+    assert!(waiting.len() < 5000, "the backlog fills");
+    let (node, discovery) = (Node::start([Act::Serve; 2]), Discovery::default());
+    let listed = [entry("s0", address, "Ready"), entry("s1", node.address, "Ready")].join(",");
+    let router = Router::start(discovery.start(), &listed, 1024);
+    for id in ["r1", "r2", "r3"] {
+        assert_eq!(ask(&mut router.connect(), "once", id).2, WHOLE);
+    }
+}
+
 #[test]
 fn a_client_that_leaves_has_its_parts_given_up() {
     let (router, nodes, _discovery) = Router::with(&[Act::Silent]);
