--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,4 +1,4 @@
-//! The one way in which the decision module acts on the world. Every front (the bench's wire today)
+//! The one way in which the decision module acts on the world. Every front (sockets, the bench's wire)
 //! implements [`Actions`]; nothing here decides.
 
 use crate::types::{CallNo, LookupId, Micros, NodeId, PartId, TimerId};
