--- a/router/src/memory/clients.rs
+++ b/router/src/memory/clients.rs
@@ -37,8 +37,6 @@
     next: Cell<u64>,
     /// An entry goes when its connection is used, closed, or told to close.
     idle: RefCell<BTreeMap<(Micros, u64), Rc<Event>>>,
-    /// Connections with a request begun and not yet answered.
-    busy: Cell<usize>,
 }
 
 /// A connection's place among the idle ones, given back when dropped.
@@ -48,9 +46,6 @@
     pub told: Rc<Event>,
 }
 
-/// A connection's place among the busy ones, given back when dropped.
-pub struct Busy(Rc<Clients>);
-
 impl Clients {
     pub fn idle(self: &Rc<Self>, now: Micros) -> Idle {
         let key = (now, self.next.replace(self.next.get() + 1));
@@ -59,11 +54,6 @@
         Idle { of: Rc::clone(self), key, told }
     }
 
-    pub fn busy(self: &Rc<Self>) -> Busy {
-        self.busy.set(self.busy.get() + 1);
-        Busy(Rc::clone(self))
-    }
-
     /// Tells the connection idle longest to close; false if none is idle.
     pub fn close_longest_idle(&self) -> bool {
         let first = self.idle.borrow_mut().pop_first();
@@ -80,9 +70,3 @@
         self.of.idle.borrow_mut().remove(&self.key);
     }
 }
-
-impl Drop for Busy {
-    fn drop(&mut self) {
-        self.0.busy.set(self.0.busy.get().saturating_sub(1));
-    }
-}
--- a/router/src/stages/send.rs
+++ b/router/src/stages/send.rs
@@ -43,6 +43,10 @@
             connection.probes += usize::from(connection.push(&frames::load_probe(), now));
         }
     }
+    // Calls that could not be made are told in a turn of their own.
+    if !office.returns.is_empty() {
+        router.turn.notify(1);
+    }
 }
 
 /// The next frame for a node, and the orders left over.
--- a/router/src/stages/take_in.rs
+++ b/router/src/stages/take_in.rs
@@ -94,7 +94,7 @@
     if line.input.is_empty() && !idle(router, line).await {
         return false;
     }
-    let (_busy, began) = (router.clients.busy(), router.clock.now());
+    let began = router.clock.now();
     let read = within(router, began, read_request(line, request)).await;
     let read = read.unwrap_or(Err(Stop::Fault(Fault::TooSlow)));
     let (answer, mut last) = match read {
@@ -158,17 +158,22 @@
 /// Waits on a connection between requests; false if it is to end.
 async fn idle(router: &Router, line: &mut Line) -> bool {
     let place = router.clients.idle(router.clock.now());
-    let told = place.told.listen();
-    let waits_on = !router.accepts_no_more.get() && {
-        let more = async { line.stream.readable().await.is_ok() };
-        let ends = async {
-            told.await;
-            false
+    let mut told = place.told.listen();
+    loop {
+        let waits_on = !router.accepts_no_more.get() && {
+            let more = async { line.stream.readable().await.is_ok() };
+            let ends = async {
+                (&mut told).await;
+                false
+            };
+            future::or(more, ends).await
         };
-        future::or(more, ends).await
-    };
-    // A request that has come meanwhile is still served.
-    take_bytes(line).is_ok_and(|some| some || waits_on)
+        // A request that has come meanwhile is still served; a wake-up without bytes begins none.
+        match take_bytes(line) {
+            Ok(false) if waits_on => {}
+            taken => return taken.unwrap_or(false),
+        }
+    }
 }
 
 /// Bounds what a slow client may hold up: after the longest time that any client waits, nobody does.
