--- a/router/src/memory/ledger.rs
+++ b/router/src/memory/ledger.rs
@@ -62,14 +62,16 @@
     names: HashSet<Rc<str>>,
     /// Which lookup a part belongs to; goes with the lookup.
     parts: HashMap<PartId, (LookupId, usize)>,
+    /// How many of them have their value.
+    answered: usize,
     calls: BTreeMap<CallKey, CallOut>,
     due: BTreeSet<(Micros, CallKey)>,
 }
 
 impl Ledger {
-    /// Lookups and parts in hand.
+    /// Lookups and parts in hand; a part that is in is over.
     pub fn held(&self) -> usize {
-        self.lookups.len() + self.parts.len()
+        self.lookups.len() + self.parts.len() - self.answered
     }
 
     pub fn lookups(&self) -> usize {
@@ -114,6 +116,7 @@
         self.names.remove(&held.name);
         for part in &held.parts {
             self.parts.remove(&part.id);
+            self.answered -= usize::from(part.value.is_some());
         }
         Some(held)
     }
@@ -181,6 +184,7 @@
     pub fn keep(&mut self, call: &CallOut, value: &str) {
         let held = self.lookups.get_mut(&call.lookup);
         if let Some(part) = held.and_then(|held| held.parts.get_mut(call.at)) {
+            self.answered += usize::from(part.value.is_none());
             part.value.get_or_insert_with(|| value.into());
         }
     }
--- a/router/src/stages/admit.rs
+++ b/router/src/stages/admit.rs
@@ -57,17 +57,15 @@
     let fingerprinted = matches!(desk.brain.tariff.indexes[index.at()].repeat, Repeat::Fingerprinted(_));
     let key = fingerprinted.then(|| word("idempotency-key").ok_or_else(|| bad("Idempotency-Key is missing")));
     let key = key.transpose()?;
-    let ledger = &mut desk.office.ledger;
-    if ledger.knows(name) {
+    if desk.office.ledger.knows(name) {
         return Err(bad("Req-Id is in hand already"));
     }
-    if bounds.most_held.is_some_and(|most| ledger.held() >= most) {
-        desk.office.counts.turned_away += 1;
+    if desk.office.is_full() {
         return Err((503, String::new(), "too many lookups in hand\n".into()));
     }
     let reply = Rc::new(Reply::default());
     let shards = parts.iter().map(|(shard, _, _)| *shard);
-    let (id, ids) = ledger.open(name, statement, key, shards, Rc::clone(&reply));
+    let (id, ids) = desk.office.ledger.open(name, statement, key, shards, Rc::clone(&reply));
     drop(desk);
     let parts = ids.into_iter().zip(parts).map(|(id, (shard, weight, hint))| (id, shard, weight, hint));
     route::take(router, id, index, left, repeat, parts.collect());
--- a/router/src/stages/book.rs
+++ b/router/src/stages/book.rs
@@ -47,9 +47,26 @@
     pub returns: VecDeque<Return>,
     pub timers: BTreeSet<(Micros, TimerId)>,
     pub watch_wanted: bool,
+    /// The last lookup found no room.
+    pub full: bool,
 }
 
 impl Office {
+    /// Whether as many lookups and parts are in hand as may be; one is then turned away.
+    pub fn is_full(&mut self) -> bool {
+        let held = self.ledger.held();
+        let full = self.bounds.most_held.is_some_and(|most| held >= most);
+        self.counts.turned_away += u64::from(full);
+        if std::mem::replace(&mut self.full, full) != full {
+            let word = if full { "turning away" } else { "room again" };
+            log::info!(
+                "in hand: {word}, {held} lookups and parts, {} turned away so far",
+                self.counts.turned_away
+            );
+        }
+        full
+    }
+
     /// Ends a call: the one way in which it leaves the books. The module hears of it in the next turn.
     pub fn end_call(&mut self, key: CallKey, ending: Ending) {
         let Some(call) = self.ledger.finish(key) else { return };
@@ -247,6 +264,7 @@
         let call = office.ledger.finish(key).expect("a call");
         office.ledger.keep(&call, "first");
         office.ledger.keep(&call, "second");
+        assert_eq!(office.ledger.held(), 2, "the lookup, and the part that is not in");
         office.answer(lookup, false);
         let body = reply.answer.borrow_mut().take().expect("an answer").2;
         assert_eq!(body, r#"{"full":false,"pieces":[{"cell":"first","tablet":0}]}"#);
