Read over once more: one type of answer, one check of what was written, an address read once

Behaviour is the same; no test was changed. - A connection's end judged each call by a copy of is_written, since it was taken off first; the calls are now judged by that check before, and those waiting and those carried end in one loop, in the order as before. - An answer's status, headers and body were spelled out in five places; now one type, and one maker of a line. The health check no longer succeeds by way of an error. - Discovery's address was parsed, printed and parsed again; the limits by kind of peer stood twice.

--- a/router/src/lifecycle/config.rs
+++ b/router/src/lifecycle/config.rs
@@ -7,13 +7,13 @@
 use ternpick::types::Tariff;
 use ternpick_tariff::Bounds;
 
-/// Descriptors and memory, where the configuration does not say.
+/// Descriptors, where the configuration does not say.
 const SOCKETS: usize = 1024;
 
 pub struct Opening {
     pub name: String,
     pub listen: SocketAddr,
-    pub discovery: String,
+    pub discovery: SocketAddr,
     pub seed: u64,
     pub sockets: usize,
     /// The nodes as this router last had the list, in discovery's form.
@@ -51,7 +51,7 @@
     Ok(Opening {
         name: word("name")?.to_owned(),
         listen: address("listen")?,
-        discovery: address("discovery")?.to_string(),
+        discovery: address("discovery")?,
         seed,
         sockets,
         known: all["known"].clone(),
--- a/router/src/lifecycle/start.rs
+++ b/router/src/lifecycle/start.rs
@@ -1,7 +1,7 @@
 //! Start: from a configuration to a router that serves.
 
 use std::cell::{Cell, RefCell};
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::rc::Rc;
 
 use async_executor::LocalExecutor;
@@ -36,7 +36,6 @@
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
     let Opening { name, listen, discovery, seed, sockets, known, tariff, bounds } = opening;
     let sockets = descriptors(sockets);
-    let discovery: SocketAddr = discovery.parse().map_err(|_| "discovery's address is none".to_owned())?;
     let listener = TcpListener::bind(listen).and_then(|listener| {
         // Connections that wait to be accepted are the router's already, so there is room for all it may hold.
         rustix::net::listen(&listener, i32::try_from(sockets).unwrap_or(i32::MAX))?;
--- a/router/src/memory/clients.rs
+++ b/router/src/memory/clients.rs
@@ -8,10 +8,13 @@
 use event_listener::Event;
 use ternpick::types::Micros;
 
-/// The one answer of a lookup: status, header lines, body.
+/// An answer to a client: status, header lines, body.
+pub type Answer = (u16, String, String);
+
+/// Where a lookup's one answer waits for its client.
 #[derive(Default)]
 pub struct Reply {
-    pub answer: RefCell<Option<(u16, String, String)>>,
+    pub answer: RefCell<Option<Answer>>,
     pub ready: Event,
 }
 
@@ -21,7 +24,7 @@
         self.ready.notify(1);
     }
 
-    pub async fn wait(&self) -> (u16, String, String) {
+    pub async fn wait(&self) -> Answer {
         loop {
             let ready = self.ready.listen();
             if let Some(answer) = self.answer.borrow_mut().take() {
--- a/router/src/memory/descriptors.rs
+++ b/router/src/memory/descriptors.rs
@@ -37,11 +37,16 @@
         Rc::new(Descriptors { total, clients, nodes, highest, freed: Event::new() })
     }
 
-    pub fn take(self: &Rc<Self>, peer: Peer) -> Option<Permit> {
-        let (used, most) = match peer {
+    /// How many a kind of peer holds, and how many it may.
+    fn of(&self, peer: Peer) -> (&Cell<usize>, usize) {
+        match peer {
             Peer::Client => (&self.clients, self.total * 3 / 4),
             Peer::Node => (&self.nodes, self.total / 2),
-        };
+        }
+    }
+
+    pub fn take(self: &Rc<Self>, peer: Peer) -> Option<Permit> {
+        let (used, most) = self.of(peer);
         let all = self.clients.get() + self.nodes.get();
         if used.get() >= most || all >= self.total {
             return None;
@@ -67,10 +72,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        let used = match self.peer {
-            Peer::Client => &self.of.clients,
-            Peer::Node => &self.of.nodes,
-        };
+        let (used, _) = self.of.of(self.peer);
         used.set(used.get().saturating_sub(1));
         self.of.freed.notify(usize::MAX);
     }
--- a/router/src/stages/admit.rs
+++ b/router/src/stages/admit.rs
@@ -4,43 +4,41 @@
 
 use ternpick::types::{IndexNo, LookupId, Micros, Repeat};
 
-use crate::memory::clients::Reply;
+use crate::memory::clients::{Answer, Reply};
 use crate::stages::{route, Router};
 use crate::wire::http::Reader;
 use crate::wire::query;
 
-/// What becomes of a request: an answer at once (status, header lines, body), or a lookup in hand.
+/// What becomes of a request: an answer at once, or a lookup in hand.
 pub enum Admitted {
-    Answer(u16, String, String),
+    Answer(Answer),
     Held(LookupId, Rc<Reply>),
 }
 
-type Refusal = (u16, String, String);
-
-fn refusal(status: u16, what: &str) -> Refusal {
+/// An answer of one line.
+pub fn line(status: u16, what: &str) -> Answer {
     (status, String::new(), format!("{what}\n"))
 }
 
 /// Takes a request whose first byte came at `began`.
 pub fn admit(router: &Router, request: &Reader, began: Micros) -> Admitted {
-    let admitted = match (request.method(), request.path()) {
-        ("GET" | "HEAD", "/_health") if router.is_stopping() => Err(refusal(503, "stopping")),
-        ("GET" | "HEAD", "/_health") => Err(refusal(200, "{}")),
-        (_, "/_health") => Err((405, "Allow: GET, HEAD\r\n".into(), "only GET\n".into())),
-        _ => lookup(router, request, began),
-    };
-    admitted.unwrap_or_else(|(status, headers, body)| Admitted::Answer(status, headers, body))
+    match (request.method(), request.path()) {
+        ("GET" | "HEAD", "/_health") if router.is_stopping() => Admitted::Answer(line(503, "stopping")),
+        ("GET" | "HEAD", "/_health") => Admitted::Answer(line(200, "{}")),
+        (_, "/_health") => Admitted::Answer((405, "Allow: GET, HEAD\r\n".into(), "only GET\n".into())),
+        _ => lookup(router, request, began).unwrap_or_else(Admitted::Answer),
+    }
 }
 
-fn lookup(router: &Router, request: &Reader, began: Micros) -> Result<Admitted, Refusal> {
+fn lookup(router: &Router, request: &Reader, began: Micros) -> Result<Admitted, Answer> {
     let bounds = &router.bounds;
     let segment = request.path().split('/').nth(1).unwrap_or_default();
     let at = bounds.index_names.iter().position(|name| name == segment);
-    let index = IndexNo(at.ok_or_else(|| refusal(404, "no such index"))? as u8);
+    let index = IndexNo(at.ok_or_else(|| line(404, "no such index"))? as u8);
     if request.method() != "POST" {
         return Err((405, "Allow: POST\r\n".into(), "only POST\n".into()));
     }
-    let bad = |what: &str| refusal(400, what);
+    let bad = |what: &str| line(400, what);
     if request.header("req-kind").is_some_and(|kind| kind != segment) {
         return Err(bad("Req-Kind is not the path's"));
     }
@@ -61,7 +59,7 @@
         return Err(bad("Req-Id is in hand already"));
     }
     if desk.office.is_full() {
-        return Err((503, String::new(), "too many lookups in hand\n".into()));
+        return Err(line(503, "too many lookups in hand"));
     }
     let reply = Rc::new(Reply::default());
     let shards = parts.iter().map(|(shard, _, _)| *shard);
--- a/router/src/stages/book.rs
+++ b/router/src/stages/book.rs
@@ -163,7 +163,7 @@
 }
 
 /// The header that names a time to come back, where one is advised.
-pub fn retry_after(come_back: Micros) -> String {
+fn retry_after(come_back: Micros) -> String {
     if come_back.0 == 0 {
         return String::new();
     }
--- a/router/src/stages/send.rs
+++ b/router/src/stages/send.rs
@@ -163,19 +163,15 @@
     let mut desk = router.desk.borrow_mut();
     let office = &mut desk.office;
     office.now = router.clock.now();
-    let Some(connection) = office.nodes.disconnect(id) else { return };
-    for key in connection.waiting.into_iter().flatten() {
-        office.end_call(key, Ending::NeverRan);
-    }
-    let mut carried: Vec<CallKey> = connection.carries.into_values().collect();
+    let Some(connection) = office.nodes.connection(id) else { return };
+    let mut carried: Vec<CallKey> = connection.carries.values().copied().collect();
     carried.sort();
-    for key in carried {
-        let written = office.ledger.call(key).is_some_and(|call| match call.place {
-            Place::Queued(_, end) => connection.written >= end,
-            Place::Ordered | Place::Waiting(_) => false,
-        });
-        office.end_call(key, if written { Ending::Broken } else { Ending::NeverRan });
-    }
+    let all = connection.waiting.iter().flatten().copied().chain(carried);
+    let written = |key| office.ledger.call(key).is_some_and(|call| is_written(&office.nodes, call));
+    let ending = |key| if written(key) { Ending::Broken } else { Ending::NeverRan };
+    let ends: Vec<(CallKey, Ending)> = all.map(|key| (key, ending(key))).collect();
+    office.nodes.disconnect(id);
+    ends.into_iter().for_each(|(key, ending)| office.end_call(key, ending));
     router.turn.notify(1);
 }
 
--- a/router/src/stages/take_in.rs
+++ b/router/src/stages/take_in.rs
@@ -9,10 +9,10 @@
 use futures_lite::future;
 use ternpick::types::Micros;
 
-use crate::memory::clients::Reply;
+use crate::memory::clients::{Answer, Reply};
 use crate::memory::descriptors::{Peer, Permit};
 use crate::memory::ring::Ring;
-use crate::stages::admit::{admit, Admitted};
+use crate::stages::admit::{self, Admitted};
 use crate::stages::{route, Router};
 use crate::wire::http::{self, Fault, Reader, BODY_BOUND, HEAD_BOUND};
 
@@ -101,13 +101,13 @@
         Err(Stop::Ended) => return false,
         Err(Stop::Fault(fault)) => {
             let (status, what) = fault.status();
-            ((status, String::new(), format!("{what}\n")), true)
+            (admit::line(status, what), true)
         }
         Ok(()) => {
-            let (closes, admitted) = (request.closes(), admit(router, request, began));
+            let (closes, admitted) = (request.closes(), admit::admit(router, request, began));
             request.forget_body();
             let answer = match admitted {
-                Admitted::Answer(status, headers, body) => (status, headers, body),
+                Admitted::Answer(answer) => answer,
                 Admitted::Held(id, reply) => match wait(line, &reply).await {
                     Some(answer) => answer,
                     None => {
@@ -225,7 +225,7 @@
 }
 
 /// Waits for a lookup's answer; none if the client has left before it.
-async fn wait(line: &mut Line, reply: &Reply) -> Option<(u16, String, String)> {
+async fn wait(line: &mut Line, reply: &Reply) -> Option<Answer> {
     let answer = async { Some(reply.wait().await) };
     future::or(answer, left(line)).await
 }
