--- /dev/null
+++ b/store/src/lib.rs
@@ -0,0 +1,193 @@
+//! Durable files: replaced whole or not at all, checked when they are read, with what they are, their version and
+//! when they were saved. A file that was cut, changed or mixed up with another is refused by name of what is wrong.
+//!
+//! ```
+//! let folder = tempfile::tempdir().expect("a folder");
+//! let path = folder.path().join("keys.kept");
+//! ternpick_store::put(&path, "keys", 3, 1_700_000_000_000_000, b"what is kept").expect("written");
+//! let kept = ternpick_store::get(&path, "keys").expect("whole");
+//! assert_eq!((kept.version, kept.bytes.as_slice()), (3, &b"what is kept"[..]));
+//! ```
+
+use std::fs;
+use std::io::{Read, Write};
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+
+use sha2::{Digest, Sha256};
+
+/// The first word of every file; the number changes with the form of the line.
+const MARK: &str = "ternpick-kept-1";
+/// The longest file that is read, in bytes.
+pub const LONGEST: u64 = 64 << 20;
+/// The longest first line, in bytes.
+const HEAD_BOUND: usize = 256;
+
+/// Why nothing could be read, or written.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error("cannot {what} {path}: {error}")]
+    Io { what: &'static str, path: String, error: std::io::Error },
+    #[error("{path} is not kept by this program, or its first line is spoilt")]
+    Foreign { path: String },
+    #[error("{path} holds '{found}', not '{wanted}'")]
+    Other { path: String, found: String, wanted: String },
+    #[error("{path} is spoilt: its length or checksum is not what its first line says")]
+    Spoilt { path: String },
+    #[error("{path} is longer than {LONGEST} bytes")]
+    TooLong { path: String },
+}
+
+impl Fault {
+    /// Whether there simply is no such file.
+    pub fn is_missing(&self) -> bool {
+        matches!(self, Fault::Io { error, .. } if error.kind() == std::io::ErrorKind::NotFound)
+    }
+}
+
+/// What a file held.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Kept {
+    pub version: u64,
+    /// When it was saved, in microseconds of Unix time, by the clock of who saved it.
+    pub saved: u64,
+    pub bytes: Vec<u8>,
+}
+
+impl Kept {
+    /// Its age in microseconds; a file from the future, saved before a clock stepped back, counts as new.
+    pub fn age(&self, now: u64) -> u64 {
+        now.saturating_sub(self.saved)
+    }
+}
+
+fn fault<'a>(what: &'static str, path: &'a Path) -> impl Fn(std::io::Error) -> Fault + 'a {
+    move |error| Fault::Io { what, path: path.display().to_string(), error }
+}
+
+/// Replaces the file at `path` whole, in the mode 0600: whoever reads it sees the old one or the new one.
+pub fn replace(path: &Path, bytes: &[u8]) -> Result<(), Fault> {
+    let folder = path.parent().filter(|of| !of.as_os_str().is_empty()).unwrap_or(Path::new("."));
+    let mut beside = tempfile::NamedTempFile::new_in(folder).map_err(fault("write beside", path))?;
+    let write = |file: &mut fs::File| {
+        file.set_permissions(fs::Permissions::from_mode(0o600))?;
+        file.write_all(bytes)?;
+        file.sync_all()
+    };
+    write(beside.as_file_mut()).map_err(fault("write", path))?;
+    beside.persist(path).map_err(|error| fault("replace", path)(error.error))?;
+    // The name lasts only once its folder is written too.
+    fs::File::open(folder).and_then(|folder| folder.sync_all()).map_err(fault("write the folder of", path))
+}
+
+/// Keeps `bytes` as `kind` in its `version`, saved at `now` (microseconds of Unix time).
+pub fn put(path: &Path, kind: &str, version: u64, now: u64, bytes: &[u8]) -> Result<(), Fault> {
+    let line = format!("{MARK} {kind} {version} {now} {}", bytes.len());
+    let sum = checksum(&line, bytes);
+    let mut whole = format!("{line} {sum}\n").into_bytes();
+    whole.extend_from_slice(bytes);
+    replace(path, &whole)
+}
+
+fn checksum(line: &str, bytes: &[u8]) -> String {
+    let sum = Sha256::new().chain_update(line).chain_update(b"\n").chain_update(bytes).finalize();
+    sum.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Reads what is kept as `kind`.
+pub fn get(path: &Path, kind: &str) -> Result<Kept, Fault> {
+    let name = || path.display().to_string();
+    let file = fs::File::open(path).map_err(fault("read", path))?;
+    let mut whole = Vec::new();
+    file.take(LONGEST + 1).read_to_end(&mut whole).map_err(fault("read", path))?;
+    if whole.len() as u64 > LONGEST {
+        return Err(Fault::TooLong { path: name() });
+    }
+    parse(&whole, kind).map_err(|wrong| match wrong {
+        Wrong::Foreign => Fault::Foreign { path: name() },
+        Wrong::Other(found) => Fault::Other { path: name(), found, wanted: kind.into() },
+        Wrong::Spoilt => Fault::Spoilt { path: name() },
+    })
+}
+
+#[derive(Debug, PartialEq)]
+enum Wrong {
+    Foreign,
+    Other(String),
+    Spoilt,
+}
+
+fn parse(whole: &[u8], kind: &str) -> Result<Kept, Wrong> {
+    let end = whole.iter().take(HEAD_BOUND).position(|byte| *byte == b'\n').ok_or(Wrong::Foreign)?;
+    let (head, bytes) = (&whole[..end], &whole[end + 1..]);
+    let head = std::str::from_utf8(head).map_err(|_| Wrong::Foreign)?;
+    let words: Vec<&str> = head.split(' ').collect();
+    let [MARK, found, version, saved, length, sum] = words.as_slice() else { return Err(Wrong::Foreign) };
+    let line = head.len() - sum.len() - 1;
+    if checksum(&head[..line], bytes) != *sum || length.parse() != Ok(bytes.len()) {
+        return Err(Wrong::Spoilt);
+    }
+    if *found != kind {
+        return Err(Wrong::Other((*found).to_owned()));
+    }
+    let number = |word: &str| word.parse::<u64>().map_err(|_| Wrong::Foreign);
+    Ok(Kept { version: number(version)?, saved: number(saved)?, bytes: bytes.to_vec() })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn kept(bytes: &[u8]) -> (tempfile::TempDir, std::path::PathBuf) {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("kept");
+        put(&path, "list", 7, 1000, bytes).expect("written");
+        (folder, path)
+    }
+
+    #[test]
+    fn a_file_cut_at_any_length_is_refused() {
+        let (_folder, path) = kept(b"some\nlines");
+        let whole = fs::read(&path).expect("read");
+        for length in 0..whole.len() {
+            assert!(parse(&whole[..length], "list").is_err(), "cut at {length}");
+        }
+        assert_eq!(parse(&whole, "list").map(|kept| kept.version), Ok(7));
+    }
+
+    #[test]
+    fn only_its_owner_may_read_it_and_nothing_is_left_beside_it() {
+        let (folder, path) = kept(b"x");
+        put(&path, "list", 8, 2000, b"y").expect("written again");
+        let mode = fs::metadata(&path).expect("there").permissions().mode();
+        assert_eq!((mode & 0o777, fs::read_dir(folder.path()).expect("there").count()), (0o600, 1));
+        assert_eq!(
+            get(&path, "list").expect("whole"),
+            Kept { version: 8, saved: 2000, bytes: b"y".to_vec() }
+        );
+    }
+
+    #[test]
+    fn another_kind_a_foreign_file_and_none_are_told_apart() {
+        let (folder, path) = kept(b"x");
+        assert!(matches!(get(&path, "keys"), Err(Fault::Other { .. })));
+        fs::write(&path, "{}\n").expect("written");
+        assert!(matches!(get(&path, "list"), Err(Fault::Foreign { .. })));
+        assert!(get(&folder.path().join("none"), "list").is_err_and(|fault| fault.is_missing()));
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+        #[test]
+        fn a_changed_byte_is_noticed(at in 0usize..200, to in any::<u8>(), bytes in proptest::collection::vec(any::<u8>(), 0..64)) {
+            let line = format!("{MARK} list 7 1000 {}", bytes.len());
+            let mut whole = format!("{line} {}\n", checksum(&line, &bytes)).into_bytes();
+            whole.extend_from_slice(&bytes);
+            let at = at % whole.len();
+            prop_assume!(whole[at] != to);
+            whole[at] = to;
+            prop_assert!(parse(&whole, "list").is_err());
+        }
+    }
+}
