--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -6,7 +6,7 @@
 //! use ternpick_settings::Schema;
 //! #[derive(serde::Deserialize)]
 //! struct Door { wide: u64, waits: u64 }
-//! let schema = Schema::new("door.schema", "#Door: {wide: int & >=1, waits: duration & <=1h | *30s}", "#Door");
+//! let schema = Schema::new(&[("door.schema", "#Door: {wide: int & >=1, waits: duration & <=1h | *30s}")], "#Door");
 //! let door = schema.read::<Door>("door.cue", "wide: 3").expect("a door");
 //! assert_eq!((door.value.wide, door.value.waits), (3, 30_000_000)); // durations in microseconds
 //! assert_eq!(door.used[1].to_string(), "waits = 30s  (default)");
@@ -69,14 +69,14 @@
 
 /// What a reader wants: definitions, and the one that a whole text must fit.
 pub struct Schema {
-    name: &'static str,
-    text: &'static str,
+    parts: &'static [(&'static str, &'static str)],
     root: &'static str,
 }
 
 impl Schema {
-    pub const fn new(name: &'static str, text: &'static str, root: &'static str) -> Self {
-        Schema { name, text, root }
+    /// `parts`: texts with their names, whose definitions know each other.
+    pub const fn new(parts: &'static [(&'static str, &'static str)], root: &'static str) -> Self {
+        Schema { parts, root }
     }
 
     pub fn read_file<T: DeserializeOwned>(&self, path: &Path) -> Result<Read<T>, Refused> {
@@ -92,11 +92,16 @@
 
     /// Reads a text; `name` is for what is told of it. Durations come out in microseconds, sizes in bytes.
     pub fn read<T: DeserializeOwned>(&self, name: &str, text: &str) -> Result<Read<T>, Refused> {
-        let sources: report::Sources =
-            [(name.to_owned(), text.to_owned()), (self.name.to_owned(), self.text.to_owned())].into();
+        let own_source = std::iter::once((name, text));
+        let all = own_source.chain(self.parts.iter().copied());
+        let sources: report::Sources = all.map(|(name, text)| (name.to_owned(), text.to_owned())).collect();
         let (own, mut problems) = syntax::parse(0, text);
-        let (schema, of_schema) = syntax::parse(1, self.text);
-        problems.extend(of_schema);
+        let mut schema = syntax::Members::default();
+        for (at, (_, text)) in self.parts.iter().enumerate() {
+            let (members, wrong) = syntax::parse(at + 1, text);
+            schema.fields.extend(members.fields);
+            problems.extend(wrong);
+        }
         let mut evaluator = eval::Evaluator::new(problems);
         let at = Span::new(0, 0, 0);
         let whole = evaluator.whole(&schema, &own, self.root, at);
--- a/settings/tests/records.rs
+++ b/settings/tests/records.rs
@@ -27,7 +27,7 @@
 "##;
 
 fn read(text: &str) -> Result<Value, Vec<String>> {
-    let schema = Schema::new("root.schema", SCHEMA, "#Root");
+    let schema = Schema::new(&[("root.schema", SCHEMA)], "#Root");
     match schema.read::<Value>("f.cue", text) {
         Ok(read) => Ok(read.value),
         Err(Refused::Wrong(report)) => Err(report.lines()),
@@ -87,7 +87,7 @@
 
 #[test]
 fn a_report_marks_the_place_and_names_who_asked() {
-    let schema = Schema::new("root.schema", SCHEMA, "#Root");
+    let schema = Schema::new(&[("root.schema", SCHEMA)], "#Root");
     let refused = schema.read::<Value>("f.cue", "roles: {}\nskew: 2min").expect_err("it is wrong");
     let told = refused.to_string();
     for part in ["f.cue:2:7", "skew: 2min", "^^^^ here", "root.schema:14:", "asked for by #Root"] {
@@ -97,7 +97,7 @@
 
 #[test]
 fn each_value_used_tells_its_origin() {
-    let schema = Schema::new("root.schema", SCHEMA, "#Root");
+    let schema = Schema::new(&[("root.schema", SCHEMA)], "#Root");
     let read = schema.read::<Value>("f.cue", "roles: {}\n\nskew: 1500ms").expect("it is right");
     let told: Vec<String> = read.used.iter().map(ToString::to_string).collect();
     assert_eq!(told, ["skew = 1500ms  (f.cue:3)", "most = 16KiB  (default)", "share = 0.5  (default)"]);
