--- a/identity/src/workshop.rs
+++ b/identity/src/workshop.rs
@@ -11,7 +11,8 @@
 use serde_json::{json, Value};
 use ternpick::types::Micros;
 
-use crate::keys::{Algorithm, MOST_KEYS};
+use crate::keys::{Algorithm, KeyRing, KeySet, MOST_KEYS};
+use crate::names::KeyId;
 
 #[derive(Debug, thiserror::Error)]
 pub enum WorkshopFault {
@@ -223,3 +224,34 @@
 pub fn in_seconds(now: Micros) -> u64 {
     now.0 / 1_000_000
 }
+
+/// What a token says, unverified.
+pub struct Seen {
+    pub header: Value,
+    pub claims: Value,
+}
+
+/// Takes a token apart without believing it.
+pub fn inspect(token: &str) -> Result<Seen, WorkshopFault> {
+    let spoilt = || WorkshopFault::Spoilt("this is no token".into());
+    let parts: Vec<&str> = token.split('.').collect();
+    let [header, claims, _] = parts.as_slice() else { return Err(spoilt()) };
+    let read = |text: &str| {
+        let bytes = URL_SAFE_NO_PAD.decode(text).ok()?;
+        serde_json::from_slice(&bytes).ok()
+    };
+    Ok(Seen { header: read(header).ok_or_else(spoilt)?, claims: read(claims).ok_or_else(spoilt)? })
+}
+
+/// Whether a token's signature is right by a published set; its issuer, audience and times are not looked at.
+pub fn verify(token: &str, set: &[u8], now: Micros) -> Result<bool, WorkshopFault> {
+    let seen = inspect(token)?;
+    let set = KeySet::parse(set).map_err(|fault| WorkshopFault::Spoilt(fault.to_string()))?;
+    let mut ring = KeyRing::new(Micros(0));
+    let _ = ring.told_of(now, &set);
+    let id = KeyId::from(seen.header["kid"].as_str().unwrap_or_default());
+    let Ok((key, algorithm)) = ring.find(now, &id) else { return Ok(false) };
+    let (message, signature) = token.rsplit_once('.').unwrap_or_default();
+    let right = jsonwebtoken::crypto::verify(signature, message.as_bytes(), key, algorithm.of_crate());
+    Ok(seen.header["alg"] == algorithm.word() && right.unwrap_or(false))
+}
--- a/router/src/lifecycle/cli.rs
+++ b/router/src/lifecycle/cli.rs
@@ -6,7 +6,9 @@
 use clap::{Parser, Subcommand};
 use ternpick::types::Micros;
 
-use crate::lifecycle::{config, start};
+use crate::lifecycle::reload::Source;
+use crate::lifecycle::tls::Tls;
+use crate::lifecycle::{config, settings, start, tools};
 
 /// The root node (query router) of a sharded search service.
 #[derive(Parser)]
@@ -23,21 +25,66 @@
         /// The configuration file
         #[arg(long, env = "ROUTER_CONFIG")]
         config: PathBuf,
+        /// The settings file: identity, TLS, the log. Without it none of these is on
+        #[arg(long, env = "ROUTER_SETTINGS")]
+        settings: Option<PathBuf>,
     },
-    /// Reads a configuration and prints what would be used
+    /// Reads a configuration, a settings file or both, and prints what would be used
     Check {
         /// The configuration file
-        #[arg(long, env = "ROUTER_CONFIG")]
-        config: PathBuf,
+        #[arg(long, env = "ROUTER_CONFIG", required_unless_present = "settings")]
+        config: Option<PathBuf>,
+        /// The settings file; each value is printed with where it came from
+        #[arg(long)]
+        settings: Option<PathBuf>,
     },
+    /// Makes, lists and ends the keys that sign tokens
+    #[command(subcommand)]
+    Keys(tools::Keys),
+    /// Signs tokens and tells what they say
+    #[command(subcommand)]
+    Token(tools::Token),
+    /// Revokes a token, a subject, a key or a certificate
+    Revoke(tools::Revoke),
+    /// Tells what callers may do
+    #[command(subcommand)]
+    Rights(tools::RightsCommand),
     /// Prints the version
     Version,
 }
 
+fn serve(config: PathBuf, path: Option<PathBuf>) -> Result<(), String> {
+    let opening = config::read(&config)?;
+    let settings = path.as_deref().map(settings::read).transpose()?.unwrap_or_default();
+    let source = Source { path: config, settings: path, fixed: opening.fixed.clone() };
+    start::serve(opening, settings, source)
+}
+
+fn check(config: Option<PathBuf>, path: Option<PathBuf>) -> Result<(), String> {
+    if let Some(config) = config {
+        print(&config::read(&config)?);
+    }
+    if let Some(path) = path {
+        let settings = settings::read(&path)?;
+        settings.used.iter().for_each(|line| println!("{line}"));
+        if let Some(identity) = settings.identity {
+            ternpick_identity::Identity::new(identity.terms).map_err(|fault| format!("identity: {fault}"))?;
+        }
+        if let Some(terms) = settings.tls {
+            Tls::new(terms)?;
+        }
+    }
+    Ok(())
+}
+
 pub fn run() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Serve { config } => config::read(&config).and_then(|opening| start::serve(opening, &config)),
-        Command::Check { config } => config::read(&config).map(|opening| print(&opening)),
+        Command::Serve { config, settings } => serve(config, settings),
+        Command::Check { config, settings } => check(config, settings),
+        Command::Keys(command) => tools::keys(command),
+        Command::Token(command) => tools::token(command),
+        Command::Revoke(of) => tools::revoke(of),
+        Command::Rights(command) => tools::rights(command),
         Command::Version => {
             println!("ternpick {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/router/src/lifecycle/mod.rs
+++ b/router/src/lifecycle/mod.rs
@@ -3,8 +3,14 @@
 pub mod cli;
 pub mod clock;
 pub mod config;
+pub mod fetch;
+pub mod logging;
 pub mod reload;
+pub mod settings;
 pub mod signals;
+pub mod sources;
 pub mod start;
 pub mod stop;
+pub mod tls;
+pub mod tools;
 pub mod watch;
--- a/router/src/lifecycle/reload.rs
+++ b/router/src/lifecycle/reload.rs
@@ -7,11 +7,14 @@
 use serde_json::Value;
 
 use crate::lifecycle::config::{self, Opening, FIXED};
+use crate::lifecycle::settings;
 use crate::stages::Router;
 
 /// The file that a router was started with, and what stood in it that is fixed.
 pub struct Source {
     pub path: PathBuf,
+    /// The settings file, where there is one.
+    pub settings: Option<PathBuf>,
     pub fixed: [Value; FIXED.len()],
 }
 
@@ -20,12 +23,28 @@
     pub fn reload(&self, router: &Router) {
         let opening = match config::read(&self.path) {
             Ok(opening) => opening,
-            Err(what) => return log::warn!("reload: the running configuration stays, {what}"),
+            Err(what) => return tracing::warn!("reload: the running configuration stays, {what}"),
         };
         for name in self.changed(&opening) {
-            log::warn!("reload: '{name}' can't change while running, it stays as it was");
+            tracing::warn!("reload: '{name}' can't change while running, it stays as it was");
         }
         follow(router, opening.discovery);
+        self.terms(router);
+    }
+
+    /// Rights, tenants and limits are taken from the settings anew; where keys come from and TLS need a restart.
+    fn terms(&self, router: &Router) {
+        let (Some(path), Some(gate)) = (&self.settings, &router.gate) else { return };
+        let told = settings::read(path).and_then(|settings| {
+            let terms = settings.identity.ok_or("identity is no longer in it")?;
+            let mut desk = router.desk.borrow_mut();
+            let Some(limits) = &mut desk.office.limits else { return Ok(()) };
+            gate.told_of_terms(terms, limits).map_err(|fault| fault.to_string())
+        });
+        match told {
+            Ok(()) => tracing::info!("reload: the terms of identity are read anew"),
+            Err(what) => tracing::warn!("reload: the terms of identity stay as they were, {what}"),
+        }
     }
 
     fn changed(&self, opening: &Opening) -> Vec<&'static str> {
@@ -37,9 +56,9 @@
 fn follow(router: &Router, discovery: SocketAddr) {
     let old = router.discovery.replace(discovery);
     if old == discovery {
-        return log::info!("reload: done, discovery still at {discovery}");
+        return tracing::info!("reload: done, discovery still at {discovery}");
     }
-    log::info!("reload: done, discovery at {discovery}, no longer at {old}");
+    tracing::info!("reload: done, discovery at {discovery}, no longer at {old}");
     router.moved.notify(1);
 }
 
@@ -58,7 +77,7 @@
     #[test_case("idempotent", "deduplicated", &["settings"]; "settings")]
     fn tells_what_needs_a_restart(from: &str, to: &str, names: &[&str]) {
         let opening = |text: &str| config::parse(text.as_bytes()).expect("a good configuration");
-        let source = Source { path: "x".into(), fixed: opening(TEXT).fixed };
+        let source = Source { path: "x".into(), settings: None, fixed: opening(TEXT).fixed };
         assert_eq!(source.changed(&opening(&TEXT.replacen(from, to, 1))), names);
     }
 }
--- /dev/null
+++ b/router/src/lifecycle/settings.rs
@@ -0,0 +1,90 @@
+//! The router's own settings: typed records in a file beside what the platform hands over. None of it is on without.
+
+use std::path::Path;
+
+use serde::Deserialize;
+use serde_json::Value;
+use ternpick_identity::Terms;
+use ternpick_limits::{Terms as LimitTerms, Whole};
+use ternpick_settings::{Read, Schema};
+
+const SCHEMA: Schema = Schema::new(
+    &[("settings.cue", include_str!("settings.cue")), ("identity.cue", ternpick_identity::DEFINITIONS)],
+    "#Settings",
+);
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct Log {
+    pub form: String,
+    pub level: String,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct TlsTerms {
+    pub listen: String,
+    pub certificate: String,
+    pub key: String,
+    pub authorities: Option<String>,
+    pub lists: Vec<String>,
+    pub required: bool,
+    pub every: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Form {
+    log: Log,
+    identity: Option<Value>,
+    tls: Option<TlsTerms>,
+}
+
+/// Identity's terms, and the limits of its tenants by name.
+pub struct IdentityTerms {
+    pub terms: Terms,
+    pub limits: Vec<(String, LimitTerms)>,
+    pub whole: Whole,
+}
+
+pub struct Settings {
+    pub log: Log,
+    pub identity: Option<IdentityTerms>,
+    pub tls: Option<TlsTerms>,
+    /// Every value used, a line each with its origin.
+    pub used: Vec<String>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let log = Log { form: "text".into(), level: "info".into() };
+        Settings { log, identity: None, tls: None, used: Vec::new() }
+    }
+}
+
+#[derive(Deserialize)]
+struct TenantForm {
+    limits: LimitTerms,
+}
+
+fn identity(value: Value) -> Result<IdentityTerms, String> {
+    let words = |error: serde_json::Error| error.to_string();
+    let whole = serde_json::from_value(value["whole"].clone()).map_err(words)?;
+    let mut limits = Vec::new();
+    for (name, tenant) in value["tenants"].as_object().into_iter().flatten() {
+        let tenant: TenantForm = serde_json::from_value(tenant.clone()).map_err(words)?;
+        limits.push((name.clone(), tenant.limits));
+    }
+    let terms: Terms = serde_json::from_value(value).map_err(words)?;
+    terms.check().map_err(|fault| format!("identity: {fault}"))?;
+    Ok(IdentityTerms { terms, limits, whole })
+}
+
+/// Reads a settings file; all that is wrong with it comes back, each mistake marked in the text.
+pub fn read(path: &Path) -> Result<Settings, String> {
+    let Read { value: form, used } = SCHEMA.read_file::<Form>(path).map_err(|refused| refused.to_string())?;
+    let named = |what: String| format!("{}: {what}", path.display());
+    let identity = form.identity.map(identity).transpose().map_err(named)?;
+    if let Some(tls) = &form.tls {
+        tls.listen.parse::<std::net::SocketAddr>().map_err(|_| named("tls.listen is no address".into()))?;
+    }
+    let used = used.iter().map(ToString::to_string).collect();
+    Ok(Settings { log: form.log, identity, tls: form.tls, used })
+}
--- a/router/src/lifecycle/signals.rs
+++ b/router/src/lifecycle/signals.rs
@@ -21,13 +21,13 @@
         match signal {
             Ok(Signal::Hup) => source.reload(router),
             Ok(_) => break,
-            Err(e) => log::warn!("a signal could not be read: {e}"),
+            Err(e) => tracing::warn!("a signal could not be read: {e}"),
         }
     }
     let heard = async {
         // What is said during a stop is heard, and changes nothing.
         while signals.next().await.is_some() {
-            log::info!("a signal is passed over: the router is stopping");
+            tracing::info!("a signal is passed over: the router is stopping");
         }
         future::pending().await
     };
--- a/router/src/lifecycle/stop.rs
+++ b/router/src/lifecycle/stop.rs
@@ -17,7 +17,7 @@
     let now = router.clock.now();
     router.stopping.set(Some(now));
     let lookups = router.desk.borrow().office.ledger.lookups();
-    log::info!("stopping: {lookups} lookups in hand");
+    tracing::info!("stopping: {lookups} lookups in hand");
     Timer::at(router.clock.instant(now + STILL_ACCEPTS)).await;
     router.closing.notify(usize::MAX);
     accepting.await;
@@ -35,7 +35,7 @@
     }
     let desk = router.desk.borrow();
     let (office, counts) = (&desk.office, &desk.office.counts);
-    log::info!(
+    tracing::info!(
         "stopped: {} lookups taken, {} satisfied, {} nacked, {} aborted, {} lapsed, {} turned away; \
          {} part calls, {} connections to nodes, {} peers at the highest",
         counts.taken,
--- a/router/src/lifecycle/watch.rs
+++ b/router/src/lifecycle/watch.rs
@@ -1,6 +1,5 @@
 //! The watch of the roster: kept up call after call until one fails; then the module says when to ask again.
 
-use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,10 +9,9 @@
 use serde_json::Value;
 use ternpick::types::{Micros, Phase};
 
-use crate::memory::ring::Ring;
+use crate::lifecycle::fetch;
 use crate::stages::{send, Router};
 use crate::wire::discovery;
-use crate::wire::http::Reader;
 
 /// The longest that a call may wait, by the protocol.
 const LONGEST_WAIT: Micros = Micros(60_000_000);
@@ -21,7 +19,6 @@
 const OVERDUE: Micros = Micros(2_000_000);
 /// Between an answer without news that came before its time and the next call: a watch goes on for 200 ms.
 const PAUSE: Duration = Duration::from_millis(100);
-const IN_BOUND: usize = 16 * 1024;
 
 /// Takes a list in: the nodes' addresses here, the rest by the module.
 pub fn take_list(router: &Router, list: &Value) -> Result<u64, &'static str> {
@@ -36,11 +33,11 @@
                     listing.node = node;
                     // The module's lines name nodes by these numbers.
                     if news {
-                        log::info!("roster: node {:x} is {name} at {address}", node.0);
+                        tracing::info!("roster: node {:x} is {name} at {address}", node.0);
                     }
                     listings.push(listing);
                 }
-                Err(what) => log::warn!("roster: an entry is skipped, {what}: {entry}"),
+                Err(what) => tracing::warn!("roster: an entry is skipped, {what}: {entry}"),
             }
         }
         if full {
@@ -48,7 +45,7 @@
             out.nodes.keep_only(&listed);
         }
         let gone = listings.iter().filter(|listing| listing.phase == Phase::Gone).count();
-        log::debug!("roster: version {version}, {} entries, {gone} gone", listings.len());
+        tracing::debug!("roster: version {version}, {} entries, {gone} gone", listings.len());
         brain.roster(now, &listings, full, out);
         out.nodes.forget_gone();
     });
@@ -97,8 +94,10 @@
             }
             Err(what) => {
                 // Why, once for each spell of failures; the module says that the roster is lost.
-                let level = if failing { log::Level::Debug } else { log::Level::Info };
-                log::log!(level, "roster: a call failed, {what}");
+                match failing {
+                    true => tracing::debug!("roster: a call failed, {what}"),
+                    false => tracing::info!("roster: a call failed, {what}"),
+                }
                 (kept, failing, watching) = (None, true, false);
                 // What the module wanted before it hears of this is out of date.
                 wanted = router.watch.listen();
@@ -113,31 +112,13 @@
     router: &Router, kept: &mut Option<Async<TcpStream>>, discovery: SocketAddr, after: Option<u64>,
     wait: Micros,
 ) -> Result<Value, String> {
-    let words = |e: std::io::Error| e.to_string();
     let stream = match kept.take() {
         Some(stream) => stream,
         // A machine that has vanished is found out by the dial, not by the call's far longer wait.
         None => send::dial(router, discovery).await.ok_or("the connection could not be made")?,
     };
     let request = discovery::call(&discovery.to_string(), after, wait);
-    let mut rest = &request[..];
-    while !rest.is_empty() {
-        let count = stream.write_with(|mut stream| stream.write(rest)).await.map_err(words)?;
-        rest = &rest[count..];
-    }
-    let (mut input, mut answer) = (Ring::new(IN_BOUND), Reader::of_answers(discovery::LIST_BOUND));
-    while !answer.read(&mut input).map_err(|fault| format!("{fault:?}"))? {
-        stream.readable().await.map_err(words)?;
-        match stream.get_ref().read(input.free()) {
-            Ok(0) => return Err("the connection ended".into()),
-            Ok(count) => input.filled_more(count),
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
-            Err(e) => return Err(words(e)),
-        }
-    }
-    if answer.status() != Some(200) {
-        return Err(format!("status {}", answer.status().unwrap_or_default()));
-    }
+    let answer = fetch::exchange(&stream, &request, discovery::LIST_BOUND).await?;
     if !answer.closes() {
         *kept = Some(stream);
     }
--- a/router/src/memory/ledger.rs
+++ b/router/src/memory/ledger.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
-use ternpick::types::{CallNo, LookupId, Micros, NodeId, PartId, ShardNo};
+use ternpick::types::{CallNo, CustomerNo, LookupId, Micros, NodeId, PartId, ShardNo};
 
 use crate::memory::clients::Reply;
 use crate::memory::nodes::ConnectionId;
@@ -19,7 +19,24 @@
     pub value: Option<Box<str>>,
 }
 
+/// On whose account a lookup was taken, and when.
+pub struct Taken {
+    /// Counted among this tenant's lookups; none where tenants are not told apart.
+    pub tenant: Option<CustomerNo>,
+    pub at: Micros,
+    pub soft: Micros,
+    /// Follows the lookup through the stages.
+    pub span: tracing::Span,
+}
+
+impl Default for Taken {
+    fn default() -> Self {
+        Taken { tenant: None, at: Micros(0), soft: Micros(u64::MAX), span: tracing::Span::none() }
+    }
+}
+
 pub struct Held {
+    pub taken: Taken,
     /// The client's id of the request.
     pub name: Rc<str>,
     pub statement: Rc<str>,
@@ -90,7 +107,7 @@
     /// Writes a lookup in, and tells its id and its parts' ids, in the order of `shards`.
     pub fn open(
         &mut self, name: &str, statement: &str, key: Option<&str>, shards: impl Iterator<Item = ShardNo>,
-        reply: Rc<Reply>,
+        reply: Rc<Reply>, taken: Taken,
     ) -> (LookupId, Vec<PartId>) {
         let (lookup, name) = (LookupId(self.number()), Rc::<str>::from(name));
         let mut parts = Vec::new();
@@ -101,7 +118,7 @@
         }
         let ids = parts.iter().map(|part| part.id).collect();
         self.names.insert(Rc::clone(&name));
-        let held = Held { name, statement: statement.into(), key: key.map(Rc::from), parts, reply };
+        let held = Held { taken, name, statement: statement.into(), key: key.map(Rc::from), parts, reply };
         self.lookups.insert(lookup, held);
         (lookup, ids)
     }
--- a/router/src/stages/admit.rs
+++ b/router/src/stages/admit.rs
@@ -2,10 +2,13 @@
 
 use std::rc::Rc;
 
-use ternpick::types::{IndexNo, LookupId, Micros, Repeat};
+use serde_json::Value;
+use ternpick::types::{CustomerNo, IndexNo, LookupId, Micros, Repeat};
+use ternpick_identity::Certificate;
 
 use crate::memory::clients::{Answer, Reply};
-use crate::stages::{route, Router};
+use crate::memory::ledger::Taken;
+use crate::stages::{gate, route, Router};
 use crate::wire::http::Reader;
 use crate::wire::query;
 
@@ -20,21 +23,41 @@
     (status, String::new(), format!("{what}\n"))
 }
 
-/// Takes a request whose first byte came at `began`.
-pub fn admit(router: &Router, request: &Reader, began: Micros) -> Admitted {
+/// Takes a request whose first byte came at `began`, on a connection that has shown `certificate`.
+pub fn admit(
+    router: &Router, request: &Reader, began: Micros, certificate: Option<Rc<Certificate>>,
+) -> Admitted {
     match (request.method(), request.path()) {
         ("GET" | "HEAD", "/_health") if router.is_stopping() => Admitted::Answer(line(503, "stopping")),
         ("GET" | "HEAD", "/_health") => Admitted::Answer(line(200, "{}")),
         (_, "/_health") => Admitted::Answer((405, "Allow: GET, HEAD\r\n".into(), "only GET\n".into())),
-        _ => lookup(router, request, began).unwrap_or_else(Admitted::Answer),
+        _ => lookup(router, request, began, certificate).unwrap_or_else(Admitted::Answer),
     }
 }
 
-fn lookup(router: &Router, request: &Reader, began: Micros) -> Result<Admitted, Answer> {
+/// Asks the gate, if there is one, before anything is told of what exists; the tenant comes back.
+fn gate(
+    router: &Router, request: &Reader, certificate: Option<&Rc<Certificate>>, segment: &str,
+    index: Option<IndexNo>, fields: Option<&Value>,
+) -> Result<Option<CustomerNo>, Answer> {
+    let Some(gate) = &router.gate else { return Ok(None) };
+    let token = gate::token(request)?;
+    let repeat = |index: IndexNo| router.desk.borrow().brain.tariff.indexes[index.at()].repeat;
+    let idempotent = index.map(repeat).is_none_or(|repeat| repeat == Repeat::Idempotent);
+    let statement = fields.and_then(|fields| query::statement(fields).ok()).unwrap_or_default();
+    let ask = gate::ask(token, certificate, request, segment, idempotent, statement);
+    gate.check(router, request, &ask).map(|pass| Some(pass.tenant))
+}
+
+fn lookup(
+    router: &Router, request: &Reader, began: Micros, certificate: Option<Rc<Certificate>>,
+) -> Result<Admitted, Answer> {
     let bounds = &router.bounds;
     let segment = request.path().split('/').nth(1).unwrap_or_default();
     let at = bounds.index_names.iter().position(|name| name == segment);
-    let index = IndexNo(at.ok_or_else(|| line(404, "no such index"))? as u8);
+    let (index, fields) = (at.map(|at| IndexNo(at as u8)), query::parse(request.body()));
+    let tenant = gate(router, request, certificate.as_ref(), segment, index, fields.as_ref().ok())?;
+    let index = index.ok_or_else(|| line(404, "no such index"))?;
     if request.method() != "POST" {
         return Err((405, "Allow: POST\r\n".into(), "only POST\n".into()));
     }
@@ -49,13 +72,15 @@
     // Nobody waits longer than the settings say, whatever a client claims.
     let deadline =
         Micros(u64::from(deadline) * 1000).min(bounds.longest_deadline.unwrap_or(Micros(u64::MAX)));
-    let left = deadline.since(router.clock.now().since(began));
+    let now = router.clock.now();
+    let left = deadline.since(now.since(began));
     let repeat = request.header("req-retry") == Some("1");
-    let fields = query::parse(request.body()).map_err(bad)?;
+    let fields = fields.map_err(bad)?;
     let parts = query::parts(&fields, bounds.shards).map_err(bad)?;
     let statement = query::statement(&fields).map_err(bad)?;
     let mut desk = router.desk.borrow_mut();
-    let fingerprinted = matches!(desk.brain.tariff.indexes[index.at()].repeat, Repeat::Fingerprinted(_));
+    let row = &desk.brain.tariff.indexes[index.at()];
+    let (fingerprinted, soft) = (matches!(row.repeat, Repeat::Fingerprinted(_)), row.soft);
     let key = fingerprinted.then(|| word("idempotency-key").ok_or_else(|| bad("Idempotency-Key is missing")));
     let key = key.transpose()?;
     if desk.office.ledger.knows(name) {
@@ -64,12 +89,18 @@
     if desk.office.is_full() {
         return Err(line(503, "too many lookups in hand"));
     }
+    // From here on the place is the lookup's, and is given back where it closes.
+    if let (Some(limits), Some(tenant)) = (&mut desk.office.limits, tenant) {
+        gate::place(limits, now, tenant, repeat)?;
+    }
+    let span = tracing::debug_span!("lookup", id = name, index = segment);
+    let taken = Taken { tenant, at: now, soft, span };
     let reply = Rc::new(Reply::default());
     let shards = parts.iter().map(|(shard, _, _)| *shard);
-    let (id, ids) = desk.office.ledger.open(name, statement, key, shards, Rc::clone(&reply));
+    let (id, ids) = desk.office.ledger.open(name, statement, key, shards, Rc::clone(&reply), taken);
     drop(desk);
     let parts = ids.into_iter().zip(parts).map(|(id, (shard, weight, hint))| (id, shard, weight, hint));
-    route::take(router, id, index, left, repeat, parts.collect());
+    route::take(router, id, index, tenant.unwrap_or_default(), left, repeat, parts.collect());
     Ok(Admitted::Held(id, reply))
 }
 
--- a/router/src/stages/book.rs
+++ b/router/src/stages/book.rs
@@ -6,6 +6,7 @@
 
 use ternpick::interface::Actions;
 use ternpick::types::{CallNo, Ending, LookupId, Micros, NodeId, PartId, TimerId};
+use ternpick_limits::Limits;
 use ternpick_tariff::Bounds;
 
 use crate::memory::ledger::{CallKey, CallOut, Ledger, Place};
@@ -53,6 +54,8 @@
     pub returns: VecDeque<Return>,
     pub timers: BTreeSet<(Micros, TimerId)>,
     pub watch_wanted: bool,
+    /// What tenants have in hand; none where they are not told apart.
+    pub limits: Option<Limits>,
     /// The last lookup found no room.
     pub full: bool,
 }
@@ -65,7 +68,7 @@
         self.counts.turned_away += u64::from(full);
         if std::mem::replace(&mut self.full, full) != full {
             let word = if full { "turning away" } else { "room again" };
-            log::info!(
+            tracing::info!(
                 "in hand: {word}, {held} lookups and parts, {} turned away so far",
                 self.counts.turned_away
             );
@@ -81,7 +84,10 @@
         self.counts.spoilt += 1;
         if self.now.since(self.counts.spoilt_said) >= SAY_AGAIN {
             self.counts.spoilt_said = self.now;
-            log::warn!("node {node:x}: its connection is ended, {what}; {} such so far", self.counts.spoilt);
+            tracing::warn!(
+                "node {node:x}: its connection is ended, {what}; {} such so far",
+                self.counts.spoilt
+            );
         }
     }
 
@@ -118,6 +124,11 @@
     /// The one place where a lookup is closed. Nothing of it is sent from here on.
     fn close(&mut self, id: LookupId, status: u16, headers: String, body: String) {
         let Some(held) = self.ledger.close(id) else { return };
+        let took = self.now.since(held.taken.at);
+        held.taken.span.in_scope(|| tracing::debug!("book: {status} after {} us", took.0));
+        if let (Some(limits), Some(tenant)) = (&mut self.limits, held.taken.tenant) {
+            limits.given_back(self.now, tenant, took, took > held.taken.soft);
+        }
         for part in &held.parts {
             let out = self.ledger.out_of(part.id).filter(|(_, call)| !send::is_written(&self.nodes, call));
             let unsent: Vec<CallKey> = out.map(|(key, _)| key).collect();
@@ -176,12 +187,12 @@
     }
 
     fn log(&mut self, line: &str) {
-        log::info!("{line}");
+        tracing::info!("{line}");
     }
 }
 
 /// The header that names a time to come back, where one is advised.
-fn retry_after(come_back: Micros) -> String {
+pub fn retry_after(come_back: Micros) -> String {
     if come_back.0 == 0 {
         return String::new();
     }
@@ -193,6 +204,7 @@
     use super::*;
     use crate::memory::clients::Reply;
     use crate::memory::descriptors::{Descriptors, Peer};
+    use crate::memory::ledger::Taken;
     use ternpick::types::{Phase, ShardNo};
     use test_case::test_case;
 
@@ -207,7 +219,8 @@
         let permit = Descriptors::new(100).take(Peer::Node).expect("a descriptor");
         let id = office.nodes.connect(node, Micros(0), 1 << 10, permit).expect("a connection");
         let (shards, reply) = ([ShardNo(0), ShardNo(1)], Rc::new(Reply::default()));
-        let (lookup, parts) = office.ledger.open("r", "text", None, shards.into_iter(), Rc::clone(&reply));
+        let (lookup, parts) =
+            office.ledger.open("r", "text", None, shards.into_iter(), Rc::clone(&reply), Taken::default());
         office.part_call(parts[0], node, Micros(900 * MS));
         let key = (parts[0], CallNo(0));
         if far > 0 {
--- a/router/src/stages/mod.rs
+++ b/router/src/stages/mod.rs
@@ -2,9 +2,11 @@
 
 pub mod admit;
 pub mod book;
+pub mod gate;
 pub mod relay;
 pub mod route;
 pub mod send;
+pub mod stream;
 pub mod take_in;
 
 use std::cell::{Cell, RefCell};
@@ -25,6 +27,7 @@
 use crate::memory::clients::Clients;
 use crate::memory::descriptors::Descriptors;
 use crate::stages::book::Office;
+use crate::stages::gate::Gate;
 
 /// The decisions and the books that they act on.
 pub struct Desk {
@@ -41,6 +44,8 @@
     pub clients: Rc<Clients>,
     pub executor: Rc<LocalExecutor<'static>>,
     pub desk: RefCell<Desk>,
+    /// Who may ask; none: everybody.
+    pub gate: Option<Gate>,
     /// An input has been played, so orders may wait to be carried out.
     pub turn: Event,
     /// The module wants the roster watched.
--- a/router/src/stages/relay.rs
+++ b/router/src/stages/relay.rs
@@ -80,7 +80,7 @@
         b'l' => load(router, id, rest),
         b'p' => Ok(()),
         b'e' => {
-            log::debug!("a node's words: {}", String::from_utf8_lossy(&rest[..rest.len().min(WORDS)]));
+            tracing::debug!("a node's words: {}", String::from_utf8_lossy(&rest[..rest.len().min(WORDS)]));
             Err("the node could not use a frame")
         }
         _ => Err("a frame of unknown letter"),
@@ -105,6 +105,9 @@
         };
         let Some(call) = office.ledger.finish(key) else { return Ok(()) };
         connection.over(&call.id, now);
+        if let Some((held, _)) = office.ledger.part(&call) {
+            held.taken.span.in_scope(|| tracing::debug!("relay: part {} {ending:?}", call.id));
+        }
         if ending == Ending::Satisfied {
             office.ledger.keep(&call, value);
         }
--- a/router/src/stages/route.rs
+++ b/router/src/stages/route.rs
@@ -12,13 +12,16 @@
 
 /// Plays a lookup and all its parts.
 pub fn take(
-    router: &Router, id: LookupId, index: IndexNo, left: Micros, repeat: bool,
+    router: &Router, id: LookupId, index: IndexNo, customer: CustomerNo, left: Micros, repeat: bool,
     parts: Vec<(PartId, ShardNo, f64, Option<Micros>)>,
 ) {
     let query = QueryNo(id.0);
     router.play(|brain, now, out| {
         out.counts.taken += 1;
-        brain.lookup(now, id, query, index, CustomerNo(0), parts.len(), left, repeat, out);
+        if let Some(held) = out.ledger.lookup(id) {
+            held.taken.span.in_scope(|| tracing::debug!("route: {} parts, {} us left", parts.len(), left.0));
+        }
+        brain.lookup(now, id, query, index, customer, parts.len(), left, repeat, out);
         for (part, shard, weight, hint) in parts {
             brain.part(now, part, query, shard, weight, hint, out);
         }
--- a/router/src/stages/send.rs
+++ b/router/src/stages/send.rs
@@ -107,6 +107,7 @@
         let calls = || keys.iter().filter_map(|key| Some((*key, ledger.call(*key)?)));
         for (_, call) in calls() {
             let Some((held, part)) = ledger.part(call) else { continue };
+            held.taken.span.in_scope(|| tracing::debug!("send: part {} to node {:x}", call.id, call.node.0));
             let wait_ms = call.due.since(*now).0.div_ceil(1000).max(1);
             frames::add_part(
                 &mut rest,
@@ -142,9 +143,9 @@
         }
         let talk = future::or(write(&router, id, &stream), relay::read(&router, id, &stream));
         let what = future::or(talk, idle(&router, id)).await;
-        log::debug!("connection to {address}: {what}");
+        tracing::debug!("connection to {address}: {what}");
     } else {
-        log::debug!("connection to {address}: could not be made");
+        tracing::debug!("connection to {address}: could not be made");
     }
     lost(&router, id);
 }
--- a/router/src/stages/take_in.rs
+++ b/router/src/stages/take_in.rs
@@ -1,7 +1,7 @@
 //! Take in: accepts clients' connections, reads their requests one at a time, and writes the answers.
 
-use std::io::{ErrorKind, Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::io::ErrorKind;
+use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,11 +9,13 @@
 use futures_lite::future;
 use ternpick::types::Micros;
 
+use crate::lifecycle::tls::Tls;
 use crate::memory::budget::Share;
 use crate::memory::clients::{Answer, Reply};
 use crate::memory::descriptors::{Peer, Permit};
 use crate::memory::ring::Ring;
 use crate::stages::admit::{self, Admitted};
+use crate::stages::stream::Stream;
 use crate::stages::{route, Router};
 use crate::wire::http::{self, Fault, Reader, BODY_BOUND, HEAD_BOUND};
 
@@ -35,16 +37,16 @@
 const LINGER: Duration = Duration::from_secs(1);
 
 /// Accepts connections until the router is told that the listener is to go, and then what still waits.
-pub async fn accept(router: Rc<Router>, listener: Async<TcpListener>) {
+pub async fn accept(router: Rc<Router>, listener: Async<TcpListener>, tls: Option<Rc<Tls>>) {
     let closing = router.closing.listen();
     future::or(
         async {
             loop {
                 let permit = permit(&router).await;
                 match listener.accept().await {
-                    Ok((stream, _)) => spawn(&router, stream, permit),
+                    Ok((stream, _)) => spawn(&router, stream, permit, tls.as_ref()),
                     Err(e) => {
-                        log::warn!("cannot accept: {e}");
+                        tracing::warn!("cannot accept: {e}");
                         Timer::after(ACCEPT_AGAIN).await;
                     }
                 }
@@ -57,8 +59,8 @@
         (router.descriptors.take(Peer::Client), listener.get_ref().accept())
     {
         match Async::new(stream) {
-            Ok(stream) => spawn(&router, stream, permit),
-            Err(e) => log::warn!("cannot accept: {e}"),
+            Ok(stream) => spawn(&router, stream, permit, tls.as_ref()),
+            Err(e) => tracing::warn!("cannot accept: {e}"),
         }
     }
 }
@@ -80,14 +82,21 @@
     }
 }
 
-fn spawn(router: &Rc<Router>, stream: Async<TcpStream>, permit: Permit) {
+fn spawn(router: &Rc<Router>, stream: Async<TcpStream>, permit: Permit, tls: Option<&Rc<Tls>>) {
+    let stream = match tls {
+        None => Stream::Plain(stream),
+        Some(tls) => match Stream::secure(stream, tls) {
+            Ok(stream) => stream,
+            Err(what) => return tracing::warn!("tls: a connection cannot begin, {what}"),
+        },
+    };
     let task = client(Rc::clone(router), stream, permit);
     router.executor.spawn(task).detach();
 }
 
 /// A client's connection, its buffers, and its descriptor, given back in this order when the task ends.
 struct Line {
-    stream: Async<TcpStream>,
+    stream: Stream,
     input: Ring,
     output: Ring,
     share: Share,
@@ -96,14 +105,25 @@
     _permit: Permit,
 }
 
+impl Line {
+    /// Says how much is held: its buffers, what `more` there is of a request, and what its stream takes up.
+    fn holds(&mut self, more: usize) -> usize {
+        let held = self.input.size() + self.output.size() + more;
+        self.share.set(held + self.stream.size());
+        held
+    }
+}
+
 /// A connection's whole life: one request after the other.
-async fn client(router: Rc<Router>, stream: Async<TcpStream>, permit: Permit) {
-    let _ = stream.get_ref().set_nodelay(true);
+async fn client(router: Rc<Router>, stream: Stream, permit: Permit) {
+    stream.set_nodelay();
     let (input, output) = (Ring::new(IN_BOUND), Ring::new(OUT_BOUND));
     let (share, accepted) = (router.budget.share(), Some(router.clock.now()));
     let mut line = Line { stream, input, output, share, accepted, _permit: permit };
     let mut request = Reader::of_requests();
+    line.holds(0);
     while one_request(&router, &mut line, &mut request).await {}
+    line.stream.finish();
 }
 
 /// Reads and answers one request; false if the connection ends with it.
@@ -123,8 +143,9 @@
             (admit::line(status, what), true)
         }
         Ok(()) => {
-            let (closes, admitted) = (request.closes(), admit::admit(router, request, began));
-            line.share.set(line.input.size() + request.body().len());
+            let (closes, admitted) =
+                (request.closes(), admit::admit(router, request, began, line.stream.certificate()));
+            line.holds(request.body().len());
             request.forget_body();
             let answer = match admitted {
                 Admitted::Answer(answer) => answer,
@@ -141,21 +162,21 @@
     };
     let (status, headers, body) = answer;
     // After a request that made no sense, what follows on its connection may make none either.
-    let bad = matches!(status, 400..=499 | 501 | 505);
+    let bad = matches!(status, 400..=499 | 501 | 505) && !matches!(status, 401 | 403 | 429);
     last |= bad || router.is_stopping();
     let body = if request.method() == "HEAD" { String::new() } else { body };
     if !line.output.push(&http::answer(status, &headers, &body, last)) {
-        log::warn!("an answer of {} bytes is longer than its bound", body.len());
+        tracing::warn!("an answer of {} bytes is longer than its bound", body.len());
         return false;
     }
-    line.share.set(line.input.size() + line.output.size());
+    line.holds(0);
     // After the longest time that any client waits, a slow one holds nothing up.
     let last_byte = router.bounds.longest_deadline.map(|longest| router.clock.now() + longest);
     let written = router.until(last_byte, write_all(line)).await.unwrap_or(false);
     if written && bad {
         linger(router, line).await;
     }
-    line.share.set(line.input.size());
+    line.holds(0);
     written && !last
 }
 
@@ -164,7 +185,7 @@
 async fn linger(router: &Router, line: &mut Line) {
     let place = router.clients.wait(router.clock.now(), true);
     let told = place.told.listen();
-    let _ = line.stream.get_ref().shutdown(Shutdown::Write);
+    line.stream.finish();
     let mut left = LINGER_BYTES;
     let drained = async {
         while let Ok(some) = take_bytes(line) {
@@ -219,7 +240,7 @@
     if free.is_empty() {
         return Ok(true);
     }
-    match line.stream.get_ref().read(free) {
+    match line.stream.read(free) {
         Ok(0) => Err(Stop::Ended),
         Ok(count) => {
             line.input.filled_more(count);
@@ -242,8 +263,7 @@
         if request.read(&mut line.input).map_err(Stop::Fault)? {
             return Ok(());
         }
-        let held = line.input.size() + request.size();
-        line.share.set(held);
+        let held = line.holds(request.size());
         place.holds(held);
         if router.budget.is_over() {
             router.clients.close_largest();
@@ -278,7 +298,7 @@
 
 async fn write_all(line: &mut Line) -> bool {
     while !line.output.is_empty() {
-        match line.stream.get_ref().write(line.output.filled()) {
+        match line.stream.write(line.output.filled()) {
             Ok(0) => return false,
             Ok(count) => line.output.consume(count),
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
@@ -290,5 +310,11 @@
             Err(_) => return false,
         }
     }
-    true
+    loop {
+        match line.stream.flush() {
+            Ok(true) => return true,
+            Ok(false) if line.stream.writable().await.is_ok() => {}
+            _ => return false,
+        }
+    }
 }
--- a/router/src/wire/http.rs
+++ b/router/src/wire/http.rs
@@ -235,6 +235,11 @@
         self.start.split(' ').nth(1)?.parse().ok()
     }
 
+    /// All headers of a name in lower case.
+    pub fn headers<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        self.headers.iter().filter(move |(known, _)| known == name).map(|(_, value)| value.as_str())
+    }
+
     /// A header, by its name in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(known, _)| known == name).map(|(_, value)| value.as_str())
@@ -267,10 +272,13 @@
     match status {
         200 => "OK",
         400 => "Bad Request",
+        401 => "Unauthorized",
+        403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
         413 => "Content Too Large",
+        429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
         501 => "Not Implemented",
         502 => "Bad Gateway",
