--- a/router/src/lifecycle/logging.rs
+++ b/router/src/lifecycle/logging.rs
@@ -11,6 +11,11 @@
     let filter = EnvFilter::try_from_default_env()
         .or_else(|_| EnvFilter::try_new(&of.level))
         .unwrap_or_else(|_| EnvFilter::new("info"));
+    // Whatever is left out, the record of who did what is not.
+    let filter = match "audit=info".parse() {
+        Ok(audit) => filter.add_directive(audit),
+        Err(_) => filter,
+    };
     let colours = std::io::stderr().is_terminal();
     let log = tracing_subscriber::fmt()
         .with_env_filter(filter)
--- a/router/src/lifecycle/tls.rs
+++ b/router/src/lifecycle/tls.rs
@@ -22,12 +22,16 @@
 /// Sessions that may be resumed; each holds its client's certificate.
 const SESSIONS: usize = 128;
 
+type Sessions = Arc<rustls::server::ServerSessionMemoryCache>;
+
 pub struct Tls {
     terms: TlsTerms,
     pub listen: SocketAddr,
     config: RefCell<Arc<ServerConfig>>,
     epoch: Cell<u64>,
     authorities: RefCell<Vec<CertificateDer<'static>>>,
+    /// Kept when other files change; new authorities begin with none.
+    sessions: RefCell<Sessions>,
     seen: RefCell<Vec<Option<(SystemTime, u64)>>>,
 }
 
@@ -51,7 +55,9 @@
     }
 }
 
-fn build(terms: &TlsTerms, authorities: &[CertificateDer<'static>]) -> Result<Arc<ServerConfig>, String> {
+fn build(
+    terms: &TlsTerms, authorities: &[CertificateDer<'static>], sessions: Sessions,
+) -> Result<Arc<ServerConfig>, String> {
     let chain = certificates(&terms.certificate)?;
     let key = rustls_pemfile::private_key(&mut &read(&terms.key)?[..]).map_err(|e| e.to_string())?;
     let key = key.ok_or_else(|| format!("{}: no private key in PEM", terms.key))?;
@@ -71,7 +77,7 @@
     };
     let mut config =
         builder.with_single_cert(chain, key).map_err(|e| format!("{}: {e}", terms.certificate))?;
-    config.session_storage = rustls::server::ServerSessionMemoryCache::new(SESSIONS);
+    config.session_storage = sessions;
     config.max_early_data_size = 0;
     Ok(Arc::new(config))
 }
@@ -80,13 +86,15 @@
     pub fn new(terms: TlsTerms) -> Result<Rc<Tls>, String> {
         let listen = terms.listen.parse().map_err(|_| "tls.listen is no address".to_owned())?;
         let authorities = terms.authorities.as_deref().map_or(Ok(Vec::new()), certificates)?;
-        let config = RefCell::new(build(&terms, &authorities)?);
+        let sessions = rustls::server::ServerSessionMemoryCache::new(SESSIONS);
+        let config = RefCell::new(build(&terms, &authorities, Arc::clone(&sessions))?);
         let tls = Tls {
             terms,
             listen,
             config,
             epoch: Cell::new(0),
             authorities: RefCell::new(authorities),
+            sessions: RefCell::new(sessions),
             seen: RefCell::default(),
         };
         tls.seen.replace(tls.look());
@@ -116,8 +124,14 @@
     /// Reads the files again; one that cannot be used changes nothing.
     fn reload(&self) -> Result<(), String> {
         let authorities = self.terms.authorities.as_deref().map_or(Ok(Vec::new()), certificates)?;
-        let config = build(&self.terms, &authorities)?;
-        if *self.authorities.borrow() != authorities {
+        let same = *self.authorities.borrow() == authorities;
+        let sessions = match same {
+            true => Arc::clone(&self.sessions.borrow()),
+            false => rustls::server::ServerSessionMemoryCache::new(SESSIONS),
+        };
+        let config = build(&self.terms, &authorities, Arc::clone(&sessions))?;
+        if !same {
+            self.sessions.replace(sessions);
             self.epoch.set(self.epoch.get() + 1);
             self.authorities.replace(authorities);
         }
--- a/settings/src/value.rs
+++ b/settings/src/value.rs
@@ -476,13 +476,17 @@
     by.map_or("asked for here".into(), |by| format!("asked for by {by}"))
 }
 
-/// Whether two names differ by one letter too many, too few or other.
+/// Whether two names differ by one letter too many, too few or other, or by two that changed places.
 fn alike(a: &str, b: &str) -> bool {
     let (long, short) = if a.len() >= b.len() { (a, b) } else { (b, a) };
     let (long, short): (Vec<char>, Vec<char>) = (long.chars().collect(), short.chars().collect());
     let same = long.iter().zip(&short).take_while(|(x, y)| x == y).count();
     match long.len() - short.len() {
-        0 => long.get(same + 1..) == short.get(same + 1..),
+        0 => {
+            let swapped = long.get(same) == short.get(same + 1) && long.get(same + 1) == short.get(same);
+            let after = if swapped { same + 2 } else { same + 1 };
+            long.get(after..) == short.get(after..)
+        }
         1 => long[same + 1..] == short[same..],
         _ => false,
     }
