--- a/limits/examples/fairness.rs
+++ b/limits/examples/fairness.rs
@@ -16,7 +16,7 @@
     println!("| floods at, times a fair share | limits | least and mean share of the others | flooding one gets, a second |");
     for times in [1usize, 10, 100, 1000] {
         for limited in [false, true] {
-            // A fair share is 10 a second; the others ask 5 a second each.
+            // A fair share is 10 a second, and the others ask just that.
             let (mut got, mut asked) = (vec![0u64; usize::from(TENANTS)], vec![0u64; usize::from(TENANTS)]);
             let terms = Terms { weight: 1.0, in_hand: 100_000, per_second: 1e9, burst: 1e9, repeats: 1.0 };
             let mut limits = Limits::new(
@@ -32,7 +32,7 @@
                 owed += times as f64 * 0.01;
                 let flood = owed as usize;
                 owed -= flood as f64;
-                let others = (1..TENANTS).filter(|of| (ms + u64::from(*of)).is_multiple_of(200));
+                let others = (1..TENANTS).filter(|of| (ms + u64::from(*of)).is_multiple_of(100));
                 for tenant in std::iter::repeat_n(0, flood).chain(others) {
                     asked[usize::from(tenant)] += 1;
                     let room = if limited {
--- a/router/src/stages/stream.rs
+++ b/router/src/stages/stream.rs
@@ -18,7 +18,7 @@
 /// that goes on so (key updates, empty records) is after nothing else than our time.
 const MOST_BARREN: u32 = 1024;
 /// What rustls holds for a connection beside what waits in it, measured (`docs/measurements/identity.md`).
-const TLS_SIZE: usize = 24 * 1024;
+const TLS_SIZE: usize = 16 * 1024;
 
 pub enum Stream {
     Plain(Async<TcpStream>),
--- a/router/tests/common/guarded.rs
+++ b/router/tests/common/guarded.rs
@@ -27,7 +27,7 @@
 	{name: "chief.example", subject: "chief", tenant: "north", roles: ["crew", "safety"]},
 ]
 tenants: {
-	north: limits: {}
+	north: limits: {per_second: 100000, burst: 10000}
 	flood: limits: {per_second: 20, burst: 5}
 }
 roles: {
--- a/settings/src/export.rs
+++ b/settings/src/export.rs
@@ -1,6 +1,6 @@
 //! From one worked-out value to what is used: defaults taken, nothing left open, each with its origin.
 
-use crate::report::{place, Problem, Sources};
+use crate::report::{Problem, Sources};
 use crate::value::{asked_by, Form, Must, Slot, V};
 use crate::Used;
 
@@ -9,12 +9,20 @@
     pub used: Vec<Used>,
     pub problems: Vec<Problem>,
     pub steps: usize,
+    /// Where the lines of the text begin; looked up for each value.
+    lines: Vec<usize>,
 }
 
 /// So many values may come out; a text of ten thousand lines has a tenth.
 const MOST_VALUES: usize = 200_000;
 
-impl Export<'_> {
+impl<'a> Export<'a> {
+    pub fn new(sources: &'a Sources) -> Self {
+        let text = &sources[0].1;
+        let lines = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n').map(|(at, _)| at + 1);
+        Export { sources, used: Vec::new(), problems: Vec::new(), steps: 0, lines: lines.collect() }
+    }
+
     pub fn whole(&mut self, of: &V) -> serde_json::Value {
         self.value(of, "", of)
     }
@@ -30,8 +38,8 @@
         }
         match &of.form {
             Form::Scalar(scalar) => {
-                let (file, text) = &self.sources[of.at.file];
-                let from = (of.at.file == 0).then(|| (file.clone(), place(text, of.at.start).0));
+                let line = || 1 + self.lines.partition_point(|start| *start <= of.at.start);
+                let from = (of.at.file == 0).then(|| (self.sources[0].0.clone(), line()));
                 self.used.push(Used { path: path.to_owned(), value: scalar.to_string(), from });
                 scalar.json()
             }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -106,8 +106,7 @@
         let at = Span::new(0, 0, 0);
         let whole = evaluator.whole(&schema, &own, self.root, at);
         let (tired, mut problems) = (evaluator.unifier.tired, evaluator.problems);
-        let mut export =
-            export::Export { sources: &sources, used: Vec::new(), problems: Vec::new(), steps: 0 };
+        let mut export = export::Export::new(&sources);
         let json = export.whole(&whole);
         // What is missing of a text that could not be read whole may well stand in it.
         if problems.is_empty() {
--- a/settings/src/value.rs
+++ b/settings/src/value.rs
@@ -396,6 +396,10 @@
                 }
             }
         }
+        if let (Form::Scalar(_), false) = (&other.form, open.is_empty()) {
+            // What is said is said, also where it is what it would be by default.
+            return Rc::clone(other);
+        }
         match open.len() {
             0 => {
                 // A default is one of what may be there: the other way says what that is.
--- a/settings/tests/records.rs
+++ b/settings/tests/records.rs
@@ -98,9 +98,9 @@
 #[test]
 fn each_value_used_tells_its_origin() {
     let schema = Schema::new(&[("root.schema", SCHEMA)], "#Root");
-    let read = schema.read::<Value>("f.cue", "roles: {}\n\nskew: 1500ms").expect("it is right");
+    let read = schema.read::<Value>("f.cue", "roles: {}\n\nskew: 1500ms\nshare: 0.5").expect("it is right");
     let told: Vec<String> = read.used.iter().map(ToString::to_string).collect();
-    assert_eq!(told, ["skew = 1500ms  (f.cue:3)", "most = 16KiB  (default)", "share = 0.5  (default)"]);
+    assert_eq!(told, ["skew = 1500ms  (f.cue:3)", "most = 16KiB  (default)", "share = 0.5  (f.cue:4)"]);
 }
 
 #[test_case("[".repeat(100_000); "brackets")]
