--- a/handover/src/old.rs
+++ b/handover/src/old.rs
@@ -42,8 +42,10 @@
     /// What is in use here, and what the new one has.
     kept: Lease,
     due: Option<Micros>,
-    /// When the new one was last asked whether it is there, in the drain.
+    /// The new one has been asked whether it is there, and has not answered yet.
     pinged: bool,
+    /// It has answered once since it serves: one that hangs with the commit is not left alone.
+    answered: bool,
     settings: u64,
     #[cfg(test)]
     pub(crate) fault: Option<crate::model::Fault>,
@@ -59,6 +61,7 @@
             kept: share,
             due: None,
             pinged: false,
+            answered: false,
             settings,
             #[cfg(test)]
             fault: None,
@@ -204,8 +207,9 @@
             }
             (Step::Commits, Message::Took) => {
                 self.go(Step::Drains, now, self.patience.silence);
-                self.pinged = false;
+                (self.pinged, self.answered) = (true, false);
                 vec![
+                    Effect::Send(Message::Ping),
                     Effect::Accept(false),
                     Effect::Say(
                         "upgrade: the new process serves, this one finishes what it has taken".into(),
@@ -215,7 +219,7 @@
             }
             (Step::Drains, Message::Pong) => {
                 self.go(Step::Drains, now, self.patience.silence);
-                self.pinged = false;
+                (self.pinged, self.answered) = (false, true);
                 Vec::new()
             }
             // What was on its way when it was given up.
@@ -250,7 +254,7 @@
 
     /// Nothing is left in hand, and no client's connection.
     pub fn drained(&mut self) -> Vec<Effect> {
-        if self.step != Step::Drains {
+        if self.step != Step::Drains || !self.answered {
             return Vec::new();
         }
         (self.step, self.due) = (Step::Over, None);
--- a/identity/src/revocation.rs
+++ b/identity/src/revocation.rs
@@ -145,6 +145,23 @@
         self.number
     }
 
+    /// All that is known, as a whole page in the form of [`Page::parse`], and when it was last heard.
+    pub fn page(&self) -> (Option<Micros>, String) {
+        let entry = |(what, word): (&What, &Word)| {
+            let (kind, name) = match what {
+                What::Token(name) => ("token", name),
+                What::Subject(name) => ("subject", name),
+                What::Key(name) => ("key", name),
+                What::Certificate(name) => ("certificate", name),
+            };
+            let until = word.until.map(|until| until.0.div_ceil(1_000_000));
+            serde_json::json!({"number": word.number, kind: name.as_ref(), "lifted": word.lifted, "until": until})
+        };
+        let entries: Vec<serde_json::Value> = self.words.iter().map(entry).collect();
+        let page = serde_json::json!({"to": self.number, "whole": true, "entries": entries});
+        (self.told, page.to_string())
+    }
+
     pub fn count(&self) -> usize {
         self.words.values().filter(|word| !word.lifted).count()
     }
--- a/identity/src/workshop.rs
+++ b/identity/src/workshop.rs
@@ -146,7 +146,8 @@
             algorithm: algorithm.word().to_owned(),
             secret: STANDARD.encode(document.as_ref()),
             made: now,
-            signs: if first { now } else { now + lead },
+            // `now` is cut to whole seconds: one more makes the lead no shorter than was asked for.
+            signs: if first { now } else { now + lead + u64::from(lead > 0) },
             retired: None,
             until: None,
         });
--- a/limits/src/lib.rs
+++ b/limits/src/lib.rs
@@ -14,7 +14,7 @@
 //! assert!(limits.take(Micros(9000), CustomerNo(0), false).is_ok());
 //! ```
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use ternpick::types::{CustomerNo, Micros};
 
 /// Repeats saved up at the most, for each lookup's share of them.
@@ -77,6 +77,8 @@
 struct Tenant {
     terms: Terms,
     in_hand: usize,
+    /// In hand at another process of this router, while that gives way.
+    elsewhere: usize,
     /// Lookups that it may begin at once, and since when that is counted.
     tokens: f64,
     counted: Micros,
@@ -109,7 +111,7 @@
 impl Tenant {
     fn new(terms: Terms) -> Self {
         let (tokens, repeats) = (terms.burst, REPEATS_SAVED * terms.repeats);
-        Tenant { terms, in_hand: 0, tokens, counted: Micros(0), repeats }
+        Tenant { terms, in_hand: 0, elsewhere: 0, tokens, counted: Micros(0), repeats }
     }
 
     fn count_up(&mut self, now: Micros) {
@@ -118,7 +120,47 @@
     }
 }
 
+/// What is counted, for another process: by tenant the lookups that it may begin at once and the repeats that it has
+/// left; the limit on all. Without it, bursts and repeats begin anew.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Counted {
+    pub tenants: Vec<(f64, f64)>,
+    pub limit: f64,
+    /// Lookups that the other process still has in hand, by tenant.
+    pub in_hand: Vec<usize>,
+}
+
 impl Limits {
+    pub fn counted(&mut self, now: Micros) -> Counted {
+        self.tenants.iter_mut().for_each(|tenant| tenant.count_up(now));
+        Counted {
+            tenants: self.tenants.iter().map(|tenant| (tenant.tokens, tenant.repeats)).collect(),
+            limit: self.limit,
+            in_hand: self.tenants.iter().map(|tenant| tenant.in_hand).collect(),
+        }
+    }
+
+    /// Goes on from what another process counted, on the same tenants. What it has in hand counts here too, until
+    /// [`Limits::other_done`].
+    pub fn go_on(&mut self, now: Micros, from: &Counted) {
+        let all = self.tenants.iter_mut().zip(from.tenants.iter().zip(&from.in_hand));
+        for (tenant, ((tokens, repeats), in_hand)) in all {
+            tenant.tokens = if tokens.is_finite() { tokens.clamp(0.0, tenant.terms.burst) } else { 0.0 };
+            tenant.repeats = if repeats.is_finite() { repeats.max(0.0) } else { 0.0 };
+            tenant.counted = now;
+            tenant.elsewhere = *in_hand;
+        }
+        if from.limit.is_finite() {
+            self.limit =
+                from.limit.clamp(self.whole.least as f64, self.whole.most.max(self.whole.least) as f64);
+        }
+    }
+
+    /// The other process has nothing left in hand.
+    pub fn other_done(&mut self) {
+        self.tenants.iter_mut().for_each(|tenant| tenant.elsewhere = 0);
+    }
+
     /// `tenants` by number, from 0.
     pub fn new(tenants: Vec<Terms>, whole: Whole) -> Self {
         Limits {
@@ -182,7 +224,7 @@
             return Err(Refused::InHand { come_back: Micros(0) });
         };
         of.count_up(now);
-        if of.in_hand >= of.terms.in_hand {
+        if of.in_hand + of.elsewhere >= of.terms.in_hand {
             return Err(Refused::InHand { come_back: soon });
         }
         if of.tokens < 1.0 {
--- a/router/src/lifecycle/cli.rs
+++ b/router/src/lifecycle/cli.rs
@@ -8,7 +8,7 @@
 
 use crate::lifecycle::reload::Source;
 use crate::lifecycle::tls::Tls;
-use crate::lifecycle::{config, settings, start, tools};
+use crate::lifecycle::{config, control, settings, start, takeover, tools};
 
 /// The root node (query router) of a sharded search service.
 #[derive(Parser)]
@@ -28,6 +28,9 @@
         /// The settings file: identity, TLS, the log. Without it none of these is on
         #[arg(long, env = "ROUTER_SETTINGS")]
         settings: Option<PathBuf>,
+        /// Takes the place of the process that started this one, over its standard input
+        #[arg(long, hide = true)]
+        take_over: Option<u32>,
     },
     /// Reads a configuration, a settings file or both, and prints what would be used
     Check {
@@ -46,6 +49,8 @@
     Token(tools::Token),
     /// Revokes a token, a subject, a key or a certificate
     Revoke(tools::Revoke),
+    #[command(flatten)]
+    Control(control::Commands),
     /// Tells what callers may do
     #[command(subcommand)]
     Rights(tools::RightsCommand),
@@ -53,11 +58,15 @@
     Version,
 }
 
-fn serve(config: PathBuf, path: Option<PathBuf>) -> Result<(), String> {
+fn serve(config: PathBuf, path: Option<PathBuf>, take_over: Option<u32>) -> Result<(), String> {
     let opening = config::read(&config)?;
     let settings = path.as_deref().map(settings::read).transpose()?.unwrap_or_default();
     let source = Source { path: config, settings: path, fixed: opening.fixed.clone() };
-    start::serve(opening, settings, source)
+    let from = match take_over {
+        Some(old) => start::From::Process(takeover::link()?, old),
+        None => start::From::Nothing,
+    };
+    start::serve(opening, settings, source, from)
 }
 
 fn check(config: Option<PathBuf>, path: Option<PathBuf>) -> Result<(), String> {
@@ -79,12 +88,16 @@
 
 pub fn run() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Serve { config, settings } => serve(config, settings),
+        Command::Serve { config, settings, take_over } => serve(config, settings, take_over),
         Command::Check { config, settings } => check(config, settings),
         Command::Keys(command) => tools::keys(command),
         Command::Token(command) => tools::token(command),
         Command::Revoke(of) => tools::revoke(of),
         Command::Rights(command) => tools::rights(command),
+        Command::Control(command) => match control::run(command) {
+            Ok(code) => return code,
+            Err(what) => Err(what),
+        },
         Command::Version => {
             println!("ternpick {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/router/src/lifecycle/settings.cue
+++ b/router/src/lifecycle/settings.cue
@@ -20,8 +20,25 @@
 	every: duration & >=100ms & <=1h | *5s
 }
 
+#Control: {
+	// A Unix socket, for its owner alone: status, upgrade, drain.
+	socket: string
+	// Whether the program may be upgraded by it: a second process runs for a while.
+	upgrade: bool | *false
+	// The number of the process that serves, written at each start and hand-over.
+	pid_file?: string
+	// After an upgrade the first process stays as parent of the one that serves, passes signals on and ends with it: for
+	// supervisors that keep their child in the foreground.
+	stays: bool | *false
+	hello: duration & >=100ms & <=5min | *10s
+	step: duration & >=50ms & <=1min | *3s
+	ready: duration & >=100ms & <=5min | *10s
+	silence: duration & >=100ms & <=1min | *3s
+}
+
 #Settings: {
 	log: #Log
+	control?: #Control
 	identity?: #Identity
 	tls?: #Tls
 }
--- a/router/src/lifecycle/settings.rs
+++ b/router/src/lifecycle/settings.rs
@@ -30,9 +30,22 @@
     pub every: u64,
 }
 
+#[derive(Clone, Debug, Deserialize)]
+pub struct ControlTerms {
+    pub socket: String,
+    pub upgrade: bool,
+    pub pid_file: Option<String>,
+    pub stays: bool,
+    pub hello: u64,
+    pub step: u64,
+    pub ready: u64,
+    pub silence: u64,
+}
+
 #[derive(Debug, Deserialize)]
 struct Form {
     log: Log,
+    control: Option<ControlTerms>,
     identity: Option<Value>,
     tls: Option<TlsTerms>,
 }
@@ -46,6 +59,7 @@
 
 pub struct Settings {
     pub log: Log,
+    pub control: Option<ControlTerms>,
     pub identity: Option<IdentityTerms>,
     pub tls: Option<TlsTerms>,
     /// Every value used, a line each with its origin.
@@ -55,7 +69,7 @@
 impl Default for Settings {
     fn default() -> Self {
         let log = Log { form: "text".into(), level: "info".into() };
-        Settings { log, identity: None, tls: None, used: Vec::new() }
+        Settings { log, control: None, identity: None, tls: None, used: Vec::new() }
     }
 }
 
@@ -86,5 +100,5 @@
         tls.listen.parse::<std::net::SocketAddr>().map_err(|_| named("tls.listen is no address".into()))?;
     }
     let used = used.iter().map(ToString::to_string).collect();
-    Ok(Settings { log: form.log, identity, tls: form.tls, used })
+    Ok(Settings { log: form.log, control: form.control, identity, tls: form.tls, used })
 }
--- a/router/src/lifecycle/signals.rs
+++ b/router/src/lifecycle/signals.rs
@@ -17,11 +17,20 @@
 pub async fn obey(
     router: &Router, mut signals: Signals, source: &Source, accepting: async_executor::Task<()>,
 ) {
-    while let Some(signal) = signals.next().await {
-        match signal {
-            Ok(Signal::Hup) => source.reload(router),
-            Ok(_) => break,
-            Err(e) => tracing::warn!("a signal could not be read: {e}"),
+    loop {
+        let told = router.told_to_stop.listen();
+        if router.gone.get() {
+            return;
+        }
+        let told = async {
+            told.await;
+            None
+        };
+        match future::or(signals.next(), told).await {
+            Some(Ok(Signal::Hup)) => source.reload(router),
+            Some(Err(e)) => tracing::warn!("a signal could not be read: {e}"),
+            None if router.gone.get() => return,
+            _ => break,
         }
     }
     let heard = async {
--- /dev/null
+++ b/router/src/lifecycle/snapshot.rs
@@ -0,0 +1,116 @@
+//! What a router passes to the process that takes its place: one form, each field as plain data with ages, not times.
+//! A reader that lacks a field, or cannot use it, does as after a plain start.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use ternpick::brain::Beliefs;
+use ternpick::types::{Micros, NodeId, Phase};
+use ternpick_limits::Counted;
+
+use crate::lifecycle::watch;
+use crate::stages::Router;
+
+/// The form of the snapshot; another one is not read.
+pub const FORM: u16 = 1;
+
+#[derive(Serialize, Deserialize)]
+pub struct Snapshot {
+    pub form: u16,
+    /// The roster as discovery words it, with its version. Without it: the list of the configuration.
+    pub roster: String,
+    /// The numbers that beliefs name nodes by, and the nodes' names.
+    pub names: Vec<(u64, String)>,
+    pub beliefs: Beliefs,
+    /// Limits of tenants. Without it: full bursts.
+    pub limits: Option<Counted>,
+    /// The set of keys as it was served, and its age in microseconds. Without it: none until the source is heard.
+    pub keys: Option<(u64, String)>,
+    /// All revocations, and their age. Without it: none until the source is heard, and no trust before.
+    pub revocations: Option<(u64, String)>,
+}
+
+fn roster(router: &Router) -> (Value, Vec<(u64, String)>) {
+    let desk = router.desk.borrow();
+    let (mut entries, mut names) = (Vec::new(), Vec::new());
+    for (id, name, address) in desk.office.nodes.all() {
+        let Some(node) = desk.brain.nodes.get(&id) else { continue };
+        let listing = &node.listing;
+        let status = match listing.phase {
+            Phase::Ready => "Ready",
+            Phase::Draining => "Terminating",
+            Phase::Gone => continue,
+        };
+        let zone = desk.office.bounds.zone_names.get(usize::from(listing.zone.0));
+        entries.push(json!({"name": name, "address": address.to_string(), "zone": zone,
+            "group": listing.cell.0, "status": status, "since_ms": listing.started.0 / 1000}));
+        names.push((id.0, name.to_owned()));
+    }
+    (json!({"index": router.roster_version.get(), "snapshot": true, "endpoints": entries}), names)
+}
+
+impl Snapshot {
+    pub fn take(router: &Router) -> Snapshot {
+        let (roster, names) = roster(router);
+        let now = router.clock.now();
+        let [keys, revocations] = router.gate.as_ref().map_or([None, None], |gate| gate.kept(router));
+        let mut desk = router.desk.borrow_mut();
+        let limits = desk.office.limits.as_mut().map(|limits| limits.counted(now));
+        let beliefs = desk.brain.beliefs(now);
+        Snapshot { form: FORM, roster: roster.to_string(), names, beliefs, limits, keys, revocations }
+    }
+
+    pub fn bytes(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    pub fn parse(bytes: &[u8]) -> Result<Snapshot, String> {
+        let snapshot: Snapshot = postcard::from_bytes(bytes).map_err(|e| e.to_string())?;
+        match snapshot.form {
+            FORM => Ok(snapshot),
+            other => Err(format!("form {other} is not known")),
+        }
+    }
+
+    /// Takes it in; tells the version of the roster. Numbers of nodes are this process's own.
+    pub fn apply(mut self, router: &Router) -> Result<u64, String> {
+        let roster: Value = serde_json::from_str(&self.roster).map_err(|e| e.to_string())?;
+        let version = watch::take_list(router, &roster).map_err(str::to_owned)?;
+        let names: HashMap<u64, String> = self.names.into_iter().collect();
+        let now = router.clock.now();
+        let (nodes, taken) = {
+            let mut desk = router.desk.borrow_mut();
+            let crate::stages::Desk { brain, office } = &mut *desk;
+            let known = |id: &u64| office.nodes.number(names.get(id)?);
+            let nodes = std::mem::take(&mut self.beliefs.nodes);
+            let count = nodes.len();
+            self.beliefs.nodes =
+                nodes.into_iter().filter_map(|(id, belief)| Some((known(&id)?.0, belief))).collect();
+            let taken = brain.believe(now, &self.beliefs);
+            if let (Some(limits), Some(counted)) = (&mut office.limits, &self.limits) {
+                limits.go_on(now, counted);
+            }
+            (count, taken)
+        };
+        if let Some(gate) = &router.gate {
+            let now = gate.now(router);
+            let then = |age: u64| now.since(Micros(age));
+            if let Some((age, text)) = &self.keys {
+                gate.told_of_keys(then(*age), text.as_bytes())?;
+            }
+            if let Some((age, text)) = &self.revocations {
+                gate.told_of_revocations(then(*age), text.as_bytes())?;
+            }
+        }
+        tracing::info!(
+            "upgrade: beliefs of {taken} of {nodes} nodes are taken over, roster version {version}"
+        );
+        Ok(version)
+    }
+}
+
+/// The number of a node, for status.
+pub fn number(id: NodeId) -> String {
+    format!("{:x}", id.0)
+}
--- a/router/src/lifecycle/start.rs
+++ b/router/src/lifecycle/start.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::rc::Rc;
 
 use async_executor::LocalExecutor;
@@ -9,14 +10,18 @@
 use event_listener::Event;
 use futures_lite::future;
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
+use serde_json::Value;
 use ternpick::brain::Brain;
 
 use crate::lifecycle::clock::Clock;
 use crate::lifecycle::config::Opening;
+use crate::lifecycle::control::{self, Control};
+use crate::lifecycle::link::Link;
 use crate::lifecycle::reload::Source;
-use crate::lifecycle::settings::Settings;
+use crate::lifecycle::settings::{ControlTerms, Settings};
 use crate::lifecycle::tls::{self, Tls};
-use crate::lifecycle::{logging, signals, sources, watch};
+use crate::lifecycle::upgrade::{self, Share, Start};
+use crate::lifecycle::{logging, signals, sources, stop, takeover, watch};
 use crate::memory::budget::Budget;
 use crate::memory::descriptors::Descriptors;
 use crate::stages::book::Office;
@@ -36,24 +41,47 @@
     current
 }
 
-fn bind(listen: SocketAddr, sockets: usize) -> Result<Async<TcpListener>, String> {
+fn bind(listen: SocketAddr, sockets: usize) -> Result<TcpListener, String> {
     let listener = TcpListener::bind(listen).and_then(|listener| {
         // Connections that wait to be accepted are the router's already, so there is room for all it may hold.
         rustix::net::listen(&listener, i32::try_from(sockets).unwrap_or(i32::MAX))?;
-        Async::new(listener)
+        Ok(listener)
     });
     listener.map_err(|e| format!("cannot listen on {listen}: {e}"))
 }
 
+/// The digest of what a router runs on, for the process that is to take its place.
+fn digest(source: &Source) -> u64 {
+    let settings = source.settings.as_ref().and_then(|path| std::fs::read(path).ok()).unwrap_or_default();
+    let fixed: String = source.fixed.iter().map(Value::to_string).collect();
+    u64::from(crc32fast::hash(fixed.as_bytes())) << 32 | u64::from(crc32fast::hash(&settings))
+}
+
+/// Both listeners, the plain one first.
+fn bind_all(listen: SocketAddr, tls: Option<&Rc<Tls>>, sockets: usize) -> Result<Vec<TcpListener>, String> {
+    let addresses = std::iter::once(listen).chain(tls.map(|tls| tls.listen));
+    addresses.map(|address| bind(address, sockets)).collect()
+}
+
+/// How a router starts: on its own, or in another process's place.
+pub enum From {
+    Nothing,
+    /// The link to it, and its number.
+    Process(Link, u32),
+}
+
 /// Serves until told to stop and nothing taken is left unanswered.
-pub fn serve(opening: Opening, settings: Settings, source: Source) -> Result<(), String> {
+pub fn serve(opening: Opening, settings: Settings, source: Source, from: From) -> Result<(), String> {
     logging::start(&settings.log);
     let signals = signals::listen()?;
+    let digest = digest(&source);
     let Opening { name, listen, discovery, seed, sockets, memory, known, mut tariff, bounds, .. } = opening;
     let sockets = descriptors(sockets);
-    let listener = bind(listen, sockets)?;
     let tls = settings.tls.map(Tls::new).transpose()?;
-    let tls_listener = tls.as_ref().map(|tls| bind(tls.listen, sockets)).transpose()?;
+    let bound = match from {
+        From::Nothing => Some(bind_all(listen, tls.as_ref(), sockets)?),
+        From::Process(..) => None,
+    };
     let gate =
         settings.identity.as_ref().map(|of| Gate::new(of, seed).map(|(gate, limits)| (gate, limits, of)));
     let (gate, limits) = match gate.transpose().map_err(|fault| format!("identity: {fault}"))? {
@@ -79,12 +107,22 @@
         discovery: Cell::new(discovery),
         moved: Event::new(),
         stopping: Cell::new(None),
+        accepts: Cell::new(true),
+        accepts_changed: Event::new(),
+        handing: Cell::new(false),
+        handed: RefCell::default(),
+        handed_more: Event::new(),
+        handing_changed: Event::new(),
+        roster_version: Cell::new(known["index"].as_u64().unwrap_or(0)),
+        gone: Cell::new(false),
+        told_to_stop: Event::new(),
         closing: Event::new(),
         accepts_no_more: Cell::new(false),
     });
+    let share = Rc::new(Share::of(&router));
+    let control = settings.control;
     let executor = Rc::clone(&router.executor);
-    future::block_on(executor.run(async {
-        executor.spawn(watch::watch(Rc::clone(&router), known["index"].as_u64().unwrap_or(0))).detach();
+    let heir = future::block_on(executor.run(async {
         executor.spawn(route::turns(Rc::clone(&router))).detach();
         // The tasks are to listen before they are called upon.
         future::yield_now().await;
@@ -94,7 +132,29 @@
                 0
             });
         }
-        if !asked {
+        let listeners = match (bound, from) {
+            (Some(bound), _) => bound,
+            (None, From::Nothing) => bind_all(listen, tls.as_ref(), sockets)?,
+            (None, From::Process(link, old)) => {
+                let patience = control.as_ref().map(upgrade::patience).unwrap_or_default();
+                let taken = takeover::take_over(&router, &share, (link, old), patience, digest).await?;
+                let listeners = match &taken.listeners {
+                    Some(passed) => {
+                        let again = passed.iter().map(TcpListener::try_clone);
+                        again
+                            .collect::<Result<Vec<_>, _>>()
+                            .map_err(|e| format!("a listener is spoilt: {e}"))?
+                    }
+                    None => bind_all(listen, tls.as_ref(), sockets)?,
+                };
+                router.roster_version.set(taken.version.unwrap_or(router.roster_version.get()));
+                executor.spawn(takeover::follow(Rc::clone(&router), Rc::clone(&share), taken)).detach();
+                listeners
+            }
+        };
+        executor.spawn(watch::watch(Rc::clone(&router), router.roster_version.get())).detach();
+        future::yield_now().await;
+        if !asked || router.desk.borrow_mut().office.watch_wanted {
             router.watch.notify(1);
         }
         tracing::info!(
@@ -102,20 +162,56 @@
             router.desk.borrow().office.nodes.count()
         );
         sources::start(&router);
-        let mut secure = None;
-        if let Some((tls, listener)) = tls.zip(tls_listener) {
-            tracing::info!("{name} serves TLS on {}", tls.listen);
-            executor.spawn(tls::watch(Rc::clone(&router), Rc::clone(&tls))).detach();
-            secure = Some(executor.spawn(take_in::accept(Rc::clone(&router), listener, Some(tls))));
+        let control = match control {
+            Some(terms) => Some(open_control(&router, &share, terms, &source, digest, &listeners, &name)?),
+            None => None,
+        };
+        let mut accepting = Vec::new();
+        for (at, listener) in listeners.into_iter().enumerate() {
+            let listener = Async::new(listener).map_err(|e| format!("cannot listen on {listen}: {e}"))?;
+            let tls = if at == 0 { None } else { tls.clone() };
+            if let Some(tls) = &tls {
+                tracing::info!("{name} serves TLS on {}", tls.listen);
+                executor.spawn(tls::watch(Rc::clone(&router), Rc::clone(tls))).detach();
+            }
+            accepting.push(executor.spawn(take_in::accept(Rc::clone(&router), listener, tls)));
         }
-        let plain = executor.spawn(take_in::accept(Rc::clone(&router), listener, None));
         let accepting = executor.spawn(async {
-            plain.await;
-            if let Some(secure) = secure {
-                secure.await;
+            for task in accepting {
+                task.await;
             }
         });
         signals::obey(&router, signals, &source, accepting).await;
-        Ok(())
-    }))
+        let stays = control.filter(|control| control.terms.stays && router.gone.get());
+        Ok::<_, String>(stays.and_then(|control| control.upgrades.heir.take()))
+    }))?;
+    drop(router);
+    match heir {
+        Some(heir) => stop::stay(heir),
+        None => Ok(()),
+    }
+}
+
+/// Opens the control socket, and writes down which process serves.
+fn open_control(
+    router: &Rc<Router>, share: &Rc<Share>, terms: ControlTerms, source: &Source, digest: u64,
+    listeners: &[TcpListener], name: &str,
+) -> Result<Rc<Control>, String> {
+    let passed = listeners.iter().map(|of| of.try_clone().map(OwnedFd::from));
+    let passed = passed.collect::<Result<Vec<_>, _>>().map_err(|e| format!("a listener is spoilt: {e}"))?;
+    if let Some(path) = &terms.pid_file {
+        let text = format!("{}\n", std::process::id());
+        ternpick_store::replace(path.as_ref(), text.as_bytes()).map_err(|fault| fault.to_string())?;
+    }
+    let socket = control::bind(terms.socket.as_ref())?;
+    let start = Start {
+        program: std::env::current_exe().map_err(|e| format!("the program is not to be found: {e}"))?,
+        config: source.path.clone(),
+        settings: source.settings.clone().unwrap_or_default(),
+    };
+    let upgrades = upgrade::upgrades(share, &terms, digest, passed);
+    let control = Rc::new(Control::new(terms, start, upgrades, name));
+    let serving = control::serve(Rc::clone(router), Rc::clone(&control), socket);
+    router.executor.spawn(serving).detach();
+    Ok(control)
 }
--- a/router/src/lifecycle/stop.rs
+++ b/router/src/lifecycle/stop.rs
@@ -1,14 +1,22 @@
 //! Stop: on SIGTERM or SIGINT a router goes on accepting and serving for a while, then leaves by itself once
 //! nothing that it has taken is unanswered.
 
+use std::process::Child;
+use std::time::Duration;
+
 use async_executor::Task;
 use async_io::Timer;
+use async_signal::Signals;
+use futures_lite::{future, StreamExt};
+use rustix::process::{kill_process, Pid, Signal};
 use ternpick::types::Micros;
 
 use crate::stages::Router;
 
 /// New connections may go on coming for so long after the signal, by the protocol.
 const STILL_ACCEPTS: Micros = Micros(700_000);
+/// How often a parent looks whether its heir lives.
+const LOOK_AT_HEIR: Duration = Duration::from_millis(100);
 /// How often it is looked whether all is answered.
 const LOOK_AGAIN: Micros = Micros(5_000);
 
@@ -49,3 +57,36 @@
         router.descriptors.highest()
     );
 }
+
+/// Stays as the parent of the process that has taken over: passes signals on, and ends as it ends. For supervisors that
+/// keep their child in the foreground.
+pub fn stay(mut heir: Child) -> Result<(), String> {
+    let pid = Pid::from_child(&heir);
+    let mut signals =
+        Signals::new([async_signal::Signal::Term, async_signal::Signal::Int, async_signal::Signal::Hup])
+            .map_err(|e| format!("cannot wait for signals: {e}"))?;
+    tracing::info!("upgrade: this process stays as the parent of {}", heir.id());
+    future::block_on(async {
+        loop {
+            if let Some(status) = heir.try_wait().map_err(|e| e.to_string())? {
+                return if status.success() {
+                    Ok(())
+                } else {
+                    Err(format!("the process that served: {status}"))
+                };
+            }
+            let look = async {
+                Timer::after(LOOK_AT_HEIR).await;
+                None
+            };
+            let signal = match future::or(signals.next(), look).await {
+                Some(Ok(async_signal::Signal::Hup)) => Signal::HUP,
+                Some(Ok(_)) => Signal::TERM,
+                _ => continue,
+            };
+            if let Err(e) = kill_process(pid, signal) {
+                tracing::debug!("upgrade: a signal could not be passed on: {e}");
+            }
+        }
+    })
+}
--- /dev/null
+++ b/router/src/lifecycle/upgrade.rs
@@ -0,0 +1,371 @@
+//! The old side of an upgrade, driven: starts the new process, carries out what [`ternpick_handover::Old`] says, and
+//! passes clients' connections on. Also how a lease is put to use, on both sides.
+
+use std::cell::{Cell, RefCell};
+use std::os::fd::{AsFd, OwnedFd};
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+
+use async_io::Timer;
+use futures_lite::future;
+use rustix::process::{kill_process, Pid, Signal};
+use ternpick::brain::Whole;
+use ternpick::types::Micros;
+use ternpick_handover::{Effect, FromNew, Lease, Message, Old, Patience};
+
+use crate::lifecycle::link::Link;
+use crate::lifecycle::settings::ControlTerms;
+use crate::lifecycle::snapshot::Snapshot;
+use crate::memory::descriptors::OWN;
+use crate::stages::Router;
+
+/// How often it is looked whether the new process lives, and whether anything is left here.
+const LOOK: Micros = Micros(10_000);
+/// A link that has ended while the process lives is only broken once the process had the time to be seen dead.
+const SEEN_DEAD: Micros = Micros(200_000);
+/// Bytes of the snapshot in one message.
+const PIECE: usize = 64 * 1024;
+/// Connections to nodes that a draining process may still open for what it has in hand.
+const SPARE_SOCKETS: usize = 8;
+
+/// Lookups and parts that each client's connection may still bring here.
+const HELD_A_CLIENT: usize = 4;
+
+/// What a router may use in all, and how much of it this process does while another has a part.
+pub struct Share {
+    whole: Lease,
+    total: usize,
+    memory: usize,
+    /// The constant part of the budget of further calls.
+    spare: f64,
+    lent: RefCell<Option<Whole>>,
+}
+
+impl Share {
+    pub fn of(router: &Router) -> Share {
+        let desk = router.desk.borrow();
+        let number = |of: usize| u32::try_from(of).unwrap_or(u32::MAX);
+        let (total, memory) = (router.descriptors.total(), router.budget.limit());
+        let whole = Lease {
+            held: desk.office.bounds.most_held.map_or(u32::MAX, number),
+            extra: desk.brain.tariff.extra_spare.clamp(0.0, 1e9) as u32,
+            // The new process has descriptors of its own beside its peers', out of the same number.
+            sockets: number(total.saturating_sub(OWN)),
+            memory: memory as u64,
+        };
+        let spare = desk.brain.tariff.extra_spare;
+        Share { whole, total, memory, spare, lent: RefCell::default() }
+    }
+
+    pub fn whole(&self) -> Lease {
+        self.whole
+    }
+
+    /// What is in use here now.
+    fn uses(&self, router: &Router) -> Lease {
+        // Requests that are half read here are taken here.
+        let half_read = HELD_A_CLIENT * router.descriptors.clients();
+        let held = router.desk.borrow().office.ledger.held() + half_read;
+        let sockets = router.descriptors.held() + SPARE_SOCKETS;
+        let number = |of: usize| u32::try_from(of).unwrap_or(u32::MAX);
+        Lease { held: number(held), extra: 0, sockets: number(sockets), memory: router.budget.used() as u64 }
+    }
+
+    /// Puts a lease to use. `goes_on`: this process takes in new lookups.
+    pub fn put_to_use(&self, router: &Router, lease: Lease, goes_on: bool) {
+        let whole = lease == self.whole;
+        let mut desk = router.desk.borrow_mut();
+        let desk = &mut *desk;
+        desk.office.lent = (!whole && lease.held < u32::MAX).then_some(lease.held as usize);
+        if let Some(lent) = self.lent.borrow_mut().take() {
+            desk.brain.keep_whole(lent);
+        }
+        if whole {
+            desk.brain.tariff.extra_spare = self.spare;
+            if let Some(limits) = &mut desk.office.limits {
+                limits.other_done();
+            }
+            router.descriptors.set_total(self.total);
+            router.budget.set_limit(self.memory);
+            return;
+        }
+        if goes_on {
+            // What the other one keeps of the constant part of the budget is not this one's.
+            desk.brain.tariff.extra_spare = f64::from(lease.extra);
+        } else {
+            self.lent.replace(Some(desk.brain.keep_part(f64::from(lease.extra))));
+        }
+        router.descriptors.set_total(lease.sockets as usize);
+        router.budget.set_limit(usize::try_from(lease.memory).unwrap_or(usize::MAX));
+    }
+}
+
+/// What a new process is started as.
+#[derive(Clone, Debug)]
+pub struct Start {
+    pub program: PathBuf,
+    pub config: PathBuf,
+    pub settings: PathBuf,
+}
+
+pub fn patience(of: &ControlTerms) -> Patience {
+    let (hello, step) = (Micros(of.hello), Micros(of.step));
+    Patience { hello, step, ready: Micros(of.ready), silence: Micros(of.silence) }
+}
+
+pub struct Upgrades {
+    pub machine: RefCell<Old>,
+    pub share: Rc<Share>,
+    pub listeners: Vec<OwnedFd>,
+    /// The process that has taken over, for who stays as its parent.
+    pub heir: RefCell<Option<Child>>,
+    pub begun: Cell<u32>,
+}
+
+/// What a wait has brought.
+enum Came {
+    Message(Message),
+    Broke,
+    Nothing,
+}
+
+struct Run<'a> {
+    router: &'a Rc<Router>,
+    of: &'a Upgrades,
+    start: &'a Start,
+    link: Option<Link>,
+    child: Option<Child>,
+    asked_to_end: bool,
+    broke: Option<Micros>,
+    left: bool,
+    why: String,
+}
+
+impl Run<'_> {
+    fn spawn(&mut self) -> Result<(), String> {
+        let (ours, theirs) = UnixStream::pair().map_err(|e| format!("no link: {e}"))?;
+        let Start { program, config, settings } = self.start;
+        let mut command = Command::new(program);
+        command
+            .arg("serve")
+            .arg("--config")
+            .arg(config)
+            .arg("--settings")
+            .arg(settings)
+            .arg("--take-over")
+            .arg(std::process::id().to_string());
+        command.stdin(Stdio::from(OwnedFd::from(theirs)));
+        self.child =
+            Some(command.spawn().map_err(|e| format!("{} cannot be started: {e}", program.display()))?);
+        self.link = Some(Link::new(ours).map_err(|e| format!("no link: {e}"))?);
+        Ok(())
+    }
+
+    async fn send(&mut self, message: &Message, listeners: bool) {
+        let fds: Vec<_> = match listeners {
+            true => self.of.listeners.iter().map(AsFd::as_fd).collect(),
+            false => Vec::new(),
+        };
+        let Some(link) = &self.link else { return };
+        // A new process that reads nothing is found out by the time of the step.
+        let due = self.of.machine.borrow().due();
+        let sent = self.router.until(due, link.send(message, &fds)).await;
+        if !matches!(sent, Some(Ok(()))) {
+            self.broke = self.broke.or(Some(self.router.clock.now()));
+        }
+    }
+
+    /// Ends the new process: asked, and the second time for good.
+    fn end_peer(&mut self) {
+        let Some(child) = &mut self.child else { return };
+        let pid = Pid::from_child(child);
+        let ended = match std::mem::replace(&mut self.asked_to_end, true) {
+            false => kill_process(pid, Signal::TERM).is_ok(),
+            true => child.kill().is_ok(),
+        };
+        if !ended {
+            tracing::debug!("upgrade: the new process is gone already");
+        }
+    }
+
+    async fn carry_out(&mut self, effects: Vec<Effect>, say: &mut dyn FnMut(&str)) {
+        let router = self.router;
+        for effect in effects {
+            match effect {
+                Effect::Spawn => {
+                    if let Err(what) = self.spawn() {
+                        say(&what);
+                        self.why = what;
+                        self.child = None;
+                    }
+                }
+                Effect::Send(message) => self.send(&message, false).await,
+                Effect::PassListeners => {
+                    let count = u8::try_from(self.of.listeners.len()).unwrap_or(u8::MAX);
+                    self.send(&Message::Descriptors { count }, true).await;
+                }
+                Effect::PassState => {
+                    let bytes = Snapshot::take(router).bytes();
+                    say(&format!("state: {} bytes", bytes.len()));
+                    let pieces: Vec<&[u8]> = bytes.chunks(PIECE).collect();
+                    for (at, piece) in pieces.iter().enumerate() {
+                        let left = u32::try_from(pieces.len() - 1 - at).unwrap_or(u32::MAX);
+                        self.send(&Message::State { left, piece: piece.to_vec() }, false).await;
+                    }
+                }
+                Effect::Accept(accepts) => {
+                    router.accepts.set(accepts);
+                    router.accepts_changed.notify(usize::MAX);
+                }
+                Effect::PassClients(hands) => {
+                    router.handing.set(hands);
+                    router.handing_changed.notify(usize::MAX);
+                }
+                Effect::Use(lease) => {
+                    let goes_on = self.of.machine.borrow().serves();
+                    self.of.share.put_to_use(router, lease, goes_on);
+                }
+                Effect::EndPeer => self.end_peer(),
+                Effect::Leave => self.left = true,
+                Effect::Say(line) => {
+                    tracing::info!("{line}");
+                    say(&line);
+                    if let Some((_, why)) = line.split_once("given up, ") {
+                        self.why = why.to_owned();
+                    }
+                }
+                // Of the other side.
+                Effect::BindAnew => {}
+            }
+        }
+    }
+
+    /// Clients' connections that have become idle go over.
+    async fn pass_clients(&mut self) {
+        loop {
+            let next = self.router.handed.borrow_mut().pop_front();
+            let Some((socket, unread)) = next else { return };
+            let Some(link) = &self.link else { return };
+            let message = Message::Client { unread };
+            let fds = [socket.as_fd()];
+            let sent = link.send(&message, &fds);
+            let late = self.router.clock.now() + LOOK.times(100.0);
+            if !matches!(self.router.until(Some(late), sent).await, Some(Ok(()))) {
+                self.broke = self.broke.or(Some(self.router.clock.now()));
+                return;
+            }
+        }
+    }
+
+    async fn wait(&mut self) -> Came {
+        let router = self.router;
+        let soon = async {
+            Timer::at(router.clock.instant(router.clock.now() + LOOK)).await;
+            Came::Nothing
+        };
+        let more = router.handed_more.listen();
+        let handed = async {
+            more.await;
+            Came::Nothing
+        };
+        let link = self.link.as_mut().filter(|_| self.broke.is_none());
+        let heard = async {
+            match link {
+                Some(link) => match link.receive().await {
+                    Ok(message) => Came::Message(message),
+                    Err(_) => Came::Broke,
+                },
+                None => future::pending().await,
+            }
+        };
+        future::or(heard, future::or(handed, soon)).await
+    }
+
+    /// What the last wait means to the machine.
+    fn event(&mut self, came: Came) -> Option<FromNew> {
+        let now = self.router.clock.now();
+        if let Came::Message(message) = came {
+            return Some(FromNew::Heard(message));
+        }
+        if matches!(came, Came::Broke) {
+            self.broke = self.broke.or(Some(now));
+        }
+        let dead = match &mut self.child {
+            Some(child) => child.try_wait().ok().flatten().is_some(),
+            None => true,
+        };
+        if dead {
+            return Some(FromNew::Died);
+        }
+        let broke = self.broke.is_some_and(|at| now.since(at) >= SEEN_DEAD);
+        broke.then_some(FromNew::Broke)
+    }
+}
+
+/// One upgrade, from its beginning to its end; `say` hears the steps as they happen. What went wrong comes back, and
+/// then this process serves as before.
+pub async fn upgrade(
+    router: &Rc<Router>, of: &Upgrades, start: &Start, say: &mut dyn FnMut(&str),
+) -> Result<(), String> {
+    let effects = of.machine.borrow_mut().begin(router.clock.now()).map_err(str::to_owned)?;
+    of.begun.set(of.begun.get() + 1);
+    let mut run = Run {
+        router,
+        of,
+        start,
+        link: None,
+        child: None,
+        asked_to_end: false,
+        broke: None,
+        left: false,
+        why: "the new process has ended".into(),
+    };
+    run.carry_out(effects, say).await;
+    let mut told_broke = false;
+    loop {
+        let came = run.wait().await;
+        if router.is_stopping() && !of.machine.borrow().drains() {
+            // Told to stop: there is to be no heir that nobody has asked for.
+            if let Some(child) = &mut run.child {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+        let (now, uses) = (router.clock.now(), of.share.uses(router));
+        let effects = match run.event(came) {
+            Some(FromNew::Broke) if std::mem::replace(&mut told_broke, true) => Vec::new(),
+            Some(event) => of.machine.borrow_mut().heard(now, event, uses),
+            None => Vec::new(),
+        };
+        run.carry_out(effects, say).await;
+        let effects = of.machine.borrow_mut().elapsed(now);
+        run.carry_out(effects, say).await;
+        if of.machine.borrow().serves() {
+            // Connections that were on their way over stay here.
+            for (socket, unread) in router.handed.borrow_mut().drain(..) {
+                if let Err(what) = crate::stages::take_in::adopt(router, socket, &unread) {
+                    tracing::warn!("upgrade: a connection is closed, {what}");
+                }
+            }
+            return Err(run.why);
+        }
+        run.pass_clients().await;
+        let nothing = router.descriptors.clients() == 0 && router.handed.borrow().is_empty();
+        if nothing && router.desk.borrow().office.ledger.lookups() == 0 {
+            let effects = of.machine.borrow_mut().drained();
+            run.carry_out(effects, say).await;
+        }
+        if run.left {
+            of.heir.replace(run.child.take());
+            return Ok(());
+        }
+    }
+}
+
+/// The old side of a router that serves, for upgrades to come.
+pub fn upgrades(share: &Rc<Share>, terms: &ControlTerms, digest: u64, listeners: Vec<OwnedFd>) -> Upgrades {
+    let machine = RefCell::new(Old::new(patience(terms), share.whole(), digest));
+    Upgrades { machine, share: Rc::clone(share), listeners, heir: RefCell::default(), begun: Cell::new(0) }
+}
--- a/router/src/lifecycle/watch.rs
+++ b/router/src/lifecycle/watch.rs
@@ -86,6 +86,7 @@
         let Some(answered) = future::or(leaves, called).await else { continue };
         match answered.and_then(|list| take_list(&router, &list).map_err(str::to_owned)) {
             Ok(newer) => {
+                router.roster_version.set(newer);
                 let early = after == Some(newer) && router.clock.now().since(began) < wait;
                 (after, failing) = (Some(newer), false);
                 if early {
--- a/router/src/memory/budget.rs
+++ b/router/src/memory/budget.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 pub struct Budget {
-    limit: usize,
+    limit: Cell<usize>,
     used: Cell<usize>,
 }
 
@@ -18,15 +18,27 @@
     /// Peers get half of the memory that there is: the rest is for the program, its books, and what reading a
     /// message takes beside the message.
     pub fn new(memory: usize) -> Rc<Self> {
-        Rc::new(Budget { limit: memory / 2, used: Cell::new(0) })
+        Rc::new(Budget { limit: Cell::new(memory / 2), used: Cell::new(0) })
     }
 
     pub fn share(self: &Rc<Self>) -> Share {
         Share { of: Rc::clone(self), bytes: 0 }
     }
 
+    pub fn limit(&self) -> usize {
+        self.limit.get()
+    }
+
+    pub fn set_limit(&self, limit: usize) {
+        self.limit.set(limit);
+    }
+
+    pub fn used(&self) -> usize {
+        self.used.get()
+    }
+
     pub fn is_over(&self) -> bool {
-        self.used.get() > self.limit
+        self.used.get() > self.limit.get()
     }
 }
 
--- a/router/src/memory/descriptors.rs
+++ b/router/src/memory/descriptors.rs
@@ -7,7 +7,7 @@
 
 /// What the process holds beside its peers: the standard streams, the poller and its timer, the signals'
 /// pipe, the listener, discovery, and some to spare.
-const OWN: usize = 32;
+pub const OWN: usize = 32;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Peer {
@@ -17,7 +17,7 @@
 
 /// Clients may hold three quarters of what there is and nodes half, so neither can shut the other out.
 pub struct Descriptors {
-    total: usize,
+    total: Cell<usize>,
     clients: Cell<usize>,
     nodes: Cell<usize>,
     highest: Cell<usize>,
@@ -33,6 +33,7 @@
 impl Descriptors {
     pub fn new(limit: usize) -> Rc<Self> {
         let total = limit.saturating_sub(OWN).max(2);
+        let total = Cell::new(total);
         let (clients, nodes, highest) = (Cell::new(0), Cell::new(0), Cell::new(0));
         Rc::new(Descriptors { total, clients, nodes, highest, freed: Event::new() })
     }
@@ -40,15 +41,15 @@
     /// How many a kind of peer holds, and how many it may.
     fn of(&self, peer: Peer) -> (&Cell<usize>, usize) {
         match peer {
-            Peer::Client => (&self.clients, self.total * 3 / 4),
-            Peer::Node => (&self.nodes, self.total / 2),
+            Peer::Client => (&self.clients, self.total.get() * 3 / 4),
+            Peer::Node => (&self.nodes, self.total.get() / 2),
         }
     }
 
     pub fn take(self: &Rc<Self>, peer: Peer) -> Option<Permit> {
         let (used, most) = self.of(peer);
         let all = self.clients.get() + self.nodes.get();
-        if used.get() >= most || all >= self.total {
+        if used.get() >= most || all >= self.total.get() {
             return None;
         }
         used.set(used.get() + 1);
@@ -56,6 +57,21 @@
         Some(Permit { of: Rc::clone(self), peer })
     }
 
+    /// All that peers may hold, and another number for it: two processes share a router's while one gives way.
+    pub fn total(&self) -> usize {
+        self.total.get()
+    }
+
+    pub fn set_total(&self, total: usize) {
+        self.total.set(total.max(2));
+        self.freed.notify(usize::MAX);
+    }
+
+    /// What peers hold now.
+    pub fn held(&self) -> usize {
+        self.clients.get() + self.nodes.get()
+    }
+
     /// The most that peers held at a time.
     pub fn highest(&self) -> usize {
         self.highest.get()
@@ -64,7 +80,7 @@
     /// Idle connections of clients that are kept: clients may hold a third of all descriptors for their requests,
     /// so this leaves most of that to those that ask.
     pub fn kept_idle(&self) -> usize {
-        self.total / 8
+        self.total.get() / 8
     }
 
     pub fn clients(&self) -> usize {
--- a/router/src/memory/nodes.rs
+++ b/router/src/memory/nodes.rs
@@ -128,6 +128,16 @@
         (id, moved || known.is_none())
     }
 
+    /// All nodes with their names and addresses.
+    pub fn all(&self) -> impl Iterator<Item = (NodeId, &str, SocketAddr)> {
+        self.nodes.iter().map(|(id, node)| (*id, node.name.as_str(), node.address))
+    }
+
+    /// The number of a name that is listed.
+    pub fn number(&self, name: &str) -> Option<NodeId> {
+        self.ids.get(name).copied()
+    }
+
     /// Marks all nodes as gone that a whole list did not name.
     pub fn keep_only(&mut self, listed: &[NodeId]) {
         let left: Vec<NodeId> = self.nodes.keys().filter(|id| !listed.contains(id)).copied().collect();
--- a/router/src/memory/ring.rs
+++ b/router/src/memory/ring.rs
@@ -36,6 +36,13 @@
         &self.bytes[self.head..end]
     }
 
+    /// All bytes in order.
+    pub fn to_vec(&self) -> Vec<u8> {
+        let first = self.filled();
+        let rest = &self.bytes[..self.len - first.len()];
+        [first, rest].concat()
+    }
+
     /// Gives up the first `count` bytes.
     pub fn consume(&mut self, count: usize) {
         let count = count.min(self.len);
--- a/router/src/stages/book.rs
+++ b/router/src/stages/book.rs
@@ -54,6 +54,8 @@
     pub returns: VecDeque<Return>,
     pub timers: BTreeSet<(Micros, TimerId)>,
     pub watch_wanted: bool,
+    /// The most that this process may hold while two share a router's; none: as the settings say.
+    pub lent: Option<usize>,
     /// What tenants have in hand; none where they are not told apart.
     pub limits: Option<Limits>,
     /// The last lookup found no room.
@@ -64,7 +66,8 @@
     /// Whether as many lookups and parts are in hand as may be; one is then turned away.
     pub fn is_full(&mut self) -> bool {
         let held = self.ledger.held();
-        let full = self.bounds.most_held.is_some_and(|most| held >= most);
+        let most = self.bounds.most_held.into_iter().chain(self.lent).min();
+        let full = most.is_some_and(|most| held >= most);
         self.counts.turned_away += u64::from(full);
         if std::mem::replace(&mut self.full, full) != full {
             let word = if full { "turning away" } else { "room again" };
--- a/router/src/stages/gate.rs
+++ b/router/src/stages/gate.rs
@@ -44,6 +44,9 @@
     }
 }
 
+/// A text and its age in microseconds.
+pub type Aged = (u64, String);
+
 #[derive(Default)]
 struct Counts {
     refused: u64,
@@ -55,6 +58,8 @@
     calendar: RefCell<Calendar>,
     pub keys: Option<Watched>,
     pub feed: Option<Watched>,
+    /// The last set of keys as it was served, and when.
+    served: RefCell<Option<(Micros, String)>>,
     counts: RefCell<Counts>,
     overdue: Cell<bool>,
 }
@@ -83,8 +88,8 @@
         let keys = of.terms.keys.as_ref().map(|keys| Watched::new(&keys.from, seed));
         let feed = of.terms.revocations.as_ref().map(|feed| Watched::new(&feed.from, seed ^ 1));
         let (identity, calendar) = (RefCell::new(identity), RefCell::default());
-        let (counts, overdue) = (RefCell::default(), Cell::new(false));
-        Ok((Gate { identity, calendar, keys, feed, counts, overdue }, limits))
+        let (counts, overdue, served) = (RefCell::default(), Cell::new(false), RefCell::default());
+        Ok((Gate { identity, calendar, keys, feed, served, counts, overdue }, limits))
     }
 
     /// Lookups a second of each tenant, for the module's quotas.
@@ -116,6 +121,7 @@
                 "identity: key {id} is served with other coordinates than it has, and stays as it is"
             );
         }
+        self.served.replace(Some((now, String::from_utf8_lossy(text).into_owned())));
         if !change.came.is_empty() || !change.missed.is_empty() {
             let words = |ids: &[ternpick_identity::KeyId]| {
                 ids.iter().map(ToString::to_string).collect::<Vec<_>>().join(" ")
@@ -127,6 +133,26 @@
         Ok(())
     }
 
+    /// Keys and revocations for another process, each with its age.
+    pub fn kept(&self, router: &Router) -> [Option<Aged>; 2] {
+        let now = self.now(router);
+        let keys = self.served.borrow().as_ref().map(|(at, text)| (now.since(*at).0, text.clone()));
+        let identity = self.identity.borrow();
+        let revocations = identity.revocations.as_ref().map(|of| of.page());
+        let revocations = revocations.and_then(|(told, page)| Some((now.since(told?).0, page)));
+        [keys, revocations]
+    }
+
+    /// For people: keys, the number of revocations known, how far they are trusted.
+    pub fn status(&self, router: &Router) -> serde_json::Value {
+        let now = self.now(router);
+        let identity = self.identity.borrow();
+        let keys: Vec<String> = identity.ring.ids().map(ToString::to_string).collect();
+        let trust = identity.revocations.as_ref().map(|of| format!("{:?}", of.trust(now)).to_lowercase());
+        let number = identity.revocations.as_ref().map(|of| of.number());
+        serde_json::json!({"keys": keys, "revocations": number, "trust": trust, "remembered": identity.known()})
+    }
+
     /// The number up to which revocations are known.
     pub fn revocations_known(&self) -> u64 {
         self.identity.borrow().revocations.as_ref().map_or(0, |of| of.number())
--- a/router/src/stages/mod.rs
+++ b/router/src/stages/mod.rs
@@ -10,8 +10,9 @@
 pub mod take_in;
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
 use async_executor::LocalExecutor;
@@ -55,6 +56,21 @@
     pub moved: Event,
     /// When the router was told to stop.
     pub stopping: Cell<Option<Micros>>,
+    /// Whether clients are accepted, and told when that changes.
+    pub accepts: Cell<bool>,
+    pub accepts_changed: Event,
+    /// Clients' connections that stand idle go to a new process: those that are to go, told when one has come, and told
+    /// when it begins.
+    pub handing: Cell<bool>,
+    pub handed: RefCell<VecDeque<(TcpStream, Vec<u8>)>>,
+    pub handed_more: Event,
+    pub handing_changed: Event,
+    /// The version of the roster that is known.
+    pub roster_version: Cell<u64>,
+    /// Everything has gone over to a new process.
+    pub gone: Cell<bool>,
+    /// The router is to stop, by a command, or has nothing left.
+    pub told_to_stop: Event,
     /// Told when the listener is to go.
     pub closing: Event,
     /// The listener is gone: a connection ends with the request on it.
--- a/router/src/stages/take_in.rs
+++ b/router/src/stages/take_in.rs
@@ -42,8 +42,21 @@
     future::or(
         async {
             loop {
+                let changed = router.accepts_changed.listen();
+                if !router.accepts.get() {
+                    changed.await;
+                    continue;
+                }
                 let permit = permit(&router).await;
-                match listener.accept().await {
+                // What waits in the listener is the other process's once this one accepts no more.
+                let stops = async {
+                    changed.await;
+                    None
+                };
+                let Some(accepted) = future::or(stops, async { Some(listener.accept().await) }).await else {
+                    continue;
+                };
+                match accepted {
                     Ok((stream, _)) => spawn(&router, stream, permit, tls.as_ref()),
                     Err(e) => {
                         tracing::warn!("cannot accept: {e}");
@@ -55,9 +68,8 @@
         closing,
     )
     .await;
-    while let (Some(permit), Ok((stream, _))) =
-        (router.descriptors.take(Peer::Client), listener.get_ref().accept())
-    {
+    while let (true, Some(permit)) = (router.accepts.get(), router.descriptors.take(Peer::Client)) {
+        let Ok((stream, _)) = listener.get_ref().accept() else { break };
         match Async::new(stream) {
             Ok(stream) => spawn(&router, stream, permit, tls.as_ref()),
             Err(e) => tracing::warn!("cannot accept: {e}"),
@@ -90,7 +102,7 @@
             Err(what) => return tracing::warn!("tls: a connection cannot begin, {what}"),
         },
     };
-    let task = client(Rc::clone(router), stream, permit);
+    let task = client(Rc::clone(router), stream, permit, Vec::new());
     router.executor.spawn(task).detach();
 }
 
@@ -102,6 +114,8 @@
     share: Share,
     /// From when on its next request is awaited, until it has brought one.
     accepted: Option<Micros>,
+    /// It ends here and goes on in another process.
+    handed: bool,
     _permit: Permit,
 }
 
@@ -115,19 +129,45 @@
 }
 
 /// A connection's whole life: one request after the other.
-async fn client(router: Rc<Router>, stream: Stream, permit: Permit) {
+async fn client(router: Rc<Router>, stream: Stream, permit: Permit, unread: Vec<u8>) {
     stream.set_nodelay();
-    let (input, output) = (Ring::new(IN_BOUND), Ring::new(OUT_BOUND));
+    let (mut input, output) = (Ring::new(IN_BOUND), Ring::new(OUT_BOUND));
+    if !input.push(&unread) {
+        return tracing::warn!("a connection that was handed over has sent more than its bound");
+    }
     let (share, accepted) = (router.budget.share(), Some(router.clock.now()));
-    let mut line = Line { stream, input, output, share, accepted, _permit: permit };
+    let mut line = Line { stream, input, output, share, accepted, handed: false, _permit: permit };
     let mut request = Reader::of_requests();
     line.holds(0);
     while one_request(&router, &mut line, &mut request).await {}
-    line.stream.finish();
+    let Line { mut stream, input, handed, .. } = line;
+    match stream {
+        // Whole requests that wait and idle connections go on in the new process. TLS has its state here, and ends.
+        Stream::Plain(socket) if handed => {
+            if let Ok(socket) = socket.into_inner() {
+                router.handed.borrow_mut().push_back((socket, input.to_vec()));
+                router.handed_more.notify(1);
+            }
+        }
+        _ => stream.finish(),
+    }
+}
+
+/// A connection that another process has handed over, with what its client has sent already.
+pub fn adopt(router: &Rc<Router>, socket: TcpStream, unread: &[u8]) -> Result<(), &'static str> {
+    let permit = router.descriptors.take(Peer::Client).ok_or("no descriptor is left")?;
+    let stream = Async::new(socket).map_err(|_| "it cannot be used")?;
+    let task = client(Rc::clone(router), Stream::Plain(stream), permit, unread.to_vec());
+    router.executor.spawn(task).detach();
+    Ok(())
 }
 
 /// Reads and answers one request; false if the connection ends with it.
 async fn one_request(router: &Rc<Router>, line: &mut Line, request: &mut Reader) -> bool {
+    if router.handing.get() {
+        line.handed = true;
+        return false;
+    }
     if line.input.is_empty() && !idle(router, line).await {
         return false;
     }
@@ -210,13 +250,22 @@
     let mut told = place.told.listen();
     router.clients.keep_idle(router.descriptors.kept_idle());
     loop {
+        let hands = router.handing_changed.listen();
+        if router.handing.get() {
+            line.handed = true;
+            return false;
+        }
         let waits_on = !router.accepts_no_more.get() && {
             let more = async { line.stream.readable().await.is_ok() };
             let ends = async {
                 (&mut told).await;
                 false
             };
-            let waits = future::or(more, ends);
+            let handed = async {
+                hands.await;
+                true
+            };
+            let waits = future::or(more, future::or(ends, handed));
             let silent = line.accepted.map(|at| at + WHOLE_WITHIN);
             router.until(silent, waits).await.unwrap_or(false)
         };
--- /dev/null
+++ b/router/tests/upgrade.rs
@@ -0,0 +1,504 @@
+//! Upgrades on loopback: under load, with new processes that fail at each step, with the old one killed.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use common::guarded::{within, World};
+use common::{entry, request, Act, Discovery, Node, Router, BOUND, WHOLE};
+use hdrhistogram::Histogram;
+use test_case::test_case;
+
+const MS: Duration = Duration::from_millis(1);
+
+/// A router with a control socket, its nodes, and the folder of its files. Whoever serves is ended with it.
+struct Upgradable {
+    router: Router,
+    nodes: Vec<Node>,
+    _discovery: Discovery,
+    folder: tempfile::TempDir,
+}
+
+fn control(folder: &Path, more: &str) -> String {
+    let path = |name: &str| folder.join(name).display().to_string();
+    format!(
+        "control: {{socket: {:?}, upgrade: true, pid_file: {:?}, hello: 1s, step: 300ms, ready: 1s, silence: 400ms}}\n{more}\n",
+        path("control"), path("pid")
+    )
+}
+
+impl Upgradable {
+    fn start(acts: &[Act], more: &str) -> Upgradable {
+        let folder = tempfile::tempdir().expect("a folder");
+        std::fs::write(folder.path().join("settings.cue"), control(folder.path(), more)).expect("written");
+        let nodes: Vec<Node> = acts.iter().map(|act| Node::start([*act; 2])).collect();
+        let listed: Vec<String> = nodes
+            .iter()
+            .enumerate()
+            .map(|(at, node)| entry(&format!("s{at}"), node.address, "Ready"))
+            .collect();
+        let (discovery, listed) = (Discovery::default(), listed.join(","));
+        discovery.set(|roster| roster.changes = listed.clone());
+        let router = Router::start_with(discovery.start(), &listed, 1024, 32, common::SETTINGS, |command| {
+            command.arg("--settings").arg(folder.path().join("settings.cue"));
+            if std::env::var("UPGRADE_LOG").is_ok() {
+                command.env("RUST_LOG", "info");
+            }
+        });
+        let of = Upgradable { router, nodes, _discovery: discovery, folder };
+        within(|| of.folder.path().join("control").exists(), "the control socket");
+        of
+    }
+
+    fn command(&self, args: &[&str]) -> Output {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ternpick"));
+        command.args(&args[..1]).arg("--socket").arg(self.folder.path().join("control")).args(&args[1..]);
+        command.output().expect("it runs")
+    }
+
+    fn upgrade(&self, args: &[&str]) -> (bool, String) {
+        let out = self.command(&[&["upgrade"][..], args].concat());
+        (out.status.success(), String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned())
+    }
+
+    fn status(&self) -> serde_json::Value {
+        let out = self.command(&["status", "--json"]);
+        serde_json::from_slice(&out.stdout)
+            .unwrap_or_else(|_| panic!("{}", String::from_utf8_lossy(&out.stderr)))
+    }
+
+    fn pid(&self) -> u32 {
+        let text = std::fs::read_to_string(self.folder.path().join("pid")).expect("a pid file");
+        text.trim().parse().expect("a number")
+    }
+
+    /// Waits until only the process that serves is left.
+    fn settled(&self) {
+        within(
+            || {
+                let of = self.status();
+                of["step"] == "serves" && of["process"] == self.pid()
+            },
+            "one that serves",
+        );
+    }
+}
+
+impl Drop for Upgradable {
+    fn drop(&mut self) {
+        // The processes that were started in the router's place, by the numbers that they wrote down.
+        if let Ok(text) = std::fs::read_to_string(self.folder.path().join("pid")) {
+            let _ = Command::new("kill").args(["-9", text.trim()]).output();
+        }
+    }
+}
+
+/// A script that is started in the new process's place.
+fn script(of: &Upgradable, text: &str) -> String {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let path = of.folder.path().join(format!("program{}", NUMBER.fetch_add(1, Ordering::Relaxed)));
+    std::fs::write(&path, format!("#!/bin/sh\n{text}\n")).expect("written");
+    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o700)).expect("a program");
+    path.display().to_string()
+}
+
+fn standin(of: &Upgradable, how: &str) -> String {
+    let program = Path::new(env!("CARGO_BIN_EXE_ternpick"));
+    let standin: PathBuf = program.parent().expect("a folder").join("examples/upgrade_standin");
+    assert!(standin.exists(), "cargo test builds examples");
+    script(of, &format!("STANDIN={how} exec {} \"$@\"", standin.display()))
+}
+
+fn served(router: SocketAddr, id: &str) {
+    let mut stream = TcpStream::connect(router).expect("a connection");
+    stream.set_read_timeout(Some(BOUND)).expect("a time-out");
+    stream.write_all(request("half", id).as_bytes()).expect("written");
+    let (status, _, body) = common::answer(&mut stream);
+    assert_eq!((status, body.as_str()), (200, WHOLE));
+}
+
+#[test]
+fn connections_go_over_and_so_does_what_was_read_of_them() {
+    let of = Upgradable::start(&[Act::Serve], "");
+    let (mut idle, mut half) = (of.router.connect(), of.router.connect());
+    let mut busy = of.router.connect();
+    assert_eq!(common::ask(&mut idle, "half", "a1").0, 200);
+    let text = request("half", "a2");
+    let (first, second) = text.as_bytes().split_at(text.len() / 2);
+    half.write_all(first).expect("written");
+    // In flight over the commit, with a second request behind it.
+    *of.nodes[0].acts.lock().unwrap() = [Act::Silent; 2];
+    busy.write_all(format!("{}{}", request("half", "a3"), request("half", "a4")).as_bytes())
+        .expect("written");
+    assert!(of.nodes[0].frame('q').contains("a1."));
+    let frame = of.nodes[0].frame('q');
+    assert!(frame.contains("a3.0"), "{frame}");
+    let before = of.pid();
+    let upgrading = thread::scope(|scope| {
+        let upgrade = scope.spawn(|| of.upgrade(&[]));
+        within(|| of.pid() != before, "the new process serves");
+        // It serves while the old one waits for its answer.
+        *of.nodes[0].acts.lock().unwrap() = [Act::Serve; 2];
+        served(of.router.address, "a5");
+        assert_eq!(common::ask(&mut idle, "half", "a6").0, 200, "an idle connection");
+        half.write_all(second).expect("written");
+        assert_eq!(common::answer(&mut half).0, 200, "half a request before and half after");
+        for id in ["a3.0", "a3.1"] {
+            let mut streams = of.nodes[0].streams.lock().unwrap();
+            let text = format!("{id} served 1 -\nlate");
+            let frame = [&(1 + text.len() as u32).to_le_bytes()[..], b"a", text.as_bytes()].concat();
+            // The old process's connection is the first.
+            streams[0].write_all(&frame).expect("written");
+        }
+        assert_eq!(common::answer(&mut busy).0, 200, "in flight over the commit");
+        assert_eq!(common::answer(&mut busy).0, 200, "a request behind it");
+        upgrade.join().expect("it ends")
+    });
+    assert!(upgrading.0, "{}", upgrading.1);
+    assert!(upgrading.1.contains("the new process serves"), "{}", upgrading.1);
+    of.settled();
+    assert_eq!(common::ask(&mut half, "half", "a7").0, 200);
+    // A part that was out at the old process was sent once.
+    let frames: Vec<(char, String)> = of.nodes[0].frames.lock().unwrap().try_iter().collect();
+    assert!(!frames.iter().any(|(_, rest)| rest.contains("a3.")), "{frames:?}");
+}
+
+#[test]
+fn beliefs_go_over() {
+    let of = Upgradable::start(&[Act::Serve, Act::Serve], "");
+    let mut stream = of.router.connect();
+    for at in 0..20 {
+        assert_eq!(common::ask(&mut stream, "whole", &format!("b{at}")).0, 200);
+    }
+    let known = |status: &serde_json::Value| -> BTreeMap<String, bool> {
+        let nodes = status["nodes"].as_array().expect("nodes").clone();
+        nodes.iter().map(|node| (node["name"].to_string(), node["latency_ms"].is_number())).collect()
+    };
+    let before = known(&of.status());
+    assert!(before.values().any(|known| *known));
+    assert!(of.upgrade(&[]).0);
+    let status = of.status();
+    assert_eq!((known(&status), &status["taken"]), (before, &0.into()));
+    assert_ne!(status["process"], of.router.child.id());
+}
+
+#[test_case("die:1"; "before hello")]
+#[test_case("die:2"; "after hello")]
+#[test_case("die:3"; "with the listeners")]
+#[test_case("die:4"; "with the state")]
+#[test_case("die:5"; "at the commit")]
+#[test_case("die:6"; "just after the commit")]
+#[test_case("hang:1"; "hangs before hello")]
+#[test_case("hang:2"; "hangs after hello")]
+#[test_case("hang:3"; "hangs with the listeners")]
+#[test_case("hang:4"; "hangs with the state")]
+#[test_case("hang:5"; "hangs at the commit")]
+#[test_case("hang:6"; "hangs just after the commit")]
+#[test_case("garbage:1"; "not a ternpick")]
+#[test_case("garbage:3"; "garbage midway")]
+#[test_case("spoilt:2"; "a spoilt message")]
+#[test_case("half:4"; "half a message")]
+#[test_case("unexpected:3"; "a message out of turn")]
+#[test_case("version:0"; "another version")]
+fn a_new_process_that_fails_leaves_the_old_one_serving(how: &str) {
+    let of = Upgradable::start(&[Act::Serve], "");
+    let (mut kept, before) = (of.router.connect(), of.pid());
+    assert_eq!(common::ask(&mut kept, "half", "c1").0, 200);
+    let (done, text) = of.upgrade(&["--program", &standin(&of, how)]);
+    assert!(!done && text.contains("ternpick: "), "{text}");
+    served(of.router.address, "c2");
+    assert_eq!((of.pid(), of.status()["step"].as_str()), (before, Some("serves")));
+    let status = of.status();
+    assert_eq!((&status["accepts"], &status["descriptors_may"]), (&true.into(), &992.into()));
+    // Nothing is left of it: the next one succeeds.
+    let (done, text) = of.upgrade(&[]);
+    assert!(done, "{text}");
+    served(of.router.address, "c3");
+}
+
+#[test_case("exit 1"; "which leaves at once")]
+#[test_case("exec sleep 60"; "which is something else")]
+#[test_case("exec cat"; "which answers what it hears")]
+#[test_case("ulimit -n 8; exec TERNPICK \"$@\""; "without descriptors")]
+#[test_case("ulimit -v 20000; exec TERNPICK \"$@\""; "without memory")]
+#[test_case("exec TERNPICK serve --config /nonexistent --settings \"$5\" --take-over 1"; "without a configuration")]
+fn a_program_that_cannot_start_leaves_the_old_one_serving(text: &str) {
+    let of = Upgradable::start(&[Act::Serve], "");
+    let program = script(&of, &text.replace("TERNPICK", env!("CARGO_BIN_EXE_ternpick")));
+    let (done, said) = of.upgrade(&["--program", &program]);
+    assert!(!done, "{said}");
+    served(of.router.address, "d1");
+    assert_eq!(of.status()["process"], of.router.child.id());
+}
+
+#[test]
+fn a_program_that_is_not_there_is_told_at_once() {
+    let of = Upgradable::start(&[Act::Serve], "");
+    let (done, text) = of.upgrade(&["--program", "/nonexistent/ternpick"]);
+    assert!(!done && text.contains("/nonexistent/ternpick"), "{text}");
+    let config = of.router.config.to_str().expect("a path");
+    assert!(of.upgrade(&["--dry-run", "--config", config]).0);
+    std::fs::write(of.folder.path().join("bad"), "{}").expect("written");
+    let bad = of.folder.path().join("bad");
+    assert!(!of.upgrade(&["--dry-run", "--config", bad.to_str().expect("a path")]).0);
+    served(of.router.address, "e1");
+}
+
+/// The old process is killed while the new one stands at some step: the new one serves in its place.
+#[test_case(0; "as it starts")]
+#[test_case(20; "a little later")]
+#[test_case(60; "later")]
+fn the_old_process_killed_leaves_the_new_one_serving(after_ms: u64) {
+    let mut of = Upgradable::start(&[Act::Serve], "");
+    let before = of.pid();
+    let slow = script(&of, &format!("sleep 0.03; exec {} \"$@\"", env!("CARGO_BIN_EXE_ternpick")));
+    thread::scope(|scope| {
+        let upgrade = scope.spawn(|| of.upgrade(&["--program", &slow]));
+        within(|| std::fs::read_dir("/proc").is_ok(), "a system");
+        thread::sleep(Duration::from_millis(15 + after_ms));
+        let _ = Command::new("kill").args(["-9", &of.router.child.id().to_string()]).output();
+        let _ = upgrade.join();
+    });
+    let _ = of.router.child.wait();
+    within(|| of.pid() != before && TcpStream::connect(of.router.address).is_ok(), "the new one serves");
+    served(of.router.address, "f1");
+    let status = of.status();
+    assert_eq!((&status["step"], &status["descriptors_may"]), (&"serves".into(), &992.into()));
+}
+
+#[test]
+fn a_second_upgrade_during_one_is_refused_and_a_stop_leaves_no_heir() {
+    let mut of = Upgradable::start(&[Act::Serve], "");
+    let hangs = standin(&of, "hang:2");
+    thread::scope(|scope| {
+        let first = scope.spawn(|| of.upgrade(&["--program", &hangs]));
+        within(|| of.status()["step"] != "serves", "the first begins");
+        let (done, text) = of.upgrade(&[]);
+        assert!(!done && text.contains("an upgrade is under way"), "{text}");
+        of.router.signal("-HUP");
+        served(of.router.address, "g1");
+        of.router.signal("-TERM");
+        assert!(!first.join().expect("it ends").0);
+    });
+    assert!(of.router.ended());
+    assert!(TcpStream::connect(of.router.address).is_err(), "nobody serves");
+}
+
+#[test]
+fn upgrades_are_off_unless_set_and_the_socket_is_the_owners_alone() {
+    let of = Upgradable::start(&[Act::Serve], "");
+    let mode = std::fs::metadata(of.folder.path().join("control")).expect("there").permissions().mode();
+    assert_eq!(mode & 0o777, 0o600);
+    let text = std::fs::read_to_string(of.folder.path().join("settings.cue")).expect("settings");
+    std::fs::write(of.folder.path().join("settings.cue"), text.replace("upgrade: true", "upgrade: false"))
+        .expect("written");
+    let (done, said) = of.upgrade(&[]);
+    assert!(done, "the new one reads them: {said}");
+    of.settled();
+    let (done, text) = of.upgrade(&[]);
+    assert!(!done && text.contains("upgrades are off"), "{text}");
+    let out = of.command(&["drain"]);
+    assert!(out.status.success());
+    within(|| TcpStream::connect(of.router.address).is_err(), "it leaves");
+}
+
+#[test]
+fn a_process_that_stays_passes_signals_on_and_ends_with_its_heir() {
+    let mut of = Upgradable::start(&[Act::Serve], "control: stays: true");
+    assert!(of.upgrade(&[]).0);
+    of.settled();
+    served(of.router.address, "h1");
+    assert!(of.router.child.try_wait().expect("a child").is_none(), "it stays");
+    of.router.signal("-TERM");
+    assert!(of.router.ended());
+    assert!(TcpStream::connect(of.router.address).is_err());
+}
+
+#[test]
+fn tls_connections_end_cleanly_and_identity_goes_over() {
+    let world = World::new();
+    let tls = common::free();
+    let settings = std::fs::read_to_string(world.settings(None, None, Some(tls))).expect("settings");
+    let of = Upgradable::start(&[Act::Serve], &settings);
+    let client = world.client(Some(("crew-7.example", 7)));
+    let mut stream = common::guarded::Secure::over(tls, &client).expect("a handshake");
+    within(|| of.status()["identity"]["keys"][0] == "k1", "keys");
+    assert_eq!(common::guarded::ask(&mut stream.0, "whole", "find", "").0, 200);
+    // The sources are gone: what is known goes over.
+    std::fs::remove_file(world.path("jwks.json")).expect("removed");
+    std::fs::remove_file(world.path("feed.json")).expect("removed");
+    let (done, text) = of.upgrade(&[]);
+    assert!(done, "{text}");
+    let mut rest = Vec::new();
+    assert_eq!(stream.0.read_to_end(&mut rest).expect("a clean end"), 0);
+    let mut stream = common::guarded::Secure::over(tls, &client).expect("a handshake");
+    assert_eq!(common::guarded::ask(&mut stream.0, "whole", "find", "").0, 200);
+    let mut plain = TcpStream::connect(of.router.address).expect("a connection");
+    let token = common::guarded::bearer(&world.token(&["crew"]));
+    assert_eq!(common::guarded::ask(&mut plain, "whole", "find", &token).0, 200);
+}
+
+/// What clients and nodes have seen.
+#[derive(Default)]
+struct Seen {
+    asked: AtomicU64,
+    answers: Mutex<BTreeMap<u16, u64>>,
+    lost: Mutex<Vec<String>>,
+    again: AtomicU64,
+    gap: Mutex<Duration>,
+}
+
+/// One lookup, to its one answer. As the protocol has it, a request that crosses the close of a kept connection is sent
+/// once more on a new one.
+fn one(address: SocketAddr, stream: &mut Option<TcpStream>, seen: &Seen, id: &str) {
+    for again in 0..2 {
+        let kept = stream.is_some();
+        let began = Instant::now();
+        let Ok(mut open) = stream.take().map_or_else(|| TcpStream::connect(address), Ok) else { continue };
+        let _ = open.set_read_timeout(Some(BOUND));
+        let _ = open.set_nodelay(true);
+        let asked = open.write_all(request("half", id).as_bytes());
+        let mut first = [0; 1];
+        if asked.is_ok() && open.peek(&mut first).is_ok_and(|count| count > 0) {
+            let (status, head, _) = common::answer(&mut open);
+            *seen.answers.lock().unwrap().entry(status).or_default() += 1;
+            if !kept {
+                let mut gap = seen.gap.lock().unwrap();
+                *gap = gap.max(began.elapsed());
+            }
+            *stream = (!head.contains("Connection: close")).then_some(open);
+            return;
+        }
+        if !kept || again == 1 {
+            break;
+        }
+        seen.again.fetch_add(1, Ordering::Relaxed);
+    }
+    seen.lost.lock().unwrap().push(id.to_owned());
+}
+
+fn under_load(upgrades: usize, failing: usize) {
+    let of = Upgradable::start(&[Act::Serve, Act::Serve, Act::Serve], "");
+    let (seen, stop) = (Seen::default(), AtomicBool::new(false));
+    let steady = Mutex::new(Histogram::<u64>::new(3).expect("a histogram"));
+    let during = Mutex::new(Histogram::<u64>::new(3).expect("a histogram"));
+    let upgrading = AtomicBool::new(false);
+    let (mut good, mut bad, mut steps) = (0, 0, Vec::new());
+    let hows = ["die:1", "die:3", "garbage:2", "die:4", "die:5", "version:0", "die:2", "half:3"];
+    let mut highest = (0, 0);
+    thread::scope(|scope| {
+        for client in 0..6 {
+            let (of, seen, stop, steady, during, upgrading) =
+                (&of, &seen, &stop, &steady, &during, &upgrading);
+            scope.spawn(move || {
+                let (mut stream, mut number, began) = (None, 0u64, Instant::now());
+                while !stop.load(Ordering::Relaxed) {
+                    // Open loop: a lookup is due every 4 ms, and its time counts from then.
+                    let due = began + Duration::from_millis(4) * number as u32;
+                    if let Some(wait) = due.checked_duration_since(Instant::now()) {
+                        thread::sleep(wait);
+                    }
+                    number += 1;
+                    // The last client connects anew for each.
+                    if client == 5 || number.is_multiple_of(16) {
+                        stream = None;
+                    }
+                    let when = upgrading.load(Ordering::Relaxed);
+                    seen.asked.fetch_add(1, Ordering::Relaxed);
+                    one(of.router.address, &mut stream, seen, &format!("l{client}x{number}"));
+                    let when = when || upgrading.load(Ordering::Relaxed);
+                    let took = due.elapsed().as_micros() as u64;
+                    let mut to = if when { during } else { steady }.lock().unwrap();
+                    to.record(took).expect("recorded");
+                }
+            });
+        }
+        thread::sleep(500 * MS);
+        for at in 0..upgrades {
+            let fails = at * failing / upgrades != (at + 1) * failing / upgrades;
+            upgrading.store(true, Ordering::Relaxed);
+            let began = Instant::now();
+            let (done, text) = match fails {
+                true => of.upgrade(&["--program", &standin(&of, hows[bad % hows.len()])]),
+                false => of.upgrade(&[]),
+            };
+            assert_eq!(done, !fails, "{text}");
+            if done {
+                steps.push((began.elapsed(), text));
+            }
+            of.settled();
+            thread::sleep(50 * MS);
+            upgrading.store(false, Ordering::Relaxed);
+            (good, bad) = (good + usize::from(done), bad + usize::from(fails));
+            let status = of.status();
+            highest.0 = highest.0.max(status["descriptors"].as_u64().unwrap_or(0));
+            highest.1 = highest.1.max(status["memory_held"].as_u64().unwrap_or(0));
+            thread::sleep(150 * MS);
+        }
+        stop.store(true, Ordering::Relaxed);
+    });
+    // From the nodes' side: how often each part was asked for.
+    let mut parts: BTreeMap<String, usize> = BTreeMap::new();
+    for node in &of.nodes {
+        for (letter, rest) in node.frames.lock().unwrap().try_iter() {
+            for line in rest.split("find").filter(|_| letter == 'q') {
+                if let Some((id, _)) = line.split_once(' ') {
+                    *parts.entry(id.to_owned()).or_default() += 1;
+                }
+            }
+        }
+    }
+    let most = parts.values().max().copied().unwrap_or(0);
+    let twice = parts.values().filter(|count| **count > 1).count();
+    let (asked, answers) = (seen.asked.load(Ordering::Relaxed), seen.answers.lock().unwrap().clone());
+    println!("| upgrades | failed on purpose | lookups | answers by status | lost | sent once more | parts | sent more than once | most sends | longest connect and answer, ms |");
+    println!(
+        "| {good} | {bad} | {asked} | {answers:?} | {} | {} | {} | {twice} | {most} | {:.1} |",
+        seen.lost.lock().unwrap().len(),
+        seen.again.load(Ordering::Relaxed),
+        parts.len(),
+        seen.gap.lock().unwrap().as_secs_f64() * 1e3
+    );
+    for (name, of) in [("steady", &steady), ("during upgrades", &during)] {
+        let of = of.lock().unwrap();
+        let at = |q| of.value_at_quantile(q) as f64 / 1000.0;
+        println!(
+            "| {name} | {} | p50 {:.2} ms | p99 {:.2} ms | p99.9 {:.2} ms | most {:.2} ms |",
+            of.len(),
+            at(0.5),
+            at(0.99),
+            at(0.999),
+            of.max() as f64 / 1000.0
+        );
+    }
+    steps.sort_by_key(|(took, _)| *took);
+    if let Some((took, text)) = steps.get(steps.len() / 2) {
+        println!(
+            "middle upgrade {:.0} ms:\n{text}descriptors held at the highest {}, bytes for peers {}",
+            took.as_secs_f64() * 1e3,
+            highest.0,
+            highest.1
+        );
+    }
+    assert_eq!(*seen.lost.lock().unwrap(), Vec::<String>::new());
+    assert_eq!(answers.values().sum::<u64>(), asked, "one answer each");
+    assert_eq!(answers.keys().copied().collect::<Vec<u16>>(), [200], "{answers:?}");
+    assert!(most <= 3, "within what the index allows");
+}
+
+#[test]
+fn ten_upgrades_under_load_lose_no_lookup() {
+    let number = |name: &str, otherwise: usize| {
+        std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(otherwise)
+    };
+    under_load(number("UPGRADES", 10), number("UPGRADES_FAILING", 4));
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,9 +21,12 @@
 use crate::interface::Actions;
 use crate::types::*;
 
+mod snapshot;
 #[cfg(test)]
 mod tests;
 
+pub use snapshot::{Beliefs, NodeBelief, Whole};
+
 /// m over mean o: nodes do a few parts at a time, so one more costs nearly as much as the call.
 const PART_RATIO: f64 = 0.8;
 /// Weight of a new report or answer against what was known: a few answers make an opinion.
--- /dev/null
+++ b/src/brain/snapshot.rs
@@ -0,0 +1,231 @@
+//! What a module has come to believe, for another process that goes on in its place. All times are ages or times ahead
+//! in microseconds, so that another clock can take them in; a reader that lacks a field does as after a plain start.
+
+use serde::{Deserialize, Serialize};
+
+use crate::brain::Brain;
+use crate::types::{CustomerNo, IndexNo, Micros, Node, NodeId, ShardNo, Standing};
+
+/// Beliefs about one node.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct NodeBelief {
+    /// Its last start by the roster, microseconds of Unix time. Another start: nothing else here holds.
+    pub started: u64,
+    /// Smoothed report (milliseconds or parts). Without it: the mean.
+    pub report: Option<f64>,
+    /// Parts a second.
+    pub best_rate: f64,
+    /// Smoothed answer latency, microseconds. Without it: the middle node's.
+    pub latency: Option<f64>,
+    /// Age of that.
+    pub seen: u64,
+    /// By index: share failed, microseconds lost, ages of the last change and the last answer. Without: sound.
+    pub standings: Vec<(f64, f64, u64, u64)>,
+    /// Smoothed latency a part out, microseconds.
+    pub pace: Option<f64>,
+    /// The index for which it is doubted.
+    pub doubted: Option<u8>,
+    /// Ages and weights of parts sent of late: its warm-up. Without it a cold node may get its allowance twice.
+    pub sends: Vec<(u64, f64)>,
+}
+
+/// All that is believed, nodes by whatever number the writer gave them.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Beliefs {
+    pub nodes: Vec<(u64, NodeBelief)>,
+    /// Smoothed hint of a part, microseconds.
+    pub mean_hint: Option<f64>,
+    /// By customer: lookups left within its share, and the age of that count. Without it: a share anew.
+    pub quota_left: Vec<(f64, u64)>,
+    /// Ages of the lookups taken and the further calls made within the budget's window. Without: a budget of none.
+    pub taken: Vec<u64>,
+    pub extras: Vec<u64>,
+    /// Age of the last fall of a node.
+    pub alarm: Option<u64>,
+    /// Deadly lookups: time ahead until which they are known, index, customer, shards. Without: learnt by more falls.
+    pub fatal: Vec<(u64, u8, u16, Vec<u32>)>,
+    /// Age of the last nack at admission, while they come.
+    pub shed: Option<u64>,
+}
+
+/// A module's whole budget, while it goes on with a part.
+#[derive(Default)]
+pub struct Whole {
+    spare: f64,
+    ratio: f64,
+    cold: f64,
+    extras: std::collections::VecDeque<Micros>,
+}
+
+impl Node {
+    fn belief(&self, now: Micros) -> NodeBelief {
+        let age = |at: Micros| now.since(at).0;
+        let standing = |of: &Standing| (of.fear, of.toll, age(of.at), age(of.answered));
+        NodeBelief {
+            started: self.listing.started.0,
+            report: self.report,
+            best_rate: self.best_rate,
+            latency: self.latency,
+            seen: age(self.seen),
+            standings: self.standings.iter().map(standing).collect(),
+            pace: self.pace,
+            doubted: self.doubted.map(|index| index.0),
+            sends: self.sends.iter().map(|(at, z)| (age(*at), *z)).collect(),
+        }
+    }
+
+    /// Takes on what was believed of the same start of the same node.
+    fn believe(&mut self, now: Micros, of: &NodeBelief) {
+        let at = |age: u64| now.since(Micros(age));
+        let sound = |figure: Option<f64>| figure.filter(|figure| figure.is_finite() && *figure >= 0.0);
+        let standing = |(fear, toll, changed, answered): &(f64, f64, u64, u64)| Standing {
+            fear: sound(Some(*fear)).unwrap_or(0.0).min(1.0),
+            toll: sound(Some(*toll)).unwrap_or(0.0),
+            at: at(*changed),
+            answered: at(*answered),
+        };
+        (self.report, self.latency, self.pace) = (sound(of.report), sound(of.latency), sound(of.pace));
+        self.best_rate = sound(Some(of.best_rate)).unwrap_or(0.0);
+        self.seen = at(of.seen);
+        self.standings = of.standings.iter().map(standing).collect();
+        self.doubted = of.doubted.map(IndexNo);
+        self.sends = of.sends.iter().map(|(age, z)| (at(*age), *z)).collect();
+    }
+}
+
+impl Brain {
+    pub fn beliefs(&self, now: Micros) -> Beliefs {
+        let age = |at: &Micros| now.since(*at).0;
+        let ages = |times: &std::collections::VecDeque<Micros>| times.iter().map(age).collect();
+        let print = |(until, (index, customer, shards)): &(Micros, (IndexNo, CustomerNo, Vec<ShardNo>))| {
+            (until.since(now).0, index.0, customer.0, shards.iter().map(|shard| shard.0).collect())
+        };
+        Beliefs {
+            nodes: self.nodes.iter().map(|(id, node)| (id.0, node.belief(now))).collect(),
+            mean_hint: self.mean_hint,
+            quota_left: self.quota_left.iter().map(|(left, at)| (*left, age(at))).collect(),
+            taken: ages(&self.taken),
+            extras: ages(&self.extras),
+            alarm: self.alarm_at.as_ref().map(age),
+            fatal: self.fatal.iter().map(print).collect(),
+            shed: self.shed_at.as_ref().map(age),
+        }
+    }
+
+    /// Takes on another's beliefs about the nodes that the roster has told of, by this module's numbers. What is said of
+    /// others, or of another start of a node, is passed over; tells how many nodes were taken.
+    pub fn believe(&mut self, now: Micros, of: &Beliefs) -> usize {
+        self.now = now;
+        let at = |age: &u64| now.since(Micros(*age));
+        let mut taken = 0;
+        for (id, belief) in &of.nodes {
+            let indexes = self.tariff.indexes.len();
+            let node =
+                self.nodes.get_mut(&NodeId(*id)).filter(|node| node.listing.started.0 == belief.started);
+            if let Some(node) = node.filter(|_| belief.standings.len() <= indexes) {
+                node.believe(now, belief);
+                if node.doubted.is_some() {
+                    self.watched.insert(NodeId(*id));
+                }
+                taken += 1;
+            }
+        }
+        self.mean_hint = of.mean_hint.filter(|hint| hint.is_finite() && *hint > 0.0);
+        for (own, (left, age)) in self.quota_left.iter_mut().zip(&of.quota_left) {
+            *own = (*left, at(age));
+        }
+        self.taken = of.taken.iter().map(at).collect();
+        self.extras = of.extras.iter().map(at).collect();
+        (self.alarm_at, self.shed_at) = (of.alarm.as_ref().map(at), of.shed.as_ref().map(at));
+        let print = |(ahead, index, customer, shards): &(u64, u8, u16, Vec<u32>)| {
+            let shards = shards.iter().map(|shard| ShardNo(*shard)).collect();
+            (now + Micros(*ahead), (IndexNo(*index), CustomerNo(*customer), shards))
+        };
+        self.fatal = of.fatal.iter().map(print).collect();
+        self.stale = true;
+        taken
+    }
+
+    /// From now on this module finishes what it has taken beside another that goes on: of further calls it has `spare`
+    /// and no more, and nodes that warm up get nothing from it. What was set before comes back, for [`Brain::keep_whole`].
+    pub fn keep_part(&mut self, spare: f64) -> Whole {
+        let tariff = &mut self.tariff;
+        let whole = Whole {
+            spare: std::mem::replace(&mut tariff.extra_spare, spare),
+            ratio: std::mem::replace(&mut tariff.extra_ratio, 0.0),
+            cold: std::mem::replace(&mut tariff.cold_share, 0.0),
+            extras: std::mem::take(&mut self.extras),
+        };
+        self.stale = true;
+        whole
+    }
+
+    /// The whole budget is this module's again, with all that was made of it.
+    pub fn keep_whole(&mut self, of: Whole) {
+        let Whole { spare, ratio, cold, mut extras } = of;
+        (self.tariff.extra_spare, self.tariff.extra_ratio, self.tariff.cold_share) = (spare, ratio, cold);
+        extras.append(&mut self.extras);
+        (self.extras, self.stale) = (extras, true);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::types::{Listing, Tariff};
+
+    fn brain(now: Micros) -> Brain {
+        let mut brain = Brain::new(Tariff { quotas: vec![5.0], ..Tariff::default() }, 1);
+        brain.now = now;
+        for id in 1..4u64 {
+            let listing = Listing { node: NodeId(id), started: Micros(id), ..Listing::default() };
+            brain.nodes.insert(NodeId(id), Node { listing, ..Node::default() });
+        }
+        brain
+    }
+
+    #[test]
+    fn beliefs_go_over_to_another_clock_and_stand_as_they_were() {
+        let (here, there) = (Micros(900_000_000), Micros(2_000_000_000));
+        let mut old = brain(here);
+        let node = old.nodes.get_mut(&NodeId(2)).expect("a node");
+        (node.latency, node.pace, node.seen) = (Some(4000.0), Some(1000.0), Micros(here.0 - 7_000));
+        node.sends.push_back((Micros(here.0 - 50_000), 2.0));
+        node.standings =
+            vec![Standing { fear: 0.5, toll: 10.0, at: Micros(here.0 - 3), answered: Micros(here.0 - 9) }];
+        old.tariff.indexes = vec![Default::default()];
+        old.extras.push_back(Micros(here.0 - 1000));
+        old.fatal.push_back((here + Micros(5_000_000), (IndexNo(0), CustomerNo(0), vec![ShardNo(3)])));
+        let beliefs = old.beliefs(here);
+        let mut new = brain(there);
+        new.tariff.indexes = vec![Default::default()];
+        assert_eq!(new.believe(there, &beliefs), 3);
+        assert_eq!(new.beliefs(there), beliefs);
+        assert_eq!(new.nodes[&NodeId(2)].sends[0], (Micros(there.0 - 50_000), 2.0));
+        assert_eq!(new.fatal[0].0, there + Micros(5_000_000));
+    }
+
+    #[test]
+    fn a_part_of_the_budget_is_kept_and_the_whole_comes_back_with_all_that_was_made() {
+        let mut brain = brain(Micros(1_000_000));
+        (brain.tariff.extra_spare, brain.tariff.extra_ratio, brain.tariff.cold_share) = (8.0, 0.1, 0.2);
+        brain.extras.push_back(Micros(990_000));
+        let whole = brain.keep_part(2.0);
+        assert_eq!((brain.tariff.extra_spare, brain.tariff.extra_ratio, brain.extras.len()), (2.0, 0.0, 0));
+        brain.extras.push_back(Micros(1_000_000));
+        brain.keep_whole(whole);
+        assert_eq!((brain.tariff.extra_spare, brain.tariff.cold_share, brain.extras.len()), (8.0, 0.2, 2));
+    }
+
+    #[test]
+    fn another_start_of_a_node_another_node_and_nonsense_are_passed_over() {
+        let mut new = brain(Micros(1_000_000));
+        let belief =
+            |started, latency| NodeBelief { started, latency: Some(latency), ..NodeBelief::default() };
+        let nodes =
+            vec![(1, belief(9, 1.0)), (2, belief(2, f64::NAN)), (3, belief(3, 70.0)), (8, belief(8, 1.0))];
+        assert_eq!(new.believe(Micros(1_000_000), &Beliefs { nodes, ..Beliefs::default() }), 2);
+        let latencies: Vec<Option<f64>> = new.nodes.values().map(|node| node.latency).collect();
+        assert_eq!(latencies, [None, None, Some(70.0)]);
+    }
+}
