The watch of the roster listens before the list is taken in; the old one's death is waited for

The watch is spawned first again, and goes on from the version that is known when it is first wanted. A test killed the old process before the new one had begun, by chance.

--- a/router/src/lifecycle/snapshot.rs
+++ b/router/src/lifecycle/snapshot.rs
@@ -76,7 +76,13 @@
     /// Takes it in; tells the version of the roster. Numbers of nodes are this process's own.
     pub fn apply(mut self, router: &Router) -> Result<u64, String> {
         let roster: Value = serde_json::from_str(&self.roster).map_err(|e| e.to_string())?;
-        let version = watch::take_list(router, &roster).map_err(str::to_owned)?;
+        // The watch goes on from this version, and is asked for as the list is taken in.
+        let version = roster["index"].as_u64().unwrap_or(0);
+        let before = router.roster_version.replace(version);
+        watch::take_list(router, &roster).map_err(|what| {
+            router.roster_version.set(before);
+            what.to_owned()
+        })?;
         let names: HashMap<u64, String> = self.names.into_iter().collect();
         let now = router.clock.now();
         let (nodes, taken) = {
--- a/router/src/lifecycle/start.rs
+++ b/router/src/lifecycle/start.rs
@@ -123,17 +123,23 @@
     let control = settings.control;
     let executor = Rc::clone(&router.executor);
     let heir = future::block_on(executor.run(async {
+        executor.spawn(watch::watch(Rc::clone(&router))).detach();
         executor.spawn(route::turns(Rc::clone(&router))).detach();
-        // The tasks are to listen before they are called upon.
+        // The tasks are to listen before they are called upon: taking a list in may ask for the watch at once.
         future::yield_now().await;
-        if !known.is_null() {
-            watch::take_list(&router, &known).unwrap_or_else(|what| {
-                tracing::warn!("roster: the known list is passed over, {what}");
-                0
-            });
-        }
+        let take_known = || {
+            if !known.is_null() {
+                watch::take_list(&router, &known).unwrap_or_else(|what| {
+                    tracing::warn!("roster: the known list is passed over, {what}");
+                    0
+                });
+            }
+        };
         let listeners = match (bound, from) {
-            (Some(bound), _) => bound,
+            (Some(bound), _) => {
+                take_known();
+                bound
+            }
             (None, From::Nothing) => bind_all(listen, tls.as_ref(), sockets)?,
             (None, From::Process(link, old)) => {
                 let patience = control.as_ref().map(upgrade::patience).unwrap_or_default();
@@ -147,14 +153,15 @@
                     }
                     None => bind_all(listen, tls.as_ref(), sockets)?,
                 };
-                router.roster_version.set(taken.version.unwrap_or(router.roster_version.get()));
+                // The old one died before it passed its state: the list of the configuration is what there is.
+                if taken.version.is_none() {
+                    take_known();
+                }
                 executor.spawn(takeover::follow(Rc::clone(&router), Rc::clone(&share), taken)).detach();
                 listeners
             }
         };
-        executor.spawn(watch::watch(Rc::clone(&router), router.roster_version.get())).detach();
-        future::yield_now().await;
-        if !asked || router.desk.borrow_mut().office.watch_wanted {
+        if !asked {
             router.watch.notify(1);
         }
         tracing::info!(
--- a/router/src/lifecycle/watch.rs
+++ b/router/src/lifecycle/watch.rs
@@ -55,9 +55,10 @@
 /// Watches whenever the module wants it, from the version that the router started with. Where discovery has
 /// moved, the call that is out at the old address is left at once, and the new one is asked for its whole list:
 /// its versions need not go on from the old one's, and what it does not list is gone.
-pub async fn watch(router: Rc<Router>, version: u64) {
+pub async fn watch(router: Rc<Router>) {
     let wait = router.bounds.ask_within.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT);
-    let (mut kept, mut failing, mut after) = (None::<Async<TcpStream>>, false, Some(version));
+    let (mut kept, mut failing, mut after) = (None::<Async<TcpStream>>, false, None);
+    let mut first = true;
     let (mut at, mut watching, mut wanted) = (router.discovery.get(), false, router.watch.listen());
     loop {
         let moved = router.moved.listen();
@@ -69,6 +70,9 @@
         if !watching {
             future::or(wanted, moved).await;
             (wanted, watching) = (router.watch.listen(), true);
+            if std::mem::replace(&mut first, false) {
+                after = Some(router.roster_version.get());
+            }
             continue;
         }
         let began = router.clock.now();
--- a/router/tests/upgrade.rs
+++ b/router/tests/upgrade.rs
@@ -260,11 +260,14 @@
 fn the_old_process_killed_leaves_the_new_one_serving(after_ms: u64) {
     let mut of = Upgradable::start(&[Act::Serve], "");
     let before = of.pid();
-    let slow = script(&of, &format!("sleep 0.03; exec {} \"$@\"", env!("CARGO_BIN_EXE_ternpick")));
+    let slow = script(
+        &of,
+        &format!(": > \"${{0}}.began\"; sleep 0.03; exec {} \"$@\"", env!("CARGO_BIN_EXE_ternpick")),
+    );
     thread::scope(|scope| {
         let upgrade = scope.spawn(|| of.upgrade(&["--program", &slow]));
-        within(|| std::fs::read_dir("/proc").is_ok(), "a system");
-        thread::sleep(Duration::from_millis(15 + after_ms));
+        within(|| Path::new(&format!("{slow}.began")).exists(), "the new process begins");
+        thread::sleep(Duration::from_millis(after_ms));
         let _ = Command::new("kill").args(["-9", &of.router.child.id().to_string()]).output();
         let _ = upgrade.join();
     });
