An upgrade with discovery down throughout; the load of a test ends also where a check fails

A failed check in the load test left its clients asking until the time of the whole run was over. The new case: three upgrades in a row while discovery answers 503, each serving with the node list passed over.

--- a/router/tests/upgrade.rs
+++ b/router/tests/upgrade.rs
@@ -172,6 +172,17 @@
     assert!(!frames.iter().any(|(_, rest)| rest.contains("a3.")), "{frames:?}");
 }
 
+#[test]
+fn an_upgrade_needs_no_discovery() {
+    let of = Upgradable::start(&[Act::Serve], "");
+    of._discovery.set(|roster| roster.down = true);
+    for id in ["i1", "i2", "i3"] {
+        assert!(of.upgrade(&[]).0);
+        served(of.router.address, id);
+    }
+    assert_eq!(of.status()["nodes"].as_array().map(Vec::len), Some(1));
+}
+
 #[test]
 fn beliefs_go_over() {
     let of = Upgradable::start(&[Act::Serve, Act::Serve], "");
@@ -389,6 +400,15 @@
     seen.lost.lock().unwrap().push(id.to_owned());
 }
 
+/// Ends the load also where a check fails.
+struct Ends<'a>(&'a AtomicBool);
+
+impl Drop for Ends<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+}
+
 fn under_load(upgrades: usize, failing: usize) {
     let of = Upgradable::start(&[Act::Serve, Act::Serve, Act::Serve], "");
     let (seen, stop) = (Seen::default(), AtomicBool::new(false));
@@ -425,6 +445,7 @@
                 }
             });
         }
+        let _ends = Ends(&stop);
         thread::sleep(500 * MS);
         for at in 0..upgrades {
             let fails = at * failing / upgrades != (at + 1) * failing / upgrades;
@@ -447,7 +468,6 @@
             highest.1 = highest.1.max(status["memory_held"].as_u64().unwrap_or(0));
             thread::sleep(150 * MS);
         }
-        stop.store(true, Ordering::Relaxed);
     });
     // From the nodes' side: how often each part was asked for.
     let mut parts: BTreeMap<String, usize> = BTreeMap::new();
