A connection that could not be handed over stays here; long lines of the policy wrapped

Read over: where the link to a new process broke while a client's connection was on its way, it was closed although nothing of it had gone over; it goes back among the old process's.

--- a/handover/src/new.rs
+++ b/handover/src/new.rs
@@ -40,7 +40,7 @@
 }
 
 impl New {
-    /// A new process says hello at once. `share` is what it may use should the old one die first.
+    /// A new process says hello at once.
     pub fn begins(patience: Patience, settings: u64, program: &str, now: Micros) -> (Self, Vec<Effect>) {
         let due = Some(now + patience.step);
         let hello = Message::Hello { version: VERSION, program: program.to_owned() };
--- a/router/src/lifecycle/upgrade.rs
+++ b/router/src/lifecycle/upgrade.rs
@@ -250,12 +250,17 @@
             let Some(link) = &self.link else { return };
             let message = Message::Client { unread };
             let fds = [socket.as_fd()];
-            let sent = link.send(&message, &fds);
             let late = self.router.clock.now() + LOOK.times(100.0);
-            if !matches!(self.router.until(Some(late), sent).await, Some(Ok(()))) {
-                self.broke = self.broke.or(Some(self.router.clock.now()));
-                return;
+            let sent = self.router.until(Some(late), link.send(&message, &fds)).await;
+            if matches!(sent, Some(Ok(()))) {
+                continue;
             }
+            // Where nothing of it can have gone over, it stays here: its client has lost nothing.
+            if let (Some(Err(_)), Message::Client { unread }) = (sent, message) {
+                self.router.handed.borrow_mut().push_front((socket, unread));
+            }
+            self.broke = self.broke.or(Some(self.router.clock.now()));
+            return;
         }
     }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -673,7 +673,7 @@
         let (dial, first_run) = (self.tariff.dial, calls.iter().find(|c| c.may_have_run()).map(|c| c.sent));
         let harmless = match self.row(lookup).repeat {
             Repeat::Idempotent => true,
-            // A dial and two beats are kept back: the window is the nodes', and the call has yet to reach one.
+            // A dial and two beats are kept back: the window is the nodes', the call has yet to reach one.
             Repeat::Fingerprinted(window) => first_run.is_none_or(|s| !self.soon(s + window.since(dial))),
             Repeat::OnceOnly => first_run.is_none(),
         };
@@ -738,9 +738,9 @@
         }
     }
 
-    /// Refusals, lost connections and errors are one symptom, as bad as an answer as late as the shortest aim.
+    /// Refusals, lost connections, errors are one symptom, as bad as an answer as late as the shortest aim.
     /// What shows the process down counts for every index, an error only for its own, and where it may be
-    /// repeated for the time it took and another try's: a node that fails briskly still does a part of its work.
+    /// repeated for the time it took and another try's: a node that fails briskly does a part of its work.
     fn learn(&mut self, id: NodeId, index: IndexNo, lag: Micros, ending: Ending) {
         self.alarm_at = Some(self.now).filter(|_| ending == Ending::Broken).or(self.alarm_at);
         let (longest, middle) = (self.memory(), self.survey.middle.unwrap_or(f64::MAX));
