--- a/router/src/lifecycle/upgrade.rs
+++ b/router/src/lifecycle/upgrade.rs
@@ -11,7 +11,6 @@
 use async_io::Timer;
 use futures_lite::future;
 use rustix::process::{kill_process, Pid, Signal};
-use ternpick::brain::Whole;
 use ternpick::types::Micros;
 use ternpick_handover::{Effect, FromNew, Lease, Message, Old, Patience};
 
@@ -38,9 +37,6 @@
     whole: Lease,
     total: usize,
     memory: usize,
-    /// The constant part of the budget of further calls.
-    spare: f64,
-    lent: RefCell<Option<Whole>>,
 }
 
 impl Share {
@@ -55,8 +51,7 @@
             sockets: number(total.saturating_sub(OWN)),
             memory: memory as u64,
         };
-        let spare = desk.brain.tariff.extra_spare;
-        Share { whole, total, memory, spare, lent: RefCell::default() }
+        Share { whole, total, memory }
     }
 
     pub fn whole(&self) -> Lease {
@@ -79,11 +74,8 @@
         let mut desk = router.desk.borrow_mut();
         let desk = &mut *desk;
         desk.office.lent = (!whole && lease.held < u32::MAX).then_some(lease.held as usize);
-        if let Some(lent) = self.lent.borrow_mut().take() {
-            desk.brain.keep_whole(lent);
-        }
         if whole {
-            desk.brain.tariff.extra_spare = self.spare;
+            desk.brain.serve_whole();
             if let Some(limits) = &mut desk.office.limits {
                 limits.other_done();
             }
@@ -91,12 +83,7 @@
             router.budget.set_limit(self.memory);
             return;
         }
-        if goes_on {
-            // What the other one keeps of the constant part of the budget is not this one's.
-            desk.brain.tariff.extra_spare = f64::from(lease.extra);
-        } else {
-            self.lent.replace(Some(desk.brain.keep_part(f64::from(lease.extra))));
-        }
+        desk.brain.serve_part(f64::from(lease.extra), goes_on);
         router.descriptors.set_total(lease.sockets as usize);
         router.budget.set_limit(usize::try_from(lease.memory).unwrap_or(usize::MAX));
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,7 +25,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use snapshot::{Beliefs, NodeBelief, Whole};
+pub use snapshot::{Beliefs, NodeBelief};
 
 /// m over mean o: nodes do a few parts at a time, so one more costs nearly as much as the call.
 const PART_RATIO: f64 = 0.8;
@@ -89,6 +89,8 @@
     /// Requests taken and further part calls made within the budget's window; emptied by age.
     taken: VecDeque<Micros>,
     extras: VecDeque<Micros>,
+    /// The whole budget, while this module serves a part: spare, ratio, cold share, further calls made.
+    whole: Option<(f64, f64, f64, VecDeque<Micros>)>,
     ask_at: Option<Micros>,
     roster_lost: bool,
     /// When a node last fell, as its connections or the roster told.
@@ -121,6 +123,29 @@
         Brain { chance: Chance::new(seed), stale: true, quota_left, ask_at, tariff, ..Brain::default() }
     }
 
+    /// Two processes serve one router's share: of its further calls `spare` are this one's. One that only finishes
+    /// what it has taken earns no more, and leaves nodes that warm up to the other.
+    pub fn serve_part(&mut self, spare: f64, goes_on: bool) {
+        self.serve_whole();
+        let of = &mut self.tariff;
+        let (whole, mut made) = ((of.extra_spare, of.extra_ratio, of.cold_share), VecDeque::new());
+        of.extra_spare = spare;
+        if !goes_on {
+            (of.extra_ratio, of.cold_share) = (0.0, 0.0);
+            made = std::mem::take(&mut self.extras);
+        }
+        self.whole = Some((whole.0, whole.1, whole.2, made));
+        self.stale = true;
+    }
+
+    /// The whole share is this one's again, with all that was made of it.
+    pub fn serve_whole(&mut self) {
+        let Some((spare, ratio, cold, mut made)) = self.whole.take() else { return };
+        (self.tariff.extra_spare, self.tariff.extra_ratio, self.tariff.cold_share) = (spare, ratio, cold);
+        made.append(&mut self.extras);
+        (self.extras, self.stale) = (made, true);
+    }
+
     /// Counts a request for the budget, where one is set.
     fn take(&mut self) {
         let Some(window) = self.tariff.extra_window else { return };
--- a/src/brain/snapshot.rs
+++ b/src/brain/snapshot.rs
@@ -48,15 +48,6 @@
     pub shed: Option<u64>,
 }
 
-/// A module's whole budget, while it goes on with a part.
-#[derive(Default)]
-pub struct Whole {
-    spare: f64,
-    ratio: f64,
-    cold: f64,
-    extras: std::collections::VecDeque<Micros>,
-}
-
 impl Node {
     fn belief(&self, now: Micros) -> NodeBelief {
         let age = |at: Micros| now.since(at).0;
@@ -145,34 +136,13 @@
         self.stale = true;
         taken
     }
-
-    /// From now on this module finishes what it has taken beside another that goes on: of further calls it has `spare`
-    /// and no more, and nodes that warm up get nothing from it. What was set before comes back, for [`Brain::keep_whole`].
-    pub fn keep_part(&mut self, spare: f64) -> Whole {
-        let tariff = &mut self.tariff;
-        let whole = Whole {
-            spare: std::mem::replace(&mut tariff.extra_spare, spare),
-            ratio: std::mem::replace(&mut tariff.extra_ratio, 0.0),
-            cold: std::mem::replace(&mut tariff.cold_share, 0.0),
-            extras: std::mem::take(&mut self.extras),
-        };
-        self.stale = true;
-        whole
-    }
-
-    /// The whole budget is this module's again, with all that was made of it.
-    pub fn keep_whole(&mut self, of: Whole) {
-        let Whole { spare, ratio, cold, mut extras } = of;
-        (self.tariff.extra_spare, self.tariff.extra_ratio, self.tariff.cold_share) = (spare, ratio, cold);
-        extras.append(&mut self.extras);
-        (self.extras, self.stale) = (extras, true);
-    }
 }
 
 #[cfg(test)]
 mod tests {
     use super::*;
     use crate::types::{Listing, Tariff};
+    use test_case::test_case;
 
     fn brain(now: Micros) -> Brain {
         let mut brain = Brain::new(Tariff { quotas: vec![5.0], ..Tariff::default() }, 1);
@@ -205,16 +175,23 @@
         assert_eq!(new.fatal[0].0, there + Micros(5_000_000));
     }
 
-    #[test]
-    fn a_part_of_the_budget_is_kept_and_the_whole_comes_back_with_all_that_was_made() {
+    #[test_case(false, (2.0, 0.0, 0.0, 0); "one that finishes")]
+    #[test_case(true, (2.0, 0.1, 0.2, 1); "one that goes on")]
+    fn a_part_of_the_budget_is_kept_and_the_whole_comes_back(goes_on: bool, kept: (f64, f64, f64, usize)) {
         let mut brain = brain(Micros(1_000_000));
         (brain.tariff.extra_spare, brain.tariff.extra_ratio, brain.tariff.cold_share) = (8.0, 0.1, 0.2);
         brain.extras.push_back(Micros(990_000));
-        let whole = brain.keep_part(2.0);
-        assert_eq!((brain.tariff.extra_spare, brain.tariff.extra_ratio, brain.extras.len()), (2.0, 0.0, 0));
+        let seen = |brain: &Brain| {
+            let of = &brain.tariff;
+            (of.extra_spare, of.extra_ratio, of.cold_share, brain.extras.len())
+        };
+        brain.serve_part(4.0, goes_on);
+        brain.serve_part(2.0, goes_on);
+        assert_eq!(seen(&brain), kept);
         brain.extras.push_back(Micros(1_000_000));
-        brain.keep_whole(whole);
-        assert_eq!((brain.tariff.extra_spare, brain.tariff.cold_share, brain.extras.len()), (8.0, 0.2, 2));
+        brain.serve_whole();
+        brain.serve_whole();
+        assert_eq!(seen(&brain), (8.0, 0.1, 0.2, 2));
     }
 
     #[test]
