--- a/src/brain.rs
+++ b/src/brain.rs
@@ -123,8 +123,8 @@
         Brain { chance: Chance::new(seed), stale: true, quota_left, ask_at, tariff, ..Brain::default() }
     }
 
-    /// Two processes serve one router's share: of its further calls `spare` are this one's. One that only finishes
-    /// what it has taken earns no more, and leaves nodes that warm up to the other.
+    /// Two processes serve one router's share: of its further calls `spare` are this one's. One that only
+    /// finishes what it has taken earns no more, and leaves nodes that warm up to the other.
     pub fn serve_part(&mut self, spare: f64, goes_on: bool) {
         self.serve_whole();
         let of = &mut self.tariff;
