--- a/router/tests/identity.rs
+++ b/router/tests/identity.rs
@@ -231,6 +231,23 @@
     assert_eq!(ask(&mut chief.0, "half", "set tag 7", "").0, 200);
 }
 
+#[test]
+fn a_certificate_revoked_under_a_request_gets_that_answer_and_no_other() {
+    let world = World::new();
+    let guarded = Guarded::start(&world);
+    *guarded.nodes[0].acts.lock().unwrap() = [Act::Silent; 2];
+    let mut stream = guarded.secure(&world.client(Some(("crew-7.example", 7))));
+    send(&mut stream.0, "whole", "find", "");
+    let frame = guarded.nodes[0].frame('q');
+    world.list(2, &[7]);
+    guarded.log_has("1 certificates are revoked");
+    for id in frame.split("find").filter_map(|line| line.split(' ').next()).filter(|id| !id.is_empty()) {
+        guarded.nodes[0].answer(id);
+    }
+    assert_eq!(receive(&mut stream.0).0, 200, "taken before");
+    assert_eq!(ask(&mut stream.0, "whole", "find", "").0, 401);
+}
+
 #[test]
 fn new_server_files_serve_the_next_connections_and_drop_none() {
     let world = World::new();
