--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,273 @@
+//! `ternpick-lab`: days in virtual time, from a terminal or a script.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+use serde_json::json;
+use ternpick_lab::compare::{compare, Row};
+use ternpick_lab::experiment::{self, Run};
+use ternpick_lab::hunt::{hunt, look, shrink, Find};
+use ternpick_lab::plan::Plan;
+use ternpick_lab::report;
+use ternpick_lab::sim::Day;
+
+/// Plays plans of worlds in virtual time, with the program's own decisions inside. All figures are simulated.
+#[derive(Parser)]
+#[command(name = "ternpick-lab", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+    /// Threads; as many as there are cores if left out
+    #[arg(long, global = true)]
+    threads: Option<usize>,
+    /// Prints JSON, for scripts
+    #[arg(long, global = true)]
+    json: bool,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Reads a plan and tells its days and what its worlds can do
+    Check { plan: PathBuf },
+    /// Plays a plan; what was played before is not played again
+    Run {
+        plan: PathBuf,
+        /// The folder for days, tables and charts
+        #[arg(long)]
+        out: Option<PathBuf>,
+    },
+    /// Compares two policies of one folder of results, or the same policy of two folders
+    Compare {
+        out: PathBuf,
+        /// Against these results instead: of another version of the program, or of other settings
+        #[arg(long)]
+        with: Option<PathBuf>,
+        #[arg(long, default_value = "design")]
+        first: String,
+        #[arg(long, default_value = "design")]
+        second: String,
+    },
+    /// Searches the neighbourhood of a plan's worlds for the worst days
+    Hunt {
+        plan: PathBuf,
+        /// Rounds of sixteen days
+        #[arg(long, default_value_t = 10)]
+        rounds: usize,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The folder for what is found
+        #[arg(long)]
+        out: PathBuf,
+    },
+    /// Cuts a find down to the least that still shows it
+    Shrink {
+        find: PathBuf,
+        #[arg(long)]
+        to: PathBuf,
+        /// Days that may be played
+        #[arg(long, default_value_t = 400)]
+        days: usize,
+    },
+    /// Plays a find again, and tells whether it is as it was
+    Replay { find: PathBuf },
+    /// Writes tables, charts and a page of a folder of results
+    Report { out: PathBuf },
+}
+
+type Done = Result<ExitCode, Box<dyn std::error::Error>>;
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    if let Some(threads) = cli.threads {
+        if let Err(error) = rayon::ThreadPoolBuilder::new().num_threads(threads).build_global() {
+            eprintln!("ternpick-lab: {error}");
+            return ExitCode::FAILURE;
+        }
+    }
+    match run(&cli) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("ternpick-lab: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(cli: &Cli) -> Done {
+    match &cli.command {
+        Command::Check { plan } => check(&Plan::read(plan)?, cli.json),
+        Command::Run { plan, out } => {
+            let plan = Plan::read(plan)?;
+            let (days, played) = experiment::run(&plan, out.as_deref())?;
+            if let Some(out) = out {
+                report::write(&plan, &days, out)?;
+            }
+            match cli.json {
+                true => println!("{}", serde_json::to_string(&days)?),
+                false => print!("{}{played} of {} days played anew\n", report::table(&days), days.len()),
+            }
+            Ok(broken(&days, "design"))
+        }
+        Command::Compare { out, with, first, second } => {
+            let (_, days) = experiment::read(out)?;
+            let other = with.as_deref().map(experiment::read).transpose()?.map(|(_, days)| days);
+            let of = |days: &[Day], policy: &str| -> Vec<Day> {
+                days.iter().filter(|day| day.policy == policy).cloned().collect()
+            };
+            let (a, b) = (of(&days, first), of(other.as_ref().unwrap_or(&days), second));
+            let rows = compare(a.iter(), b.iter());
+            if rows.is_empty() {
+                return Err(format!("no day was played under both '{first}' and '{second}'").into());
+            }
+            match cli.json {
+                true => println!("{}", serde_json::to_string(&rows)?),
+                false => print!("{}", verdicts(&rows, first, second)),
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Hunt { plan, rounds, seed, out } => {
+            let plan = Plan::read(plan)?;
+            let from: Vec<Run> = plan
+                .worlds
+                .iter()
+                .map(|world| Run {
+                    world: world.clone(),
+                    policy: plan.policies.first().cloned().unwrap_or_else(|| "design".into()),
+                    seed: plan.first_seed,
+                    load: plan.loads.first().copied().unwrap_or(1.0),
+                })
+                .collect();
+            std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
+            let bar = experiment::progress(*rounds, "rounds");
+            let finds = hunt(&from, *rounds, *seed, |find| {
+                bar.inc(1);
+                bar.set_message(words(find));
+            });
+            bar.finish_and_clear();
+            for (at, find) in finds.iter().enumerate() {
+                let path = out.join(format!("find-{}.json", at + 1));
+                keep(find, &path)?;
+                println!("{}: {}", path.display(), words(find));
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Shrink { find, to, days } => {
+            let small = shrink(&read(find)?, *days, |find| eprintln!("{}", words(find)));
+            keep(&small, to)?;
+            println!("{}: {}", to.display(), words(&small));
+            Ok(ExitCode::SUCCESS)
+        }
+        Command::Replay { find } => {
+            let was = read(find)?;
+            let is = look(&was.run);
+            let same = is.trace == was.trace;
+            match cli.json {
+                true => println!("{}", json!({"same": same, "was": was, "is": is})),
+                false => println!("{}; {}", words(&is), if same { "as it was" } else { "not as it was" }),
+            }
+            Ok(if same { ExitCode::SUCCESS } else { ExitCode::from(2) })
+        }
+        Command::Report { out } => {
+            let (plan, days) = experiment::read(out)?;
+            let files = report::write(&plan, &days, out)?;
+            println!("{} files in {}, begin with report.html", files.len(), out.display());
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+/// Exit status 2 where a policy broke a rule.
+fn broken(days: &[Day], policy: &str) -> ExitCode {
+    let mut code = ExitCode::SUCCESS;
+    for day in days.iter().filter(|day| day.policy == policy && day.breach_count > 0) {
+        for breach in day.breaches.iter().take(3) {
+            eprintln!(
+                "{} seed {} load {}: {:?} at {:.3} s, {}",
+                day.world,
+                day.seed,
+                day.load,
+                breach.rule,
+                breach.at as f64 / 1e6,
+                breach.what
+            );
+        }
+        code = ExitCode::from(2);
+    }
+    code
+}
+
+fn check(plan: &Plan, json: bool) -> Done {
+    let days = experiment::runs(plan).len();
+    let of: Vec<_> = plan
+        .worlds
+        .iter()
+        .map(|world| {
+            let (can, rate) = (world.capacity(), world.clients.rate);
+            json!({"world": world.name, "nodes": world.node_count(), "routers": world.routers, "can": can, "rate": rate,
+                "busy": rate / can})
+        })
+        .collect();
+    if json {
+        println!("{}", json!({"plan": plan.name, "days": days, "worlds": of}));
+        return Ok(ExitCode::SUCCESS);
+    }
+    println!("{}: {days} days", plan.name);
+    for world in of {
+        println!(
+            "{}: {} nodes, {} routers, {:.0} lookups a second of {:.0} that it can do ({:.0}%)",
+            world["world"].as_str().unwrap_or_default(),
+            world["nodes"],
+            world["routers"],
+            world["rate"].as_f64().unwrap_or(0.0),
+            world["can"].as_f64().unwrap_or(0.0),
+            world["busy"].as_f64().unwrap_or(0.0) * 100.0
+        );
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn verdicts(rows: &[Row], first: &str, second: &str) -> String {
+    let cells = |row: &Row| {
+        let range = row.difference.map_or("-".into(), |of| format!("{:+.4} to {:+.4}", of.low, of.high));
+        vec![
+            row.world.clone(),
+            format!("{:.2}", row.load),
+            row.figure.to_owned(),
+            format!("{:.4}", row.first),
+            format!("{:.4}", row.second),
+            range,
+            row.verdict.to_string(),
+        ]
+    };
+    let rows: Vec<Vec<String>> = rows.iter().map(cells).collect();
+    report::text_table(&["world", "load", "figure", first, second, "difference, 95%", "second is"], &rows)
+}
+
+fn words(find: &Find) -> String {
+    let run = &find.run;
+    let troubles: Vec<&str> = run.world.troubles.iter().map(|of| of.kind.as_str()).collect();
+    let what = match find.rule {
+        Some(rule) => format!("breaks {rule:?}"),
+        None => format!("loses {:.3} of the oracle's {:.3}", find.loss, find.oracle),
+    };
+    format!(
+        "{} seed {} load {:.2}, {} s, {} routers, [{}]: {what}",
+        run.world.name,
+        run.seed,
+        run.load,
+        run.world.seconds,
+        run.world.routers,
+        troubles.join(", ")
+    )
+}
+
+fn keep(find: &Find, path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    ternpick_store::replace(path, &serde_json::to_vec_pretty(find)?)?;
+    Ok(())
+}
+
+fn read(path: &Path) -> Result<Find, Box<dyn std::error::Error>> {
+    let text = std::fs::read(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    Ok(serde_json::from_slice(&text).map_err(|e| format!("{} is no find: {e}", path.display()))?)
+}
--- /dev/null
+++ b/lab/src/report.rs
@@ -0,0 +1,366 @@
+//! What a plan came to, for people and for scripts: tables as text, CSV and JSON, charts as SVG, and one page that needs
+//! no network.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::path::Path;
+
+use plotters::prelude::*;
+
+use crate::compare::{interval, Interval};
+use crate::plan::{Plan, World};
+use crate::sim::Day;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Failed {
+    #[error("the chart '{0}' could not be drawn: {1}")]
+    Chart(String, String),
+    #[error("the table could not be written: {0}")]
+    Table(#[from] csv::Error),
+    #[error("{0}")]
+    Kept(#[from] ternpick_store::Fault),
+}
+
+const SIZE: (u32, u32) = (860, 380);
+const COLOURS: [RGBColor; 7] = [
+    RGBColor(20, 90, 160),
+    RGBColor(200, 80, 40),
+    RGBColor(60, 140, 70),
+    RGBColor(130, 80, 160),
+    RGBColor(160, 120, 30),
+    RGBColor(90, 90, 90),
+    RGBColor(200, 60, 120),
+];
+
+/// The days of one world, load and policy, over their seeds.
+struct Group<'a> {
+    world: &'a str,
+    load: f64,
+    policy: &'a str,
+    days: Vec<&'a Day>,
+}
+
+fn groups(days: &[Day]) -> Vec<Group<'_>> {
+    let mut groups: Vec<Group> = Vec::new();
+    for day in days {
+        let same = |of: &&mut Group| of.world == day.world && of.load == day.load && of.policy == day.policy;
+        match groups.iter_mut().find(same) {
+            Some(group) => group.days.push(day),
+            None => {
+                groups.push(Group {
+                    world: &day.world,
+                    load: day.load,
+                    policy: &day.policy,
+                    days: vec![day],
+                });
+            }
+        }
+    }
+    groups
+}
+
+impl Group<'_> {
+    fn mean(&self, of: impl Fn(&Day) -> f64) -> f64 {
+        self.days.iter().map(|day| of(day)).sum::<f64>() / self.days.len() as f64
+    }
+
+    fn service(&self) -> Interval {
+        let of: Vec<f64> = self.days.iter().map(|day| day.service).collect();
+        let mean = self.mean(|day| day.service);
+        interval(&of).unwrap_or(Interval { mean, low: mean, high: mean, count: of.len() })
+    }
+
+    /// Days on which service came back after the last trouble, of those that had one, and the mean seconds it took.
+    fn back(&self) -> (usize, usize, f64) {
+        let troubled: Vec<&&Day> = self.days.iter().filter(|day| day.troubled).collect();
+        let back: Vec<f64> = troubled.iter().filter_map(|day| day.back_after).collect();
+        (back.len(), troubled.len(), back.iter().sum::<f64>() / back.len().max(1) as f64)
+    }
+
+    fn broken(&self) -> u64 {
+        self.days.iter().map(|day| day.breach_count).sum()
+    }
+}
+
+const HEADS: [&str; 15] = [
+    "world",
+    "load",
+    "policy",
+    "days",
+    "service",
+    "low",
+    "high",
+    "p50 ms",
+    "p99 ms",
+    "lost",
+    "refused",
+    "calls a lookup",
+    "imbalance",
+    "back (s)",
+    "rules broken",
+];
+
+fn cells(of: &Group) -> Vec<String> {
+    let service = of.service();
+    let (back, troubled, after) = of.back();
+    let back = match (troubled, back) {
+        (0, _) => "-".into(),
+        (_, 0) => format!("never in {troubled}"),
+        (_, back) => format!("{after:.1} in {back} of {troubled}"),
+    };
+    let share = |count: fn(&Day) -> u64| of.mean(|day| count(day) as f64 / day.figures.lookups.max(1) as f64);
+    vec![
+        of.world.to_owned(),
+        format!("{:.2}", of.load),
+        of.policy.to_owned(),
+        of.days.len().to_string(),
+        format!("{:.3}", service.mean),
+        format!("{:.3}", service.low),
+        format!("{:.3}", service.high),
+        format!("{:.1}", of.mean(|day| day.figures.p50_ms)),
+        format!("{:.1}", of.mean(|day| day.figures.p99_ms)),
+        format!("{:.4}", share(|day| day.figures.lost)),
+        format!("{:.4}", share(|day| day.figures.refused)),
+        format!("{:.2}", of.mean(|day| day.figures.calls_a_lookup)),
+        format!("{:.2}", of.mean(|day| day.figures.imbalance)),
+        back,
+        of.broken().to_string(),
+    ]
+}
+
+/// The table for a terminal, or for a page of docs.
+pub fn table(days: &[Day]) -> String {
+    let rows: Vec<Vec<String>> = groups(days).iter().map(cells).collect();
+    text_table(&HEADS, &rows)
+}
+
+/// Rows under heads, in columns that also a page of docs can show.
+pub fn text_table(heads: &[&str], rows: &[Vec<String>]) -> String {
+    let width = |at: usize| rows.iter().map(|row| row[at].len()).chain([heads[at].len()]).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..heads.len()).map(width).collect();
+    let line = |cells: &mut dyn Iterator<Item = &str>| {
+        let cells: Vec<String> = cells.zip(&widths).map(|(cell, width)| format!("{cell:<width$}")).collect();
+        format!("| {} |\n", cells.join(" | "))
+    };
+    let mut text = line(&mut heads.iter().copied());
+    let dashes: Vec<String> = widths.iter().map(|width| "-".repeat((*width).max(3))).collect();
+    text += &line(&mut dashes.iter().map(String::as_str));
+    for row in rows {
+        text += &line(&mut row.iter().map(String::as_str));
+    }
+    text
+}
+
+pub fn csv(days: &[Day]) -> Result<Vec<u8>, Failed> {
+    let mut to = csv::Writer::from_writer(Vec::new());
+    to.write_record(HEADS)?;
+    for group in groups(days) {
+        to.write_record(cells(&group))?;
+    }
+    to.into_inner().map_err(|error| Failed::Table(csv::Error::from(error.into_error())))
+}
+
+/// A figure of a day.
+type Of = fn(&Day) -> f64;
+
+struct Line {
+    name: String,
+    points: Vec<(f64, f64)>,
+    /// Low and high of each point, where there are days enough.
+    bars: Vec<(f64, f64, f64)>,
+}
+
+struct Chart<'a> {
+    title: String,
+    across: &'a str,
+    up: &'a str,
+    lines: Vec<Line>,
+    /// Spans that are shaded, and their words.
+    marks: Vec<(f64, f64, String)>,
+    most: Option<f64>,
+}
+
+impl Chart<'_> {
+    fn svg(&self) -> Result<String, Failed> {
+        let mut text = String::new();
+        let failed = |what: String| Failed::Chart(self.title.clone(), what);
+        {
+            let area = SVGBackend::with_string(&mut text, SIZE).into_drawing_area();
+            self.draw(&area).map_err(|error| failed(error.to_string()))?;
+            area.present().map_err(|error| failed(error.to_string()))?;
+        }
+        Ok(text)
+    }
+
+    fn draw(
+        &self, area: &DrawingArea<SVGBackend, plotters::coord::Shift>,
+    ) -> Result<(), DrawingAreaErrorKind<<SVGBackend<'_> as DrawingBackend>::ErrorType>> {
+        let points = || self.lines.iter().flat_map(|line| &line.points);
+        let (left, right) =
+            points().fold((f64::MAX, f64::MIN), |(low, high), (x, _)| (low.min(*x), high.max(*x)));
+        let top = self.most.unwrap_or_else(|| points().map(|(_, y)| *y).fold(0.0, f64::max) * 1.1);
+        let (left, right) = if left < right { (left, right) } else { (left - 1.0, left + 1.0) };
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(area)
+            .caption(&self.title, ("sans-serif", 18))
+            .margin(10)
+            .x_label_area_size(38)
+            .y_label_area_size(52)
+            .right_y_label_area_size(8)
+            .build_cartesian_2d(left..right, 0.0..top.max(1e-6))?;
+        for (from, to, _) in &self.marks {
+            let to = if to > from { *to } else { from + (right - left) / 200.0 };
+            chart.draw_series(std::iter::once(Rectangle::new(
+                [(*from, 0.0), (to.min(right), top)],
+                RGBColor(250, 225, 200).filled(),
+            )))?;
+        }
+        chart
+            .configure_mesh()
+            .light_line_style(RGBColor(235, 235, 235))
+            .x_desc(self.across)
+            .y_desc(self.up)
+            .draw()?;
+        for (at, line) in self.lines.iter().enumerate() {
+            let colour = COLOURS[at % COLOURS.len()];
+            chart
+                .draw_series(LineSeries::new(line.points.iter().copied(), colour.stroke_width(2)))?
+                .label(&line.name)
+                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], colour.stroke_width(2)));
+            chart.draw_series(line.bars.iter().map(|(x, low, high)| {
+                PathElement::new(vec![(*x, low.max(0.0)), (*x, high.min(top))], colour.stroke_width(1))
+            }))?;
+            if line.points.len() < 30 {
+                chart.draw_series(line.points.iter().map(|point| Circle::new(*point, 3, colour.filled())))?;
+            }
+        }
+        for (at, (from, _, word)) in self.marks.iter().enumerate() {
+            let style = ("sans-serif", 12).into_font().color(&RGBColor(150, 90, 30));
+            let height = top * (0.04 + 0.05 * (at % 4) as f64);
+            chart.draw_series(std::iter::once(Text::new(word.clone(), (*from, height), style)))?;
+        }
+        chart
+            .configure_series_labels()
+            .background_style(WHITE.mix(0.8))
+            .border_style(RGBColor(200, 200, 200))
+            .position(SeriesLabelPosition::LowerRight)
+            .label_font(("sans-serif", 12))
+            .draw()
+    }
+}
+
+fn marks(world: &World) -> Vec<(f64, f64, String)> {
+    let seconds = |micros: u64| micros as f64 / 1e6;
+    world.troubles.iter().map(|of| (seconds(of.at), seconds(of.end()), of.kind.clone())).collect()
+}
+
+/// Charts by file name.
+pub fn charts(plan: &Plan, days: &[Day]) -> Result<BTreeMap<String, String>, Failed> {
+    let (mut charts, groups) = (BTreeMap::new(), groups(days));
+    for world in &plan.worlds {
+        let of: Vec<&Group> = groups.iter().filter(|group| group.world == world.name).collect();
+        for load in &plan.loads {
+            let lines = of.iter().filter(|group| group.load == *load).map(|group| {
+                let seconds = group.days.iter().map(|day| day.by_second.len()).min().unwrap_or(0);
+                let points = (0..seconds).map(|at| (at as f64, group.mean(|day| day.by_second[at])));
+                Line { name: group.policy.to_owned(), points: points.collect(), bars: Vec::new() }
+            });
+            let chart = Chart {
+                title: format!("{}: service by second, load {load}", world.name),
+                across: "seconds",
+                up: "share of gain",
+                lines: lines.collect(),
+                marks: marks(world),
+                most: Some(1.05),
+            };
+            charts.insert(format!("{}-{load}-service.svg", world.name), chart.svg()?);
+        }
+        let policies = || plan.policies.iter();
+        let by_load = |policy: &str, of_group: &dyn Fn(&Group) -> (f64, f64, f64)| {
+            let mine: Vec<&&Group> = of.iter().filter(|group| group.policy == policy).collect();
+            let points = mine.iter().map(|group| (group.load, of_group(group).0)).collect();
+            let bars = mine.iter().map(|group| {
+                let (_, low, high) = of_group(group);
+                (group.load, low, high)
+            });
+            Line { name: policy.to_owned(), points, bars: bars.collect() }
+        };
+        if plan.loads.len() > 1 {
+            let service = |group: &Group| {
+                let of = group.service();
+                (of.mean, of.low, of.high)
+            };
+            let chart = Chart {
+                title: format!("{}: gain against load", world.name),
+                across: "times the world's own rate",
+                up: "share of gain",
+                lines: policies().map(|policy| by_load(policy, &service)).collect(),
+                marks: Vec::new(),
+                most: Some(1.05),
+            };
+            charts.insert(format!("{}-gain.svg", world.name), chart.svg()?);
+        }
+        let quantiles: [(f64, Of); 3] = [
+            (50.0, |day| day.figures.p50_ms),
+            (99.0, |day| day.figures.p99_ms),
+            (99.9, |day| day.figures.p999_ms),
+        ];
+        let first = plan.loads.first().copied().unwrap_or(1.0);
+        let lines = of.iter().filter(|group| group.load == first).map(|group| {
+            // Drawn by nines, so that the tail has its room.
+            let points = quantiles.iter().map(|(q, of)| (-(1.0 - q / 100.0).log10(), group.mean(of)));
+            Line { name: group.policy.to_owned(), points: points.collect(), bars: Vec::new() }
+        });
+        let chart = Chart {
+            title: format!("{}: time to the answer, load {first}", world.name),
+            across: "nines (0.3: median, 2: 99%, 3: 99.9%)",
+            up: "ms",
+            lines: lines.collect(),
+            marks: Vec::new(),
+            most: None,
+        };
+        charts.insert(format!("{}-latency.svg", world.name), chart.svg()?);
+    }
+    Ok(charts)
+}
+
+fn page(plan: &Plan, days: &[Day], charts: &BTreeMap<String, String>) -> String {
+    let escape = |text: &str| text.replace('&', "&amp;").replace('<', "&lt;");
+    let mut html = format!(
+        "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>{0}</title><style>body{{font:15px sans-serif;\
+         margin:2em auto;max-width:1200px}}table{{border-collapse:collapse;font-size:13px}}td,th{{border:1px solid #ccc;\
+         padding:2px 7px;text-align:right}}td:first-child,td:nth-child(3){{text-align:left}}svg{{max-width:100%;height:auto}}\
+         </style><h1>{0}</h1><p>Simulated. {1} days; intervals of 95%. Shaded: while a trouble lasts.</p><table><tr>",
+        escape(&plan.name),
+        days.len()
+    );
+    for head in HEADS {
+        let _ = write!(html, "<th>{head}</th>");
+    }
+    for group in groups(days) {
+        html += "</tr><tr>";
+        for cell in cells(&group) {
+            let _ = write!(html, "<td>{}</td>", escape(&cell));
+        }
+    }
+    html += "</tr></table>";
+    for svg in charts.values() {
+        html += svg;
+    }
+    html + "</html>\n"
+}
+
+/// Writes table, CSV, charts and page into a folder.
+pub fn write(plan: &Plan, days: &[Day], out: &Path) -> Result<Vec<String>, Failed> {
+    let charts = charts(plan, days)?;
+    let mut files = vec![
+        ("table.txt".to_owned(), table(days).into_bytes()),
+        ("table.csv".to_owned(), csv(days)?),
+        ("report.html".to_owned(), page(plan, days, &charts).into_bytes()),
+    ];
+    files.extend(charts.into_iter().map(|(name, svg)| (name, svg.into_bytes())));
+    for (name, bytes) in &files {
+        ternpick_store::replace(&out.join(name), bytes)?;
+    }
+    Ok(files.into_iter().map(|(name, _)| name).collect())
+}
--- /dev/null
+++ b/lab/src/sim/front.rs
@@ -0,0 +1,628 @@
+//! A router as the emulator has it: the policy inside, its books, its connections; and the network between it and nodes.
+
+use std::collections::BTreeMap;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use ternpick::brain::Brain;
+use ternpick::interface::Actions;
+use ternpick::types::{
+    CallNo, CustomerNo, Ending, IndexNo, Listing, LookupId, Micros, NodeId, PartId, Phase, ShardNo, TimerId,
+    ZoneNo,
+};
+
+use super::asks::AskId;
+use super::{Call, Event, Sim};
+use crate::check::{Final, Repeats};
+use crate::node::{CallId, Job, Report};
+use crate::plan::{Index, World};
+use crate::policy::{Choice, Plain, Policy, Sight};
+
+/// What a client hears.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Word {
+    Answered {
+        share: f64,
+        whole: bool,
+    },
+    Nacked {
+        come_back: u64,
+    },
+    Aborted,
+    NoConnection,
+    /// Its own: the wait before the next try is over.
+    Again,
+}
+
+/// What a policy wants done, in order.
+#[derive(Clone, Debug)]
+enum Act {
+    Call(PartId, NodeId, Micros),
+    Answer(LookupId, bool),
+    Nack(LookupId, Micros),
+    Abort(LookupId),
+    Cancel(PartId, CallNo),
+    Probe(NodeId),
+    Watch,
+    Timer(Micros, TimerId),
+}
+
+#[derive(Default)]
+struct Acts(Vec<Act>);
+
+impl Actions for Acts {
+    fn part_call(&mut self, part: PartId, node: NodeId, limit: Micros) {
+        self.0.push(Act::Call(part, node, limit));
+    }
+    fn answer(&mut self, lookup: LookupId, whole: bool) {
+        self.0.push(Act::Answer(lookup, whole));
+    }
+    fn nack(&mut self, lookup: LookupId, come_back: Micros) {
+        self.0.push(Act::Nack(lookup, come_back));
+    }
+    fn abort(&mut self, lookup: LookupId) {
+        self.0.push(Act::Abort(lookup));
+    }
+    fn cancel(&mut self, part: PartId, call: CallNo) {
+        self.0.push(Act::Cancel(part, call));
+    }
+    fn probe(&mut self, node: NodeId) {
+        self.0.push(Act::Probe(node));
+    }
+    fn watch_roster(&mut self) {
+        self.0.push(Act::Watch);
+    }
+    fn timer(&mut self, delay: Micros, timer: TimerId) {
+        self.0.push(Act::Timer(delay, timer));
+    }
+    fn log(&mut self, _: &str) {}
+}
+
+struct HeldPart {
+    id: PartId,
+    weight: f64,
+    in_hand: bool,
+    job: Job,
+    calls: Vec<CallId>,
+}
+
+struct Held {
+    ask: AskId,
+    step: u32,
+    parts: Vec<HeldPart>,
+}
+
+pub struct Front {
+    pub zone: u16,
+    pub up: bool,
+    pub epoch: u32,
+    /// Microseconds that its clock is ahead.
+    pub skew: u64,
+    policy: Box<dyn Policy>,
+    lookups: BTreeMap<LookupId, Held>,
+    parts: BTreeMap<PartId, (LookupId, usize)>,
+    /// By node: the start it leads to, and when it was used last.
+    connections: BTreeMap<u32, (u32, u64)>,
+    pub known: usize,
+    watching: bool,
+    next: u64,
+}
+
+fn policy(
+    world: &World, word: &str, router: u32, epoch: u32, seed: u64, sight: Option<Sight>,
+) -> Box<dyn Policy> {
+    let zone = ZoneNo((router % u32::from(world.network.zones)) as u16);
+    let tariff = world.tariff(zone);
+    let own = seed ^ (u64::from(router) << 32 | u64::from(epoch)).wrapping_mul(0xd134_2543_de82_ef95);
+    let choice = match (word, sight) {
+        ("random", _) => Choice::Random,
+        ("round-robin", _) => Choice::RoundRobin,
+        ("least-outstanding", _) => Choice::LeastOutstanding,
+        ("two-choices", _) => Choice::TwoChoices,
+        ("paper", _) => Choice::Paper,
+        ("oracle", Some(sight)) => Choice::Oracle(sight),
+        _ => return Box::new(Brain::new(tariff, own)),
+    };
+    Box::new(Plain::new(choice, tariff, Pcg64Mcg::seed_from_u64(own)))
+}
+
+impl Front {
+    pub fn new(world: &World, word: &str, router: u32, seed: u64, sight: Option<Sight>) -> Front {
+        Front {
+            zone: (router % u32::from(world.network.zones)) as u16,
+            up: false,
+            epoch: 0,
+            skew: 0,
+            policy: policy(world, word, router, 0, seed, sight),
+            lookups: BTreeMap::new(),
+            parts: BTreeMap::new(),
+            connections: BTreeMap::new(),
+            known: 0,
+            watching: false,
+            next: 0,
+        }
+    }
+
+    /// A new process in its place.
+    pub fn renew(&mut self, world: &World, word: &str, router: u32, seed: u64, sight: Option<Sight>) {
+        let (epoch, skew) = (self.epoch, self.skew);
+        *self = Front { epoch, skew, ..Front::new(world, word, router, seed, None) };
+        self.policy = policy(world, word, router, epoch, seed, sight);
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next += 1;
+        // Numbers of different starts differ.
+        u64::from(self.epoch) << 40 | self.next
+    }
+
+    pub fn dies(&mut self) -> Vec<AskId> {
+        (self.up, self.watching, self.epoch) = (false, false, self.epoch + 1);
+        self.parts.clear();
+        self.connections.clear();
+        std::mem::take(&mut self.lookups).into_values().map(|held| held.ask).collect()
+    }
+
+    pub fn closes_connections(&mut self, node: u32) {
+        self.connections.remove(&node);
+    }
+}
+
+fn repeats(of: &Index) -> Repeats {
+    match of.repeat.as_str() {
+        "idempotent" => Repeats::Harmless,
+        "fingerprinted" => Repeats::Within(of.window),
+        _ => Repeats::Never,
+    }
+}
+
+fn node_id(node: u32) -> NodeId {
+    NodeId(u64::from(node))
+}
+
+impl Sim<'_> {
+    fn alive(&self, router: u32, epoch: u32) -> bool {
+        let front = &self.fronts[router as usize];
+        front.up && front.epoch == epoch
+    }
+
+    /// Has a router see something, and carries out what its policy wants.
+    fn sees(&mut self, router: u32, see: impl FnOnce(&mut dyn Policy, Micros, &mut dyn Actions)) {
+        self.look();
+        let mut acts = Acts::default();
+        let front = &mut self.fronts[router as usize];
+        see(front.policy.as_mut(), Micros(self.now + front.skew), &mut acts);
+        let mut returns = Vec::new();
+        for act in acts.0 {
+            self.act(router, act, &mut returns);
+        }
+        for call in returns {
+            self.tell(router, call, Ending::Cancelled, &[]);
+        }
+    }
+
+    /// What only the oracle sees.
+    fn look(&mut self) {
+        let Some(sight) = &self.sight else { return };
+        let (of, now) = (&self.world.nodes, self.now);
+        let mean = self.world.indexes.iter().map(|index| index.work.mean as f64).fold(0.0, f64::max);
+        let mut sight = sight.borrow_mut();
+        for (node, seen) in self.nodes.iter().zip(sight.iter_mut()) {
+            let sound =
+                node.up && !node.draining && node.stalled <= now && node.fails.is_none() && node.loses == 0.0;
+            let done = node.backlog(now) / of.cores as f64 + mean * node.slow / node.warmth(now, of);
+            let each = mean * node.slow / node.warmth(now, of) / of.cores as f64;
+            *seen = (sound && node.bears(now, mean as u64, of)).then_some((done, each));
+        }
+    }
+
+    fn act(&mut self, router: u32, act: Act, returns: &mut Vec<CallId>) {
+        match act {
+            Act::Call(part, node, limit) => self.part_call(router, part, node.0 as u32, limit.0),
+            Act::Answer(lookup, whole) => {
+                let share = self.fronts[router as usize].lookups.get(&lookup).map_or(0.0, |held| {
+                    held.parts.iter().filter(|part| part.in_hand).map(|part| part.weight).sum()
+                });
+                self.close(router, lookup, Final::Answered { whole }, Word::Answered { share, whole });
+            }
+            Act::Nack(lookup, come_back) => {
+                self.close(router, lookup, Final::Nacked, Word::Nacked { come_back: come_back.0 });
+            }
+            Act::Abort(lookup) => self.close(router, lookup, Final::Aborted, Word::Aborted),
+            Act::Cancel(part, number) => {
+                let wanted =
+                    |call: &Call| call.router == router && call.part == part && call.number == number;
+                // Calls of a part are few, and a cancelled one is still known by its lookup or its number.
+                let found =
+                    self.find_call(router, part, number).filter(|id| self.calls.get(id).is_some_and(wanted));
+                if let Some(id) = found {
+                    self.cancel_at_node(id);
+                    returns.push(id);
+                }
+            }
+            Act::Probe(node) => {
+                let (front, node) = (&self.fronts[router as usize], node.0 as u32);
+                let (epoch, zone) = (front.epoch, front.zone);
+                let to = self.nodes[node as usize].zone;
+                if let Some(delay) = self.delay(zone, to) {
+                    self.schedule(self.now + delay, Event::Probe(router, epoch, node));
+                }
+            }
+            Act::Watch => self.watch(router),
+            Act::Timer(delay, timer) => {
+                let epoch = self.fronts[router as usize].epoch;
+                self.schedule(self.now + delay.0.max(1), Event::Timer(router, epoch, timer));
+            }
+        }
+    }
+
+    fn find_call(&self, router: u32, part: PartId, number: CallNo) -> Option<CallId> {
+        self.out.get(&(router, part.0, number.0)).copied()
+    }
+
+    /// The one place where a lookup ends for its router.
+    fn close(&mut self, router: u32, lookup: LookupId, how: Final, word: Word) {
+        self.checker.ended(self.now, router, lookup.0, how);
+        let front = &mut self.fronts[router as usize];
+        let Some(held) = front.lookups.remove(&lookup) else { return };
+        for part in &held.parts {
+            front.parts.remove(&part.id);
+        }
+        let delay = self.delay(0, 0).unwrap_or(0);
+        self.schedule(self.now + delay, Event::ClientHears(held.ask, held.step, word));
+    }
+
+    pub(super) fn arrives(&mut self, id: AskId, step: u32) {
+        let Some(ask) = self.trying(id, step) else { return };
+        let (router, marks) = (ask.router, self.world.clients.marks_retries);
+        if !self.fronts[router as usize].up {
+            return self.connection_breaks(id);
+        }
+        let ask = ask.clone();
+        let index = &self.world.indexes[usize::from(ask.index)];
+        let front = &mut self.fronts[router as usize];
+        let lookup = LookupId(front.number());
+        let mark =
+            |at: usize| (index.repeat == "fingerprinted").then_some((id.0 << 16 | at as u64, index.window));
+        let end = ask.end();
+        let mut parts = Vec::with_capacity(ask.parts.len());
+        for (at, part) in ask.parts.iter().enumerate() {
+            let part_id = PartId(front.number());
+            let job = Job {
+                call: CallId(0),
+                index: ask.index,
+                work: part.work,
+                key: ask.key << 20 | u64::from(part.shard),
+                due: 0,
+                mark: mark(at),
+                deadly: ask.deadly,
+            };
+            front.parts.insert(part_id, (lookup, at));
+            parts.push(HeldPart { id: part_id, weight: part.weight, in_hand: false, job, calls: Vec::new() });
+        }
+        let told: Vec<(PartId, u32, f64, u64)> = parts
+            .iter()
+            .zip(&ask.parts)
+            .map(|(held, part)| (held.id, part.shard, part.weight, part.hint))
+            .collect();
+        front.lookups.insert(lookup, Held { ask: id, step, parts });
+        self.set_lookup(id, lookup);
+        let weights = told.iter().map(|(part, _, weight, _)| (part.0, *weight));
+        self.checker.took(router, lookup.0, repeats(index), index.least, end, weights);
+        let left = Micros(end.saturating_sub(self.now));
+        let repeat = marks && ask.tries > 1;
+        self.sees(router, |policy, now, out| {
+            let (index, customer) = (IndexNo(ask.index), CustomerNo(ask.tenant));
+            policy.lookup(now, lookup, index, customer, told.len(), left, repeat, out);
+            for (part, shard, weight, hint) in told {
+                policy.part(now, part, lookup, ShardNo(shard), weight, Some(Micros(hint)), out);
+            }
+        });
+    }
+
+    pub(super) fn client_left(&mut self, router: u32, lookup: LookupId) {
+        let front = &mut self.fronts[router as usize];
+        let Some(held) = front.lookups.remove(&lookup) else { return };
+        for part in &held.parts {
+            front.parts.remove(&part.id);
+        }
+        self.checker.left(router, lookup.0);
+        self.sees(router, |policy, now, out| policy.lapsed(now, lookup, out));
+    }
+
+    fn part_call(&mut self, router: u32, part: PartId, node: u32, limit: u64) {
+        let now = self.now;
+        let front = &mut self.fronts[router as usize];
+        let Some((lookup, at)) = front.parts.get(&part).copied() else { return };
+        let Some(held) = front.lookups.get_mut(&lookup).map(|held| &mut held.parts[at]) else { return };
+        self.next_call += 1;
+        let id = CallId(self.next_call);
+        let (number, mut job) = (CallNo(held.calls.len() as u8), held.job);
+        held.calls.push(id);
+        (job.call, job.due) = (id, now + limit);
+        let (zone, to) = (front.zone, &self.nodes[node as usize]);
+        let (to_zone, up, epoch) = (to.zone, to.up, to.epoch);
+        let idle = self.world.nodes.idle_close;
+        let kept = front.connections.get(&node).is_some_and(|(of, used)| *of == epoch && now - used < idle);
+        self.checker.sent(now, router, lookup.0, part.0, node);
+        self.measure.part_call(now, number.0 > 0);
+        let delay = self.delay(zone, to_zone);
+        let dial = self.world.network.dial_within;
+        let mut fails_after = None;
+        let arrives = match (kept, delay) {
+            (_, None) if kept => None,
+            (_, None) => {
+                fails_after = Some(dial);
+                None
+            }
+            (true, Some(delay)) => Some(delay),
+            // Nobody listens: refused after one turn, or no word at all from a machine that has vanished.
+            (false, Some(delay)) if !up => {
+                fails_after = Some(if self.vanished.contains(&node) { dial } else { 2 * delay });
+                None
+            }
+            (false, Some(delay)) => {
+                self.measure.dialled();
+                job.work += self.world.nodes.dial_work;
+                Some(3 * delay)
+            }
+        };
+        if arrives.is_some() {
+            self.fronts[router as usize].connections.insert(node, (epoch, now));
+        }
+        self.calls.insert(id, Call { router, lookup, part, at, number, node, sent: now, job });
+        self.out.insert((router, part.0, number.0), id);
+        match (arrives, fails_after) {
+            (Some(delay), _) => self.schedule(now + delay, Event::Delivers(id)),
+            (None, Some(after)) => {
+                self.schedule(now + after, Event::Returns(id, Ending::NeverRan, Vec::new()))
+            }
+            (None, None) => {}
+        }
+        self.schedule(now + limit, Event::CallDue(id));
+    }
+
+    pub(super) fn delivers(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let (node, job, router) = (call.node, call.job, call.router);
+        let zone = self.fronts[router as usize].zone;
+        if !self.nodes[node as usize].up {
+            let to = self.nodes[node as usize].zone;
+            // It died while this was on its way; the reset comes back, if anything does.
+            if let (false, Some(delay)) = (self.vanished.contains(&node), self.delay(to, zone)) {
+                self.schedule(self.now + delay, Event::Returns(id, Ending::Broken, Vec::new()));
+            }
+            return;
+        }
+        let mut effects = std::mem::take(&mut self.effects);
+        self.nodes[node as usize].arrives(self.now, job, &self.world.nodes, &mut effects);
+        self.carry_out(node, effects);
+    }
+
+    /// An answer of a node goes out.
+    pub(super) fn node_answers(&mut self, node: u32, id: CallId, ending: Ending) {
+        let loses = self.nodes[node as usize].loses;
+        let Some(call) = self.calls.get(&id) else { return };
+        let router = call.router;
+        let (from, to) = (self.nodes[node as usize].zone, self.fronts[router as usize].zone);
+        if loses > 0.0 && self.by_nodes.random::<f64>() < loses {
+            return;
+        }
+        let report = match self.world.nodes.reports.as_str() {
+            "answers" => self.says(node),
+            _ => Vec::new(),
+        };
+        if let Some(delay) = self.delay(from, to) {
+            self.schedule(self.now + delay, Event::Returns(id, ending, report));
+        }
+    }
+
+    /// What a node says of itself, in the columns of its world.
+    fn says(&mut self, node: u32) -> Vec<f64> {
+        let noise = self.by_nodes.random_range(-1.0..=1.0);
+        let Report { latency, queue, rate } =
+            self.nodes[node as usize].report(self.now, noise, &self.world.nodes);
+        let column = |name: &String| match name.as_str() {
+            "latency" => latency,
+            "queue" => queue,
+            _ => rate,
+        };
+        self.world.nodes.columns.iter().map(column).collect()
+    }
+
+    pub(super) fn returns(&mut self, id: CallId, ending: Ending, report: &[f64]) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let (router, node) = (call.router, call.node);
+        if let Some((_, used)) = self.fronts[router as usize].connections.get_mut(&node) {
+            *used = self.now;
+        }
+        self.tell(router, id, ending, report);
+    }
+
+    /// The one place where a call ends for its router.
+    fn tell(&mut self, router: u32, id: CallId, ending: Ending, report: &[f64]) {
+        let Some(call) = self.calls.remove(&id) else { return };
+        self.out.remove(&(router, call.part.0, call.number.0));
+        let may = !matches!(ending, Ending::NeverRan | Ending::Unsent);
+        let satisfied = ending == Ending::Satisfied;
+        self.checker.returned(router, call.lookup.0, call.part.0, usize::from(call.number.0), satisfied, may);
+        let front = &mut self.fronts[router as usize];
+        let held = front.lookups.get_mut(&call.lookup).and_then(|held| held.parts.get_mut(call.at));
+        if let Some(part) = held.filter(|_| satisfied) {
+            part.in_hand = true;
+        }
+        let lag = Micros(self.now - call.sent);
+        self.sees(router, |policy, now, out| {
+            policy.returned(now, call.part, call.number, node_id(call.node), lag, ending, report, out);
+        });
+    }
+
+    pub(super) fn call_due(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let router = call.router;
+        self.cancel_at_node(id);
+        self.tell(router, id, Ending::MayHaveRun, &[]);
+    }
+
+    fn cancel_at_node(&mut self, id: CallId) {
+        let Some(call) = self.calls.get(&id) else { return };
+        let (router, node) = (call.router, call.node);
+        let (from, to) = (self.fronts[router as usize].zone, &self.nodes[node as usize]);
+        let (to, epoch) = (to.zone, to.epoch);
+        if self.world.nodes.cancel == "none" {
+            return;
+        }
+        if let Some(delay) = self.delay(from, to) {
+            self.schedule(self.now + delay, Event::Cancels(node, epoch, id));
+        }
+    }
+
+    /// A node's process has ended: its connections break, unless its machine is gone too.
+    pub(super) fn connections_break(&mut self, node: u32, resets: bool) {
+        let mut broken: Vec<CallId> =
+            self.calls.iter().filter(|(_, call)| call.node == node).map(|(id, _)| *id).collect();
+        broken.sort_unstable();
+        for id in broken.into_iter().filter(|_| resets) {
+            let Some(call) = self.calls.get(&id) else { continue };
+            let (from, to) = (self.nodes[node as usize].zone, self.fronts[call.router as usize].zone);
+            if let Some(delay) = self.delay(from, to) {
+                self.schedule(self.now + delay, Event::Returns(id, Ending::Broken, Vec::new()));
+            }
+        }
+        self.fronts.iter_mut().for_each(|front| front.closes_connections(node));
+    }
+
+    pub(super) fn timer(&mut self, router: u32, epoch: u32, timer: TimerId) {
+        if self.alive(router, epoch) {
+            self.sees(router, |policy, now, out| policy.elapsed(now, timer, out));
+        }
+    }
+
+    pub(super) fn probe_arrives(&mut self, router: u32, epoch: u32, node: u32) {
+        let (from, to) = (self.nodes[node as usize].zone, self.fronts[router as usize].zone);
+        let of = &self.nodes[node as usize];
+        self.measure.probed();
+        // A hung node answers probes as briskly as ever; they say nothing of its work.
+        if !of.up {
+            return;
+        }
+        let report = self.says(node);
+        if let Some(delay) = self.delay(from, to) {
+            self.schedule(self.now + delay, Event::Probed(router, epoch, node, report));
+        }
+    }
+
+    pub(super) fn probe_returns(&mut self, router: u32, epoch: u32, node: u32, report: &[f64]) {
+        if self.alive(router, epoch) {
+            self.sees(router, |policy, now, out| policy.probed(now, node_id(node), report, out));
+        }
+    }
+
+    /// A router starts, with the list that it is given.
+    pub(super) fn start_router(&mut self, router: u32) {
+        let now = self.now;
+        let front = &mut self.fronts[router as usize];
+        (front.up, front.known) = (true, 0);
+        let age = self.world.discovery.known_age;
+        let list: Vec<Listing> = match age {
+            0 if self.visible > 0 => self.list_at(self.visible),
+            _ => self.first_list.clone(),
+        };
+        let known = if age == 0 { self.visible } else { 0 };
+        self.fronts[router as usize].known = known;
+        self.tell_list(now, router, &list, true);
+    }
+
+    /// The whole list as discovery knew it after so many changes.
+    fn list_at(&self, version: usize) -> Vec<Listing> {
+        let mut list: BTreeMap<NodeId, Listing> = self.first_list.iter().map(|of| (of.node, *of)).collect();
+        for change in &self.changes[..version] {
+            list.insert(change.node, *change);
+        }
+        list.into_values().filter(|of| of.phase != Phase::Gone).collect()
+    }
+
+    fn tell_list(&mut self, now: u64, router: u32, list: &[Listing], full: bool) {
+        for of in list {
+            self.checker.told(now, router, of.node.0 as u32, of.phase == Phase::Ready);
+        }
+        self.sees(router, |policy, now, out| policy.roster(now, list, full, out));
+    }
+
+    pub(super) fn told(&mut self, router: u32, epoch: u32, version: usize) {
+        if !self.alive(router, epoch) {
+            return;
+        }
+        let known = std::mem::replace(&mut self.fronts[router as usize].known, version);
+        if known < version {
+            let news = self.changes[known..version].to_vec();
+            self.tell_list(self.now, router, &news, false);
+        }
+        self.fronts[router as usize].watching = false;
+        self.watch(router);
+    }
+
+    /// A router asks discovery for what comes after what it knows.
+    fn watch(&mut self, router: u32) {
+        let front = &mut self.fronts[router as usize];
+        let (epoch, known) = (front.epoch, front.known);
+        if self.discovery_down {
+            let later = self.now + 2 * self.world.network.within;
+            return self.schedule(later, Event::WatchFails(router, epoch));
+        }
+        front.watching = true;
+        if known < self.visible {
+            let at = self.now + 2 * self.world.network.within;
+            self.schedule(at, Event::Told(router, epoch, self.visible));
+        }
+    }
+
+    pub(super) fn watch_fails(&mut self, router: u32, epoch: u32) {
+        if self.alive(router, epoch) {
+            self.fronts[router as usize].watching = false;
+            self.sees(router, |policy, now, out| policy.roster_failed(now, out));
+        }
+    }
+
+    pub(super) fn becomes_visible(&mut self, version: usize) {
+        self.visible = self.visible.max(version);
+        if self.discovery_down {
+            return;
+        }
+        for router in 0..self.fronts.len() as u32 {
+            let front = &self.fronts[router as usize];
+            if front.up && front.watching {
+                let epoch = front.epoch;
+                let delay = self.delay(0, 0).unwrap_or(0);
+                self.schedule(self.now + delay, Event::Told(router, epoch, self.visible));
+            }
+        }
+    }
+
+    /// All watches break.
+    pub(super) fn discovery_breaks(&mut self) {
+        self.discovery_down = true;
+        for router in 0..self.fronts.len() as u32 {
+            let front = &self.fronts[router as usize];
+            if front.up && front.watching {
+                let (epoch, delay) = (front.epoch, self.world.network.within);
+                self.schedule(self.now + delay, Event::WatchFails(router, epoch));
+            }
+        }
+    }
+
+    /// A router's process dies: its clients' connections break, its calls are nobody's.
+    pub(super) fn router_dies(&mut self, router: u32) {
+        self.checker.router_died(router);
+        self.calls.retain(|_, call| call.router != router);
+        self.out.retain(|(of, _, _), _| *of != router);
+        for ask in self.fronts[router as usize].dies() {
+            self.connection_breaks(ask);
+        }
+    }
+
+    pub(super) fn renew_router(&mut self, router: u32) {
+        let sight = self.sight.clone();
+        self.fronts[router as usize].renew(self.world, &self.policy, router, self.seed, sight);
+    }
+}
