--- /dev/null
+++ b/benches/cost.rs
@@ -0,0 +1,135 @@
+//! What deciding costs, by nodes known and lookups in hand: `cargo bench -p ternpick`. Four parts a lookup, three holders a
+//! shard, a report with every answer; the time is of all inputs of one lookup.
+
+use std::collections::VecDeque;
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use ternpick::brain::Brain;
+use ternpick::interface::Actions;
+use ternpick::types::*;
+
+const PARTS: u64 = 4;
+const HOLDERS: u32 = 3;
+
+/// Calls that are out, in order.
+#[derive(Default)]
+struct Out(VecDeque<(PartId, NodeId)>);
+
+impl Actions for Out {
+    fn part_call(&mut self, part: PartId, node: NodeId, _: Micros) {
+        self.0.push_back((part, node));
+    }
+    fn answer(&mut self, _: LookupId, _: bool) {}
+    fn nack(&mut self, _: LookupId, _: Micros) {}
+    fn abort(&mut self, _: LookupId) {}
+    fn cancel(&mut self, _: PartId, _: CallNo) {}
+    fn probe(&mut self, _: NodeId) {}
+    fn watch_roster(&mut self) {}
+    fn timer(&mut self, _: Micros, _: TimerId) {}
+    fn log(&mut self, _: &str) {}
+}
+
+struct Router {
+    brain: Brain,
+    out: Out,
+    now: Micros,
+    next: u64,
+    cells: u32,
+}
+
+impl Router {
+    fn new(nodes: u64) -> Router {
+        let cells = (nodes as u32 / HOLDERS).max(1);
+        let soft = Micros(10_000_000);
+        let index = IndexRow { soft, gain: 1.0, need: 1.0, least: 1.0, ..IndexRow::default() };
+        let tariff = Tariff {
+            indexes: vec![index],
+            routers: 1.0,
+            cells,
+            reach: 1,
+            gauges: vec![Gauge::Queue],
+            reporting: Reporting::InAnswers,
+            second_copies: true,
+            cancels: true,
+            tick: Micros(1000),
+            ..Tariff::default()
+        };
+        let (mut brain, mut out, now) = (Brain::new(tariff, 1), Out::default(), Micros(1_000_000_000));
+        let listing =
+            |id| Listing { node: NodeId(id), cell: CellNo(id as u32 % cells), ..Listing::default() };
+        let list: Vec<Listing> = (0..nodes).map(listing).collect();
+        brain.roster(now, &list, true, &mut out);
+        Router { brain, out, now, next: 0, cells }
+    }
+
+    /// A lookup comes in.
+    fn takes(&mut self) {
+        self.now += Micros(50);
+        self.next += 1;
+        let (id, left) = (self.next, Micros(20_000_000));
+        let query = QueryNo(id);
+        self.brain.lookup(
+            self.now,
+            LookupId(id),
+            query,
+            IndexNo(0),
+            CustomerNo(0),
+            PARTS as usize,
+            left,
+            false,
+            &mut self.out,
+        );
+        for at in 0..PARTS {
+            // Shards in an order that visits all cells.
+            let shard = ShardNo(((id * PARTS + at) * 7919 % u64::from(self.cells)) as u32);
+            let part = PartId(id * PARTS + at);
+            self.brain.part(
+                self.now,
+                part,
+                query,
+                shard,
+                1.0 / PARTS as f64,
+                Some(Micros(900)),
+                &mut self.out,
+            );
+        }
+    }
+
+    /// As many answers as a lookup has parts.
+    fn hears(&mut self) {
+        for _ in 0..PARTS {
+            let Some((part, node)) = self.out.0.pop_front() else { return };
+            let (lag, report) = (Micros(900), [2.0]);
+            self.brain.returned(
+                self.now,
+                part,
+                CallNo(0),
+                node,
+                lag,
+                Ending::Satisfied,
+                &report,
+                &mut self.out,
+            );
+        }
+    }
+}
+
+fn cost(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("lookup");
+    group.sample_size(10);
+    for (nodes, in_hand) in [(12, 4), (12, 256), (120, 64), (1_200, 4), (12_000, 4)] {
+        let mut router = Router::new(nodes);
+        (0..in_hand).for_each(|_| router.takes());
+        let name = format!("{nodes} nodes, {in_hand} in hand");
+        group.bench_function(BenchmarkId::from_parameter(name), |bencher| {
+            bencher.iter(|| {
+                router.takes();
+                router.hears();
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, cost);
+criterion_main!(benches);
--- a/router/tests/upgrade.rs
+++ b/router/tests/upgrade.rs
@@ -583,9 +583,10 @@
                 (&of, &seen, &stop, &steady, &during, &upgrading);
             scope.spawn(move || {
                 let (mut stream, mut number, began) = (None, 0u64, Instant::now());
+                let gap = if client == 5 { MS } else { 4 * MS };
                 while !stop.load(Ordering::Relaxed) {
-                    // Open loop: a lookup is due every 4 ms, and its time counts from then.
-                    let due = began + Duration::from_millis(4) * number as u32;
+                    // Open loop: a lookup is due every 4 ms, the last client's every 1 ms; its time counts from then.
+                    let due = began + gap * number as u32;
                     if let Some(wait) = due.checked_duration_since(Instant::now()) {
                         thread::sleep(wait);
                     }
