--- a/router/tests/common/guarded.rs
+++ b/router/tests/common/guarded.rs
@@ -153,6 +153,9 @@
     }
 
     pub fn revoke(&self, kind: &str, name: &str) {
+        // One at a time, or an older feed may be written over a newer one.
+        static ONE: Mutex<()> = Mutex::new(());
+        let _one = ONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         let mut feed = self.feed.lock().unwrap();
         let number = feed.len() + 1;
         feed.push(json!({"number": number, kind: name}));
