--- a/lab/examples/speed.rs
+++ b/lab/examples/speed.rs
@@ -3,7 +3,7 @@
 
 use std::time::Instant;
 
-use ternpick_lab::plan::Plan;
+use ternpick_lab::plan::{Plan, Who};
 use ternpick_lab::sim::Sim;
 
 fn resident_kib() -> u64 {
@@ -14,7 +14,7 @@
 
 fn main() {
     let words: Vec<String> = std::env::args().skip(1).collect();
-    let policy = words.first().map_or("random", String::as_str);
+    let policy = words.first().and_then(|word| word.parse().ok()).unwrap_or(Who::Random);
     let number =
         |at: usize, otherwise: u64| words.get(at).and_then(|word| word.parse().ok()).unwrap_or(otherwise);
     let (nodes, routers, rate) = (number(1, 12), number(2, 4), number(3, 600));
--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -4,14 +4,16 @@
 use std::collections::{BTreeMap, HashMap};
 
 use serde::{Deserialize, Serialize};
+use strum::EnumString;
 
 /// After its drain or end was told, a node may get work for so long.
 const GRACE: u64 = 500_000;
 /// Weights are sums of fractions.
 const CLOSE: f64 = 1e-6;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize, EnumString)]
 #[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
 pub enum Rule {
     /// Each lookup taken by a running router ends in one final answer, before its client's time is up.
     OneAnswer,
--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -135,12 +135,12 @@
         }
     }
 
-    pub fn dialled(&mut self) {
-        self.dials += 1;
+    pub fn dialled(&mut self, now: u64) {
+        self.dials += u64::from(self.counts(now));
     }
 
-    pub fn probed(&mut self) {
-        self.probes += 1;
+    pub fn probed(&mut self, now: u64) {
+        self.probes += u64::from(self.counts(now));
     }
 
     pub fn by_second(&self) -> Vec<f64> {
@@ -162,7 +162,7 @@
         f.calls_a_lookup = self.calls as f64 / lookups;
         f.further_calls = self.further as f64 / self.calls.max(1) as f64;
         f.dials_a_lookup = self.dials as f64 / lookups;
-        f.probes_a_second = self.probes as f64 / self.seconds as f64;
+        f.probes_a_second = self.probes as f64 / (self.seconds - self.settle) as f64;
         f.busy = mean / (self.seconds * SECOND) as f64 / world.nodes.cores as f64;
         f.imbalance = if mean > 0.0 { work.iter().copied().fold(0.0, f64::max) / mean } else { 1.0 };
         f
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -3,11 +3,63 @@
 use std::path::Path;
 
 use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, EnumString};
 use ternpick::types::{Gauge, IndexRow, Micros, Repeat, Reporting, Tariff, ZoneNo};
 use ternpick_settings::{Read, Refused, Schema};
 
 const SCHEMA: Schema = Schema::new(&[("plan.cue", include_str!("plan.cue"))], "#Plan");
 
+/// Who decides in a day: the module, or a baseline.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Display, EnumString)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Who {
+    Design,
+    Random,
+    RoundRobin,
+    LeastOutstanding,
+    TwoChoices,
+    Paper,
+    Oracle,
+}
+
+/// What a repeat of a part does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeated {
+    Idempotent,
+    Fingerprinted,
+    OnceOnly,
+}
+
+/// What can happen to a day.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, EnumIter)]
+#[serde(rename_all = "kebab-case")]
+#[strum(serialize_all = "kebab-case")]
+pub enum Kind {
+    Crash,
+    Vanish,
+    Hang,
+    Slow,
+    FailIndex,
+    LoseAnswers,
+    Partition,
+    ZoneLoss,
+    Release,
+    Deadly,
+    Burst,
+    RetryStorm,
+    ColdRestart,
+    DiscoveryDown,
+    DiscoveryStale,
+    DiscoveryFlaps,
+    RouterCrash,
+    FrozenReports,
+    UntrueReports,
+    Drain,
+    ClockSkew,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Work {
     pub kind: String,
@@ -21,7 +73,7 @@
     pub weight: f64,
     /// Least and most parts of a lookup.
     pub parts: Vec<u64>,
-    pub repeat: String,
+    pub repeat: Repeated,
     pub window: u64,
     pub work: Work,
     pub soft: u64,
@@ -93,7 +145,7 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Trouble {
-    pub kind: String,
+    pub kind: Kind,
     pub at: u64,
     #[serde(rename = "for")]
     pub lasts: u64,
@@ -132,7 +184,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Plan {
     pub name: String,
-    pub policies: Vec<String>,
+    pub policies: Vec<Who>,
     pub loads: Vec<f64>,
     pub seeds: u64,
     pub first_seed: u64,
@@ -226,10 +278,10 @@
         let row = |of: &Index| IndexRow {
             soft: Micros(of.soft),
             gain: of.gain,
-            repeat: match of.repeat.as_str() {
-                "idempotent" => Repeat::Idempotent,
-                "fingerprinted" => Repeat::Fingerprinted(Micros(of.window)),
-                _ => Repeat::OnceOnly,
+            repeat: match of.repeat {
+                Repeated::Idempotent => Repeat::Idempotent,
+                Repeated::Fingerprinted => Repeat::Fingerprinted(Micros(of.window)),
+                Repeated::OnceOnly => Repeat::OnceOnly,
             },
             need: 1.0,
             least: of.least,
