An upgrade waits for the process before to have left: three would use more than the share

A test of signals and a second upgrade while the old process drains showed that the new one took the upgrade: a third process would have split the whole share while the first still had a part. The old side refuses now unless it may use all of the share.

--- a/handover/src/model.rs
+++ b/handover/src/model.rs
@@ -113,8 +113,10 @@
         }
     }
 
+    /// The new one sees it, whether the link was there to the end or not.
     fn end_old(&mut self) {
         (self.old, self.link, self.to_old) = (None, false, VecDeque::new());
+        self.new_told = false;
     }
 
     fn end_new(&mut self) {
@@ -213,13 +215,13 @@
         match action {
             Action::Ask => {
                 world.upgrades -= 1;
-                let effects = world.old.as_mut()?.machine.begin(now).ok()?;
+                let effects = world.old.as_mut()?.machine.begin(now, SHARE).ok()?;
                 world.of_old(effects);
             }
             Action::AskAgain => {
                 world.upgrades -= 1;
                 // Refused with a word, whatever the step.
-                if world.old.as_mut()?.machine.begin(now).is_ok() {
+                if world.old.as_mut()?.machine.begin(now, SHARE).is_ok() {
                     return None;
                 }
             }
@@ -316,6 +318,10 @@
                 let new = world.new.as_ref().map(|new| new.machine.lease()).unwrap_or_default();
                 old.with(new).fits(SHARE)
             }),
+            Property::always("one that serves alone has the whole share", |_, world: &World| {
+                let alone = world.new.as_ref().filter(|new| world.old.is_none() && new.machine.serves());
+                alone.is_none_or(|new| new.machine.lease() == SHARE || !world.quiet())
+            }),
             Property::always("no lookup is left behind by a process that leaves", |_, world: &World| {
                 world.old.is_some() || world.in_hand == 0 || world.crashes < 2
             }),
--- a/handover/src/old.rs
+++ b/handover/src/old.rs
@@ -68,9 +68,13 @@
         }
     }
 
-    /// An upgrade is asked for; a second one during one is refused with a word.
-    pub fn begin(&mut self, now: Micros) -> Result<Vec<Effect>, &'static str> {
+    /// An upgrade is asked for, of one who may use `has` now; a second one during one is refused with a word. So is one
+    /// while the process before this one drains: three would use more than the share.
+    pub fn begin(&mut self, now: Micros, has: Lease) -> Result<Vec<Effect>, &'static str> {
         match self.step {
+            Step::Serves if has != self.share => {
+                Err("the process before this one still has a part of the share, ask again when it has left")
+            }
             Step::Serves => {
                 self.go(Step::Greets, now, self.patience.hello);
                 Ok(vec![Effect::Spawn])
@@ -272,3 +276,19 @@
     /// Gives a lease away and keeps all.
     KeepsAll,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    const SHARE: Lease = Lease { held: 8, extra: 8, sockets: 8, memory: 8 };
+
+    #[test_case(SHARE, true; "all of the share")]
+    #[test_case(Lease { held: 6, ..SHARE }, false; "less, while another drains")]
+    fn an_upgrade_begins_with_the_whole_share_alone(has: Lease, begins: bool) {
+        let mut old = Old::new(Patience::default(), SHARE, 1);
+        assert_eq!(old.begin(Micros(0), has).is_ok(), begins);
+        assert_eq!(old.serves(), !begins);
+    }
+}
--- a/router/src/lifecycle/upgrade.rs
+++ b/router/src/lifecycle/upgrade.rs
@@ -35,6 +35,8 @@
 /// What a router may use in all, and how much of it this process does while another has a part.
 pub struct Share {
     whole: Lease,
+    /// What this process may use now.
+    has: Cell<Lease>,
     total: usize,
     memory: usize,
 }
@@ -51,7 +53,7 @@
             sockets: number(total.saturating_sub(OWN)),
             memory: memory as u64,
         };
-        Share { whole, total, memory }
+        Share { whole, has: Cell::new(whole), total, memory }
     }
 
     pub fn whole(&self) -> Lease {
@@ -71,6 +73,7 @@
     /// Puts a lease to use. `goes_on`: this process takes in new lookups.
     pub fn put_to_use(&self, router: &Router, lease: Lease, goes_on: bool) {
         let whole = lease == self.whole;
+        self.has.set(lease);
         let mut desk = router.desk.borrow_mut();
         let desk = &mut *desk;
         desk.office.lent = (!whole && lease.held < u32::MAX).then_some(lease.held as usize);
@@ -301,7 +304,8 @@
 pub async fn upgrade(
     router: &Rc<Router>, of: &Upgrades, start: &Start, say: &mut dyn FnMut(&str),
 ) -> Result<(), String> {
-    let effects = of.machine.borrow_mut().begin(router.clock.now()).map_err(str::to_owned)?;
+    let effects =
+        of.machine.borrow_mut().begin(router.clock.now(), of.share.has.get()).map_err(str::to_owned)?;
     of.begun.set(of.begun.get() + 1);
     let mut run = Run {
         router,
--- a/router/tests/upgrade.rs
+++ b/router/tests/upgrade.rs
@@ -321,6 +321,32 @@
     assert!(TcpStream::connect(of.router.address).is_err(), "nobody serves");
 }
 
+#[test]
+fn while_the_old_process_drains_another_upgrade_is_refused_and_signals_change_nothing() {
+    let of = Upgradable::start(&[Act::Silent], "");
+    let (mut first, before) = (of.router.connect(), of.pid());
+    first.write_all(request("once", "n1").as_bytes()).expect("written");
+    of.nodes[0].frame('q');
+    thread::scope(|scope| {
+        let upgrade = scope.spawn(|| of.upgrade(&[]));
+        within(|| of.pid() != before, "the new process serves");
+        *of.nodes[0].acts.lock().unwrap() = [Act::Serve; 2];
+        let (done, text) = of.upgrade(&[]);
+        assert!(!done && text.contains("still has a part"), "{text}");
+        let serving = of.pid().to_string();
+        for (pid, signal) in [(before.to_string(), "-HUP"), (serving, "-HUP"), (before.to_string(), "-TERM")]
+        {
+            assert!(Command::new("kill").args([signal, &pid]).status().expect("kill runs").success());
+        }
+        served(of.router.address, "n2");
+        assert_eq!(common::answer(&mut first).0, 502, "by its own rules, at its own time");
+        assert!(upgrade.join().expect("it ends").0);
+    });
+    of.settled();
+    served(of.router.address, "n3");
+    assert!(of.upgrade(&[]).0, "the next one finds all of the share");
+}
+
 /// A lookup in flight over the commit, at a node that says nothing; its client asks again, of the new process.
 #[test_case("half", 3; "fingerprinted, within window and cap")]
 #[test_case("once", 1; "once-only, never")]
