Lab: half-dead links; one way to ask for a message's time; loss is bounded

A 22nd kind loses half of a node's messages, which are sent again after a while; its test sees the times grow.

--- a/lab/examples/speed.rs
+++ b/lab/examples/speed.rs
@@ -19,10 +19,12 @@
         |at: usize, otherwise: u64| words.get(at).and_then(|word| word.parse().ok()).unwrap_or(otherwise);
     let (nodes, routers, rate) = (number(1, 12), number(2, 4), number(3, 600));
     let seconds = number(4, 30);
+    let a_cell = if nodes > 8192 { 3 } else { 2 };
     let text = format!(
         "name: \"speed\"\nworlds: [{{name: \"speed\", seconds: {seconds}, settle: 0, routers: {routers}, shards: {nodes}, \
-         clients: rate: {rate}, nodes: {{cells: {}, a_cell: 2}}, indexes: [{{name: \"one\", parts: [1, 4], work: mean: 20ms}}]}}]",
-        (nodes / 2).clamp(1, 4096)
+         clients: rate: {rate}, nodes: {{cells: {}, a_cell: {}}}, indexes: [{{name: \"one\", parts: [1, 4], work: mean: 20ms}}]}}]",
+        (nodes / a_cell).clamp(1, 4096),
+        a_cell
     );
     let plan = Plan::parse("speed", &text).unwrap_or_else(|bad| panic!("{bad}"));
     let began = Instant::now();
--- a/lab/plans/knee.cue
+++ b/lab/plans/knee.cue
@@ -1,9 +1,9 @@
-// Gain against offered load, through the knee to twice what the fleet can do, and a storm of retries at its edge.
+// Gain against offered load, through the knee to three times what the fleet can do, and a storm of retries at its edge.
 package plans
 
 name: "knee"
 policies: ["design", "two-choices", "oracle"]
-loads: [0.5, 0.8, 1, 1.25, 1.5, 2]
+loads: [0.5, 0.8, 1, 1.25, 1.5, 2, 3]
 seeds: 4
 
 #Mix: [
--- a/lab/plans/worlds.cue
+++ b/lab/plans/worlds.cue
@@ -1,4 +1,4 @@
-// Twelve worlds, the design beside the baselines and the oracle, at the load that each is said to have.
+// Fifteen worlds, the design beside the baselines and the oracle, at the load that each is said to have.
 package plans
 
 name: "worlds"
@@ -35,5 +35,6 @@
 		{kind: "retry-storm", at: 12s, for: 8s, times: 2},
 	]},
 	#Common & {name: "untrue", troubles: [{kind: "untrue-reports", at: 12s, for: 20s, share: 0.17, times: 8}]},
+	#Common & {name: "half-dead", troubles: [{kind: "half-dead", at: 12s, for: 12s, share: 0.17}]},
 	#Common & {name: "deadly", troubles: [{kind: "deadly", at: 12s, for: 8s, share: 0.005}]},
 ]
--- a/lab/src/node.rs
+++ b/lab/src/node.rs
@@ -65,6 +65,8 @@
     /// An index of which this share fails.
     pub fails: Option<(u8, f64)>,
     pub loses: f64,
+    /// Of messages on its links, both ways, this share is lost and sent again.
+    pub half_dead: f64,
     pub frozen: bool,
     /// What it says is divided by this.
     pub untrue: f64,
@@ -99,6 +101,7 @@
             slow: 1.0,
             fails: None,
             loses: 0.0,
+            half_dead: 0.0,
             frozen: false,
             untrue: 1.0,
             waiting: VecDeque::new(),
--- a/lab/src/plan.cue
+++ b/lab/src/plan.cue
@@ -64,7 +64,7 @@
 	within: duration & >=1us & <=10s | *300us
 	across: duration & >=1us & <=10s | *2ms
 	// Messages that are sent again by the system after a while.
-	loss: #Share | *0
+	loss: number & >=0 & <=0.9 | *0
 	again_after: duration & >=1ms & <=10s | *200ms
 	dial_within: duration & >=1ms & <=1min | *250ms
 }
@@ -97,12 +97,12 @@
 }
 
 #Trouble: {
-	kind: "crash" | "vanish" | "hang" | "slow" | "fail-index" | "lose-answers" | "partition" | "zone-loss" | "release" |
+	kind: "crash" | "vanish" | "hang" | "slow" | "fail-index" | "lose-answers" | "half-dead" | "partition" | "zone-loss" | "release" |
 		"deadly" | "burst" | "retry-storm" | "cold-restart" | "discovery-down" | "discovery-stale" |
 		"discovery-flaps" | "router-crash" | "frozen-reports" | "untrue-reports" | "drain" | "clock-skew"
 	at: duration & >=0s & <=1d
 	for: duration & >=0s & <=1d | *0s
-	// The share of nodes or routers that it hits, or of answers that it takes.
+	// The share of nodes or routers that it hits, or of lookups that are deadly.
 	share: #Share | *0.1
 	// How many times: slower, more lookups, more retries, later news, too low reports.
 	times: number & >0 & <=1000 | *4
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -43,6 +43,7 @@
     Slow,
     FailIndex,
     LoseAnswers,
+    HalfDead,
     Partition,
     ZoneLoss,
     Release,
--- a/lab/src/sim/asks.rs
+++ b/lab/src/sim/asks.rs
@@ -203,7 +203,7 @@
         (ask.router, ask.asked, ask.lookup) = (router, now, None);
         ask.left = (hard as f64 * patience) as u64;
         let (step, end) = (ask.step, ask.end());
-        let delay = self.delay(0, 0).unwrap_or(0);
+        let delay = self.nearby();
         self.schedule(now + delay, Event::Arrives(id, step));
         self.schedule(end, Event::ClientLeaves(id, step));
     }
--- a/lab/src/sim/fleet.rs
+++ b/lab/src/sim/fleet.rs
@@ -165,6 +165,10 @@
                 hit = self.some_nodes(of.share, |node| node.up);
                 hit.iter().for_each(|node| self.nodes[*node as usize].loses = 0.5);
             }
+            Kind::HalfDead => {
+                hit = self.some_nodes(of.share, |node| node.up);
+                hit.iter().for_each(|node| self.nodes[*node as usize].half_dead = 0.5);
+            }
             Kind::FrozenReports => {
                 hit = self.some_nodes(of.share, |node| node.up);
                 hit.iter().for_each(|node| self.nodes[*node as usize].frozen = true);
@@ -260,6 +264,7 @@
                 Kind::Slow => self.nodes[at].slow = 1.0,
                 Kind::FailIndex => self.nodes[at].fails = None,
                 Kind::LoseAnswers => self.nodes[at].loses = 0.0,
+                Kind::HalfDead => self.nodes[at].half_dead = 0.0,
                 Kind::FrozenReports => self.nodes[at].frozen = false,
                 Kind::UntrueReports => self.nodes[at].untrue = 1.0,
                 _ => {}
--- a/lab/src/sim/front.rs
+++ b/lab/src/sim/front.rs
@@ -13,9 +13,9 @@
 };
 
 use super::asks::AskId;
-use super::{Call, Event, Sim};
+use super::{Call, Event, Sim, Way};
 use crate::check::{Final, Repeats};
-use crate::node::{CallId, Job, Report};
+use crate::node::{CallId, Job, Node, Report};
 use crate::plan::{Index, Repeated, Who, World};
 use crate::policy::{Choice, Plain, Policy, Seen, Sight};
 
@@ -244,10 +244,8 @@
                 }
             }
             Act::Probe(node) => {
-                let (front, node) = (&self.fronts[router as usize], node.0 as u32);
-                let (epoch, zone) = (front.epoch, front.zone);
-                let to = self.nodes[node as usize].zone;
-                if let Some(delay) = self.delay(zone, to) {
+                let (epoch, node) = (self.fronts[router as usize].epoch, node.0 as u32);
+                if let Some(delay) = self.between(router, node, Way::There) {
                     self.schedule(self.now + delay, Event::Probe(router, epoch, node));
                 }
             }
@@ -267,7 +265,7 @@
         for part in &held.parts {
             front.parts.remove(&part.id);
         }
-        let delay = self.delay(0, 0).unwrap_or(0);
+        let delay = self.nearby();
         self.schedule(self.now + delay, Event::ClientHears(held.ask, held.step, word));
     }
 
@@ -344,13 +342,12 @@
         let (number, mut job) = (CallNo(held.calls), held.job);
         held.calls += 1;
         (job.call, job.due) = (id, now + limit);
-        let (zone, to) = (front.zone, &self.nodes[node as usize]);
-        let (to_zone, up, epoch) = (to.zone, to.up, to.epoch);
+        let Node { up, epoch, .. } = self.nodes[node as usize];
         let idle = self.world.nodes.idle_close;
         let kept = front.connections.get(&node).is_some_and(|(of, used)| *of == epoch && now - used < idle);
         self.checker.sent(now, router, lookup.0, part.0, node);
         self.measure.part_call(now, number.0 > 0);
-        let delay = self.delay(zone, to_zone);
+        let delay = self.between(router, node, Way::There);
         let dial = self.world.network.dial_within;
         let mut fails_after = None;
         let arrives = match (kept, delay) {
@@ -389,11 +386,10 @@
     pub(super) fn delivers(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else { return };
         let (node, job, router) = (call.node, call.job, call.router);
-        let zone = self.fronts[router as usize].zone;
         if !self.nodes[node as usize].up {
-            let to = self.nodes[node as usize].zone;
             // It died while this was on its way; the reset comes back, if anything does.
-            if let (false, Some(delay)) = (self.vanished.contains(&node), self.delay(to, zone)) {
+            let resets = !self.vanished.contains(&node);
+            if let (true, Some(delay)) = (resets, self.between(router, node, Way::Back)) {
                 self.schedule(self.now + delay, Event::Returns(id, Ending::Broken, Vec::new()));
             }
             return;
@@ -408,7 +404,6 @@
         let loses = self.nodes[node as usize].loses;
         let Some(call) = self.calls.get(&id) else { return };
         let router = call.router;
-        let (from, to) = (self.nodes[node as usize].zone, self.fronts[router as usize].zone);
         if loses > 0.0 && self.by_nodes.random::<f64>() < loses {
             return;
         }
@@ -416,7 +411,7 @@
             "answers" => self.says(node),
             _ => Vec::new(),
         };
-        if let Some(delay) = self.delay(from, to) {
+        if let Some(delay) = self.between(router, node, Way::Back) {
             self.schedule(self.now + delay, Event::Returns(id, ending, report));
         }
     }
@@ -471,12 +466,11 @@
     fn cancel_at_node(&mut self, id: CallId) {
         let Some(call) = self.calls.get(&id) else { return };
         let (router, node) = (call.router, call.node);
-        let (from, to) = (self.fronts[router as usize].zone, &self.nodes[node as usize]);
-        let (to, epoch) = (to.zone, to.epoch);
+        let epoch = self.nodes[node as usize].epoch;
         if self.world.nodes.cancel == "none" {
             return;
         }
-        if let Some(delay) = self.delay(from, to) {
+        if let Some(delay) = self.between(router, node, Way::There) {
             self.schedule(self.now + delay, Event::Cancels(node, epoch, id));
         }
     }
@@ -488,8 +482,8 @@
         broken.sort_unstable();
         for id in broken.into_iter().filter(|_| resets) {
             let Some(call) = self.calls.get(&id) else { continue };
-            let (from, to) = (self.nodes[node as usize].zone, self.fronts[call.router as usize].zone);
-            if let Some(delay) = self.delay(from, to) {
+            let router = call.router;
+            if let Some(delay) = self.between(router, node, Way::Back) {
                 self.schedule(self.now + delay, Event::Returns(id, Ending::Broken, Vec::new()));
             }
         }
@@ -503,7 +497,6 @@
     }
 
     pub(super) fn probe_arrives(&mut self, router: u32, epoch: u32, node: u32) {
-        let (from, to) = (self.nodes[node as usize].zone, self.fronts[router as usize].zone);
         let of = &self.nodes[node as usize];
         self.measure.probed(self.now);
         // A hung node answers probes as briskly as ever; they say nothing of its work.
@@ -511,7 +504,7 @@
             return;
         }
         let report = self.says(node);
-        if let Some(delay) = self.delay(from, to) {
+        if let Some(delay) = self.between(router, node, Way::Back) {
             self.schedule(self.now + delay, Event::Probed(router, epoch, node, report));
         }
     }
@@ -597,7 +590,7 @@
             let front = &self.fronts[router as usize];
             if front.up && front.watching {
                 let epoch = front.epoch;
-                let delay = self.delay(0, 0).unwrap_or(0);
+                let delay = self.nearby();
                 self.schedule(self.now + delay, Event::Told(router, epoch, self.visible));
             }
         }
--- a/lab/src/sim/mod.rs
+++ b/lab/src/sim/mod.rs
@@ -63,6 +63,12 @@
     Releases(usize, usize),
 }
 
+#[derive(Clone, Copy)]
+enum Way {
+    There,
+    Back,
+}
+
 struct Scheduled {
     at: u64,
     number: u64,
@@ -276,20 +282,38 @@
         self.heap.push(Scheduled { at: at.max(self.now), number: self.numbers, event });
     }
 
-    /// The time of a message from one zone to another; none: it does not come through.
-    fn delay(&mut self, from: u16, to: u16) -> Option<u64> {
+    /// The time of a message from one zone to another, on a link that loses such a share; none: it does not come through.
+    fn delay(&mut self, from: u16, to: u16, half_dead: f64) -> Option<u64> {
         let net = &self.world.network;
+        let loss = net.loss.max(half_dead);
         let least = if from == to { net.within } else { net.across };
         if self.blocked.contains_key(&(from, to)) {
             return None;
         }
         let mut delay = least + exponential(&mut self.by_network, least as f64 * JITTER);
-        while self.world.network.loss > 0.0 && self.by_network.random::<f64>() < self.world.network.loss {
+        while loss > 0.0 && self.by_network.random::<f64>() < loss {
             delay += self.world.network.again_after;
         }
         Some(delay)
     }
 
+    /// The time of a message of no zone: between clients, routers and discovery.
+    fn nearby(&mut self) -> u64 {
+        let least = self.world.network.within;
+        least + exponential(&mut self.by_network, least as f64 * JITTER)
+    }
+
+    /// The time of a message from a router to a node, or back.
+    fn between(&mut self, router: u32, node: u32, way: Way) -> Option<u64> {
+        let (zone, of) = (self.fronts[router as usize].zone, &self.nodes[node as usize]);
+        let (from, to) = match way {
+            Way::There => (zone, of.zone),
+            Way::Back => (of.zone, zone),
+        };
+        let half_dead = of.half_dead;
+        self.delay(from, to, half_dead)
+    }
+
     fn note(&mut self, what: u64, id: u64) {
         self.trace.write_u64(what << 56 ^ id);
     }
--- a/lab/tests/days.rs
+++ b/lab/tests/days.rs
@@ -71,6 +71,7 @@
 #[test_case("{kind: \"slow\", at: 5s, for: 4s, share: 0.5, times: 8}", |day, calm| day.figures.p99_ms > 1.5 * calm.figures.p99_ms; "slow")]
 #[test_case("{kind: \"fail-index\", at: 5s, for: 4s, share: 0.5}", |day, calm| day.figures.further_calls > calm.figures.further_calls + 0.005; "fail index")]
 #[test_case("{kind: \"lose-answers\", at: 5s, for: 4s, share: 0.5}", |day, calm| day.figures.further_calls > calm.figures.further_calls + 0.005; "lose answers")]
+#[test_case("{kind: \"half-dead\", at: 5s, for: 4s, share: 0.3}", |day, calm| day.figures.p99_ms > 1.5 * calm.figures.p99_ms; "half dead")]
 #[test_case("{kind: \"partition\", at: 5s, for: 4s}", |day, calm| day.figures.p99_ms > 1.5 * calm.figures.p99_ms; "partition")]
 #[test_case("{kind: \"zone-loss\", at: 5s, for: 4s}", |day, calm| day.figures.p99_ms > 2.0 * calm.figures.p99_ms; "zone loss")]
 #[test_case("{kind: \"release\", at: 5s, for: 6s, share: 0.5}", |day, calm| day.service < calm.service - 0.02; "release")]
