Charts: names beside the lines, one scale, PNG where it is wanted

Looked at as a picture, a chart had a second scale cut off at the right, a grid that hid the lines and a legend that lay on them. The names stand beside now.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -77,7 +77,12 @@
     /// Plays a find again, and tells whether it is as it was
     Replay { find: PathBuf },
     /// Writes tables, charts and a page of a folder of results
-    Report { out: PathBuf },
+    Report {
+        out: PathBuf,
+        /// Charts as PNG, beside SVG
+        #[arg(long)]
+        png: bool,
+    },
     /// Puts the real program under load on loopback, among stand-ins
     Load {
         /// A file of one load
@@ -120,7 +125,7 @@
             let plan = Plan::read(plan)?;
             let (days, played) = experiment::run(&plan, out.as_deref())?;
             if let Some(out) = out {
-                report::write(&plan, &days, out)?;
+                report::write(&plan, &days, out, false)?;
             }
             match cli.json {
                 true => println!("{}", serde_json::to_string(&days)?),
@@ -201,9 +206,9 @@
             let lost = outcome.answers.get(&0).copied().unwrap_or(0);
             Ok(if lost == 0 { ExitCode::SUCCESS } else { ExitCode::from(2) })
         }
-        Command::Report { out } => {
+        Command::Report { out, png } => {
             let (plan, days) = experiment::read(out)?;
-            let files = report::write(&plan, &days, out)?;
+            let files = report::write(&plan, &days, out, *png)?;
             println!("{} files in {}, begin with report.html", files.len(), out.display());
             Ok(ExitCode::SUCCESS)
         }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 
 use plotters::prelude::*;
+use resvg::{tiny_skia, usvg};
 
 use crate::compare::{interval, Interval};
 use crate::plan::{Plan, Who, World};
@@ -21,7 +22,9 @@
     Kept(#[from] ternpick_store::Fault),
 }
 
-const SIZE: (u32, u32) = (860, 380);
+const SIZE: (u32, u32) = (940, 380);
+/// The part of the width that names the lines.
+const LEGEND: u32 = 150;
 const COLOURS: [RGBColor; 7] = [
     RGBColor(20, 90, 160),
     RGBColor(200, 80, 40),
@@ -196,12 +199,12 @@
         let top = self.most.unwrap_or_else(|| points().map(|(_, y)| *y).fold(0.0, f64::max) * 1.1);
         let (left, right) = if left < right { (left, right) } else { (left - 1.0, left + 1.0) };
         area.fill(&WHITE)?;
-        let mut chart = ChartBuilder::on(area)
+        let (main, side) = area.split_horizontally(SIZE.0 - LEGEND);
+        let mut chart = ChartBuilder::on(&main)
             .caption(&self.title, ("sans-serif", 18))
             .margin(10)
             .x_label_area_size(38)
             .y_label_area_size(52)
-            .right_y_label_area_size(8)
             .build_cartesian_2d(left..right, 0.0..top.max(1e-6))?;
         for (from, to, _) in &self.marks {
             let to = if to > from { *to } else { from + (right - left) / 200.0 };
@@ -212,16 +215,18 @@
         }
         chart
             .configure_mesh()
-            .light_line_style(RGBColor(235, 235, 235))
+            .max_light_lines(0)
+            .bold_line_style(RGBColor(225, 225, 225))
             .x_desc(self.across)
             .y_desc(self.up)
             .draw()?;
         for (at, line) in self.lines.iter().enumerate() {
             let colour = COLOURS[at % COLOURS.len()];
-            chart
-                .draw_series(LineSeries::new(line.points.iter().copied(), colour.stroke_width(2)))?
-                .label(&line.name)
-                .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 18, y)], colour.stroke_width(2)));
+            chart.draw_series(LineSeries::new(line.points.iter().copied(), colour.stroke_width(2)))?;
+            // Beside the chart, where it hides nothing.
+            let down = 50 + 20 * at as i32;
+            side.draw(&PathElement::new(vec![(4, down), (22, down)], colour.stroke_width(2)))?;
+            side.draw(&Text::new(line.name.clone(), (28, down - 7), ("sans-serif", 13).into_font()))?;
             chart.draw_series(line.bars.iter().map(|(x, low, high)| {
                 PathElement::new(vec![(*x, low.max(0.0)), (*x, high.min(top))], colour.stroke_width(1))
             }))?;
@@ -234,13 +239,7 @@
             let height = top * (0.04 + 0.05 * (at % 4) as f64);
             chart.draw_series(std::iter::once(Text::new(word.clone(), (*from, height), style)))?;
         }
-        chart
-            .configure_series_labels()
-            .background_style(WHITE.mix(0.8))
-            .border_style(RGBColor(200, 200, 200))
-            .position(SeriesLabelPosition::LowerRight)
-            .label_font(("sans-serif", 12))
-            .draw()
+        Ok(())
     }
 }
 
@@ -345,14 +344,30 @@
     html + "</html>\n"
 }
 
-/// Writes table, CSV, charts and page into a folder.
-pub fn write(plan: &Plan, days: &[Day], out: &Path) -> Result<Vec<String>, Failed> {
+/// A chart as a picture of dots, twice its size. Letters are those of a font that comes along.
+fn png(name: &str, svg: &str) -> Result<Vec<u8>, Failed> {
+    let failed = |what: String| Failed::Chart(name.to_owned(), what);
+    let mut options = usvg::Options::default();
+    options.fontdb_mut().load_font_data(dejavu::sans::regular().to_vec());
+    options.fontdb_mut().set_sans_serif_family("DejaVu Sans");
+    let tree = usvg::Tree::from_str(svg, &options).map_err(|error| failed(error.to_string()))?;
+    let mut dots =
+        tiny_skia::Pixmap::new(2 * SIZE.0, 2 * SIZE.1).ok_or_else(|| failed("too large".into()))?;
+    resvg::render(&tree, tiny_skia::Transform::from_scale(2.0, 2.0), &mut dots.as_mut());
+    dots.encode_png().map_err(|error| failed(error.to_string()))
+}
+
+/// Writes table, CSV, charts and page into a folder; the charts as PNG too where that is wanted.
+pub fn write(plan: &Plan, days: &[Day], out: &Path, as_png: bool) -> Result<Vec<String>, Failed> {
     let charts = charts(plan, days)?;
     let mut files = vec![
         ("table.txt".to_owned(), table(days).into_bytes()),
         ("table.csv".to_owned(), csv(days)?),
         ("report.html".to_owned(), page(plan, days, &charts).into_bytes()),
     ];
+    for (name, svg) in charts.iter().filter(|_| as_png) {
+        files.push((name.replace(".svg", ".png"), png(name, svg)?));
+    }
     files.extend(charts.into_iter().map(|(name, svg)| (name, svg.into_bytes())));
     for (name, bytes) in &files {
         ternpick_store::replace(&out.join(name), bytes)?;
--- a/lab/tests/days.rs
+++ b/lab/tests/days.rs
@@ -136,9 +136,11 @@
     std::fs::write(files[5].path(), &text[..text.len() / 2]).expect("written");
     let (again, played) = experiment::run(&plan, Some(folder.path())).expect("played");
     assert_eq!((&again, played), (&days, 3));
-    let names = report::write(&plan, &again, folder.path()).expect("written");
+    let names = report::write(&plan, &again, folder.path(), true).expect("written");
     let page = std::fs::read_to_string(folder.path().join("report.html")).expect("a page");
-    assert!(names.len() == 5 && page.matches("<svg").count() == 2 && !page.contains("http-equiv"));
+    assert!(names.len() == 7 && page.matches("<svg").count() == 2 && !page.contains("http-equiv"));
+    let png = std::fs::read(folder.path().join("w-latency.png")).expect("a picture");
+    assert!(png.starts_with(b"\x89PNG"));
     // Half the nodes' worth of hanging is told apart from nothing by the same seeds.
     let of = |policy: Who| again.iter().filter(move |day| day.policy == policy);
     let rows = compare(of(Who::Random), of(Who::Design));
