One set of stand-ins: the lab's nodes and discovery serve the router's tests too

The router's tests and the lab's loads had a node and a discovery each that spoke the same protocol. They are one now (lab/src/standins.rs): acts by part, a time that parts take, faults on the sockets, frames told up to a bound; the copies are gone.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod policy;
 pub mod report;
 pub mod sim;
+pub mod standins;
--- a/lab/src/load/mod.rs
+++ b/lab/src/load/mod.rs
@@ -4,7 +4,6 @@
 
 mod clients;
 mod routers;
-mod standins;
 
 use std::collections::{BTreeMap, HashMap};
 use std::path::{Path, PathBuf};
@@ -15,24 +14,14 @@
 use strum::Display;
 use ternpick_settings::{Refused, Schema};
 
+use crate::standins::{entry, Act, Discovery, Fault, Node};
 use clients::Seen;
 use routers::Routers;
-use standins::{Discovery, Node};
 
 const SCHEMA: Schema = Schema::new(&[("load.cue", include_str!("load.cue"))], "#Load");
 /// Steps of the time line are looked at so often.
 const LOOK: Duration = Duration::from_millis(5);
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum FaultKind {
-    Stall,
-    Reset,
-    Cut,
-    SlowReader,
-    Spoilt,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display)]
 #[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
@@ -43,8 +32,8 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Fault {
-    pub kind: FaultKind,
+pub struct FaultAt {
+    pub kind: Fault,
     pub at: u64,
     #[serde(rename = "for")]
     pub lasts: u64,
@@ -71,7 +60,7 @@
     pub takes: u64,
     pub sockets: usize,
     pub memory_mb: u64,
-    pub faults: Vec<Fault>,
+    pub faults: Vec<FaultAt>,
     pub events: Vec<Event>,
 }
 
@@ -131,8 +120,8 @@
 
 /// One step of a load's time line.
 enum Step<'a> {
-    Begins(&'a Fault),
-    Ends(&'a Fault),
+    Begins(&'a FaultAt),
+    Ends(&'a FaultAt),
     Event(&'a Event),
 }
 
@@ -148,10 +137,13 @@
 
 /// Plays a load against the program at `program`, whose files lie in `folder` meanwhile.
 pub fn play(load: &Load, program: &Path, folder: &Path) -> Result<Outcome, Failed> {
-    let nodes: Vec<Node> =
-        (0..load.nodes).map(|_| Node::start(load.takes)).collect::<std::io::Result<Vec<Node>>>()?;
-    let discovery = Discovery::start(nodes.iter().map(|node| node.address).collect())?;
-    let mut routers = Routers::start(load, program, folder, &nodes, discovery.address)?;
+    let takes = Duration::from_micros(load.takes);
+    let nodes = (0..load.nodes).map(|_| Node::start_slow([Act::Serve; 2], takes));
+    let nodes = nodes.collect::<std::io::Result<Vec<Node>>>()?;
+    let listed = nodes.iter().enumerate().map(|(at, node)| entry(&format!("s{at}"), node.address, "Ready"));
+    let (discovery, listed) = (Discovery::default(), listed.collect::<Vec<_>>().join(","));
+    discovery.set(|roster| (roster.version, roster.changes) = (1, listed.clone()));
+    let mut routers = Routers::start(load, program, folder, &listed, discovery.start())?;
     let (stop, seen) = (AtomicBool::new(false), Seen::default());
     let mut events = Vec::new();
     let played: Result<f64, Failed> = std::thread::scope(|scope| {
--- a/lab/src/load/routers.rs
+++ b/lab/src/load/routers.rs
@@ -8,7 +8,6 @@
 use procfs::process::{ProcState, Process};
 use rustix::process::{kill_process, Pid, Signal};
 
-use super::standins::{self, Node};
 use super::{EventKind, Failed, Load};
 
 const BOUND: Duration = Duration::from_secs(10);
@@ -32,11 +31,10 @@
     descriptors: u64,
 }
 
-fn config(load: &Load, at: usize, listen: SocketAddr, nodes: &[Node], discovery: SocketAddr) -> String {
-    let known = standins::list(&nodes.iter().map(|node| node.address).collect::<Vec<_>>());
+fn config(load: &Load, at: usize, listen: SocketAddr, listed: &str, discovery: SocketAddr) -> String {
     format!(
         r#"{{"name":"n{at}","listen":"{listen}","discovery":"{discovery}","seed":"{at}7",
-            "limits":{{"sockets":{},"memory_mb":{}}},"known":{known},
+            "limits":{{"sockets":{},"memory_mb":{}}},"known":{{"index":1,"snapshot":true,"endpoints":[{listed}]}},
             "settings":{{"areas":["a"],"balancers":{},"zone":0,"tick":1000,"discovery":"on_request",
             "classes":[{{"name":"plain","semantics":"idempotent","onTime":1000000,"deadline":3000000}}],
             "ceilings":{{"attemptsCap":3,"cancel":true,"dialTimeout":250000,"idleClose":9000000,"mostHeld":20000,
@@ -88,14 +86,14 @@
 
 impl Routers {
     pub fn start(
-        load: &Load, program: &Path, folder: &Path, nodes: &[Node], discovery: SocketAddr,
+        load: &Load, program: &Path, folder: &Path, listed: &str, discovery: SocketAddr,
     ) -> Result<Routers, Failed> {
         let mut of = Routers { program: program.to_owned(), routers: Vec::new(), memory: 0, descriptors: 0 };
         for at in 0..load.routers {
             let address = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
             let path = |name: &str| folder.join(format!("{name}{at}"));
             let (socket, pid_file) = (path("control"), path("pid"));
-            std::fs::write(path("router"), config(load, at, address, nodes, discovery))?;
+            std::fs::write(path("router"), config(load, at, address, listed, discovery))?;
             let control = format!("control: {{socket: {socket:?}, upgrade: true, pid_file: {pid_file:?}}}\n");
             std::fs::write(path("settings"), control)?;
             let (config, settings) = (path("router"), path("settings"));
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -6,195 +6,17 @@
 
 pub mod guarded;
 
+pub use ternpick_lab::standins::{entry, read_head, Act, Discovery, Node};
+
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 pub const BOUND: Duration = Duration::from_secs(10);
 
-/// What a node does with a part.
-#[derive(Clone, Copy, PartialEq)]
-pub enum Act {
-    Serve,
-    Broke,
-    Skipped,
-    Silent,
-    Reset,
-    Nonsense,
-    /// Answers under the id of a part that nobody asked for.
-    Misnamed,
-    /// Announces more than it sends.
-    Unfinished,
-    /// Answers, and lets a second copy, a report that cannot be read and noise follow.
-    Chatty,
-}
-
-/// A node: tells each frame it gets, and does with parts as `acts` says by shard.
-pub struct Node {
-    pub address: SocketAddr,
-    pub acts: Arc<Mutex<[Act; 2]>>,
-    pub frames: Mutex<Receiver<(char, String)>>,
-    pub streams: Arc<Mutex<Vec<TcpStream>>>,
-}
-
-pub fn frame(letter: u8, rest: &str) -> Vec<u8> {
-    [&(1 + rest.len() as u32).to_le_bytes()[..], &[letter], rest.as_bytes()].concat()
-}
-
-impl Node {
-    pub fn start(acts: [Act; 2]) -> Node {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let (address, acts) = (listener.local_addr().expect("an address"), Arc::new(Mutex::new(acts)));
-        let (told, frames) = channel();
-        let streams = Arc::new(Mutex::new(Vec::new()));
-        let (of_acts, of_streams) = (Arc::clone(&acts), Arc::clone(&streams));
-        thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                of_streams.lock().unwrap().push(stream.try_clone().expect("a clone"));
-                let (acts, told) = (Arc::clone(&of_acts), told.clone());
-                thread::spawn(move || serve_node(stream, &acts, &told));
-            }
-        });
-        Node { address, acts, frames: Mutex::new(frames), streams }
-    }
-
-    pub fn frame(&self, letter: char) -> String {
-        loop {
-            let (got, rest) = self.frames.lock().unwrap().recv_timeout(BOUND).expect("a frame in time");
-            if got == letter {
-                return rest;
-            }
-        }
-    }
-
-    pub fn answer(&self, id: &str) {
-        let streams = self.streams.lock().unwrap();
-        let mut stream = streams.last().expect("a connection");
-        // The router may have had an answer from elsewhere, and have left.
-        let _ = stream.write_all(&frame(b'a', &format!("{id} served 1 -\nlate")));
-    }
-}
-
-pub fn serve_node(mut stream: TcpStream, acts: &Mutex<[Act; 2]>, told: &Sender<(char, String)>) {
-    // Each answer is a small write of its own.
-    let _ = stream.set_nodelay(true);
-    let mut head = [0; 4];
-    while stream.read_exact(&mut head).is_ok() {
-        let mut rest = vec![0; u32::from_le_bytes(head) as usize];
-        if stream.read_exact(&mut rest).is_err() {
-            return;
-        }
-        let text = String::from_utf8(rest.split_off(1)).expect("text");
-        let _ = told.send((rest[0].into(), text.clone()));
-        let mut left = text.as_str();
-        while let Some((line, more)) = left.split_once('\n').filter(|_| rest[0] == b'q') {
-            let words: Vec<&str> = line.split(' ').collect();
-            let (id, shard) = (words[0], words[1].parse::<usize>().expect("a shard"));
-            left = &more[words[3].parse::<usize>().expect("a length")..];
-            let end = match acts.lock().unwrap()[shard] {
-                Act::Serve => "served",
-                Act::Broke => "broke",
-                Act::Skipped => "skipped",
-                Act::Nonsense => "perhaps",
-                Act::Misnamed => "served",
-                Act::Unfinished => {
-                    let _ = stream.write_all(b"\xff\0\0\0a");
-                    continue;
-                }
-                Act::Chatty => {
-                    let copy = frame(b'a', &format!("{id} served 5 %%% %\nv{shard}"));
-                    let _ = stream.write_all(&[&copy[..], &copy, b"\xff\0\0\xff!"].concat());
-                    continue;
-                }
-                Act::Silent => continue,
-                Act::Reset => return drop(stream.shutdown(std::net::Shutdown::Both)),
-            };
-            let id = if acts.lock().unwrap()[shard] == Act::Misnamed { "other.7" } else { id };
-            let value = if end == "served" { format!("v{shard}") } else { String::new() };
-            if stream.write_all(&frame(b'a', &format!("{id} {end} 5 queue=1\n{value}"))).is_err() {
-                return;
-            }
-        }
-    }
-}
-
-/// Discovery: answers each call for a version that it has passed, or with 503 while it is down.
-#[derive(Clone, Default)]
-pub struct Discovery(pub Arc<(Mutex<Roster>, Condvar)>);
-
-#[derive(Default)]
-pub struct Roster {
-    pub version: u64,
-    pub changes: String,
-    pub down: bool,
-    /// The version that the last call asked after, and the number of calls.
-    pub asked: u64,
-    pub calls: usize,
-}
-
-impl Discovery {
-    pub fn start(&self) -> SocketAddr {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let (address, of) = (listener.local_addr().expect("an address"), self.clone());
-        thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                let of = of.clone();
-                thread::spawn(move || of.serve(stream));
-            }
-        });
-        address
-    }
-
-    pub fn serve(&self, mut stream: TcpStream) {
-        while let Some(head) = read_head(&mut stream) {
-            let after = head.split("after=").nth(1).and_then(|rest| rest.split('&').next()?.parse().ok());
-            let mut roster = self.0 .0.lock().unwrap();
-            roster.asked = after.unwrap_or(0);
-            roster.calls += 1;
-            self.0 .1.notify_all();
-            while after.is_some_and(|after| roster.version <= after) && !roster.down {
-                roster = self.0 .1.wait(roster).unwrap();
-            }
-            let (status, body) = match roster.down {
-                true => ("503 Down", String::new()),
-                false => {
-                    let (version, changes) = (roster.version, &roster.changes);
-                    (
-                        "200 OK",
-                        format!(
-                            r#"{{"index":{version},"snapshot":{},"endpoints":[{changes}]}}"#,
-                            after.is_none()
-                        ),
-                    )
-                }
-            };
-            let length = body.len();
-            let answer = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}");
-            if stream.write_all(answer.as_bytes()).is_err() {
-                return;
-            }
-        }
-    }
-
-    pub fn set(&self, change: impl FnOnce(&mut Roster)) {
-        change(&mut self.0 .0.lock().unwrap());
-        self.0 .1.notify_all();
-    }
-
-    pub fn wait_until(&self, wanted: impl Fn(&Roster) -> bool) {
-        let (roster, timed_out) = {
-            let roster = self.0 .0.lock().unwrap();
-            self.0 .1.wait_timeout_while(roster, BOUND, |roster| !wanted(roster)).unwrap()
-        };
-        assert!(!timed_out.timed_out(), "asked after {} in {} calls", roster.asked, roster.calls);
-    }
-}
-
 /// An address where nobody listens: nobody else uses it, so that its port stays free.
 pub fn free() -> SocketAddr {
     static NUMBER: AtomicUsize = AtomicUsize::new(1);
@@ -203,21 +25,6 @@
     TcpListener::bind(SocketAddr::from((own, 0))).and_then(|of| of.local_addr()).expect("a port")
 }
 
-pub fn read_head(stream: &mut TcpStream) -> Option<String> {
-    let (mut head, mut byte) = (Vec::new(), [0]);
-    while !head.ends_with(b"\r\n\r\n") {
-        stream.read_exact(&mut byte).ok()?;
-        head.push(byte[0]);
-    }
-    String::from_utf8(head).ok()
-}
-
-pub fn entry(name: &str, address: SocketAddr, status: &str) -> String {
-    format!(
-        r#"{{"name":"{name}","address":"{address}","zone":"a","group":0,"status":"{status}","since_ms":0}}"#
-    )
-}
-
 /// Three indexes: whole answers only; half is enough; never to run twice.
 pub const SETTINGS: &str = r#"{"areas":["a"],"balancers":1,"zone":0,"tick":1000,"discovery":"on_request",
     "classes":[{"name":"whole","semantics":"idempotent","onTime":600000,"deadline":3000000},
