--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -33,7 +33,7 @@
 }
 
 /// What can happen to a day.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, EnumIter)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Display, EnumIter, EnumString)]
 #[serde(rename_all = "kebab-case")]
 #[strum(serialize_all = "kebab-case")]
 pub enum Kind {
