Budget looked at before each call; a lookup is as late as the latest of its nodes

To blame: plan() spread the mean by the logarithm of the parts, though parts of one call come together; place_or_nack made all further calls of a plan on the budget as it stood before the first (may_call in plan). A test for the budget.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,8 +55,8 @@
 const CROSSING: f64 = 20.0;
 /// Predictions are means: a part may be so much later.
 const MARGIN: f64 = 1.25;
-/// A lookup is as late as the latest of its parts: so many times their mean, and so many more with each
-/// logarithm of their number.
+/// A lookup is as late as the latest of its calls: so many times their mean, and so many more with each
+/// logarithm of their number; parts in one call come together.
 const LATEST: (f64, f64) = (0.5, 0.9);
 /// Weights as they come are rounded: sums of them may fall so much short of a forecast's whole.
 const SHORT: f64 = 0.00005;
@@ -671,7 +671,7 @@
             sum += latency / MARGIN;
         }
         let parts = plan.places.len().max(1) as f64;
-        let latest = sum / parts * (LATEST.0 + LATEST.1 * parts.ln());
+        let latest = sum / parts * (LATEST.0 + LATEST.1 * (planned.len().max(1) as f64).ln());
         // Not where some may be missing; and a client that gives less than the aim is no sign of load.
         let holds = self.bars(lookup).1 >= 1.0 && lookup.left >= self.row(lookup).soft;
         if holds && latest > left {
@@ -686,7 +686,9 @@
     }
 
     fn call(&mut self, id: LookupId, at: usize, to: NodeId, out: &mut dyn Actions) {
-        let Some(lookup) = self.lookups.get(&id) else { return };
+        // A plan may hold further calls of many parts: each may use up the budget that the next was planned on.
+        let lookup = self.lookups.get(&id).filter(|lk| self.may_call(lk, &lk.parts[at]));
+        let Some(lookup) = lookup else { return };
         let part = &lookup.parts[at];
         let (part_id, z, number) = (part.id, self.z(part), CallNo(part.calls.len() as u8));
         let index = lookup.index;
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -315,6 +315,19 @@
     assert_eq!(brain.within_budget(), may);
 }
 
+/// Parts whose scout failed are planned together, each within the budget as it stands before any is called.
+#[test]
+fn further_calls_that_are_planned_together_stay_within_the_budget() {
+    let (spare, window) = (2.0, Some(ms(5000)));
+    let mut brain = router(Tariff { extra_spare: spare, extra_window: window, ..tariff() }, 3);
+    let mut failed = lookup(&brain, &[0.2; 5], &[NEVER]);
+    failed.placed = false;
+    hold(&mut brain, failed);
+    let mut tape = Tape::default();
+    brain.settle(&mut tape);
+    assert_eq!(tape.0.iter().filter(|did| matches!(did, Did::Call(..))).count(), 2);
+}
+
 #[test]
 fn a_first_call_needs_no_budget() {
     let brain = router(Tariff { extra_window: Some(ms(1000)), ..tariff() }, 2);
--- a/tariff/src/lib.rs
+++ b/tariff/src/lib.rs
@@ -120,6 +120,7 @@
     IndexRow {
         soft: time(row, "onTime").or(time(row, "deadline")).unwrap_or(Micros(u64::MAX)),
         gain: num(row, "worth").unwrap_or(1.0),
+        late: num(row, "lateValue").unwrap_or(1.0),
         repeat: match row["semantics"].as_str() {
             Some("idempotent") => Repeat::Idempotent,
             Some("deduplicated") => Repeat::Fingerprinted(time(row, "window").unwrap_or_default()),
