--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,6 +41,8 @@
 const LASTING: f64 = 8.0;
 /// A part is late after this many times the middle latency.
 const LATE: f64 = 4.0;
+/// Of the part calls out, the share that may be copies of others.
+const COPIES: f64 = 0.1;
 /// The share of its time that a lookup of little gain may be predicted to take.
 const SPARE_TIME: f64 = 0.6;
 /// A customer's unused share is kept for so many seconds.
@@ -390,12 +392,14 @@
         !part.satisfied && part.calls_out() == 0 && !self.may_call(lookup, part)
     }
 
-    /// Given up as soon as what is in and may still come is too little, and just before the client's end.
+    /// Given up as soon as what is in and may still come is too little, or what comes later earns nothing, and just
+    /// before the client's end.
     fn hopeless(&self) -> Option<Case> {
         self.find(|lk| {
             let spent = || lk.parts.iter().filter(|p| self.spent(lk, p)).map(|p| p.weight).sum::<f64>();
             let short = |spent: f64| spent > 0.0 && 1.0 - spent + EXACT < self.bars(lk).1;
-            self.soon(lk.end) || lk.complete() && (self.deadly(lk) || short(spent()))
+            let worthless = self.row(lk).late <= 0.0 && self.soon(lk.soft);
+            worthless || self.soon(lk.end) || lk.complete() && (self.deadly(lk) || short(spent()))
         })
     }
 
@@ -739,11 +743,13 @@
         self.find_call(|lk, part| part.calls_out() == 0 && (lk.outlived() || lk.sent_out().next().is_none()))
     }
 
-    /// One late part holds back its lookup: it gets a copy while that may still be in time. One copy out at a
-    /// time: when everything is late, more would only add to it.
+    /// A late part holds back its lookup: it gets a copy while that may still be in time. Copies are a small
+    /// share of what is out: when everything is late, more would only add to it.
     fn needs_a_copy(&self) -> Option<Case> {
         let middle = Micros(self.survey.middle? as u64);
-        if self.lookups.values().flat_map(|lk| &lk.parts).any(|p| p.calls_out() > 1) {
+        let out = self.lookups.values().flat_map(|lk| &lk.parts).map(Part::calls_out);
+        let (copies, out) = out.fold((0, 0), |(c, o), n| (c + n.saturating_sub(1), o + n));
+        if copies as f64 >= (out as f64 * COPIES).max(1.0) {
             return None;
         }
         let late = |c: &Call| c.ending.is_none() && self.now.since(c.sent) > middle.times(LATE);
@@ -752,14 +758,14 @@
 
     fn find_call(&self, wanted: impl Fn(&Lookup, &Part) -> bool) -> Option<Case> {
         self.lookups.values().filter(|lk| lk.placed).find_map(|lk| {
-            lk.parts.iter().enumerate().find_map(|(at, part)| {
-                if part.satisfied || !wanted(lk, part) || !self.may_call(lk, part) {
-                    return None;
-                }
+            let open = |part: &Part| !part.satisfied && wanted(lk, part) && self.may_call(lk, part);
+            let placed = lk.parts.iter().enumerate().filter(|(_, part)| open(part)).filter_map(|(at, part)| {
                 let holders = self.holders(part, &BTreeMap::new());
                 let node = self.cheapest(&holders, |n| self.o(n, lk.index))?;
-                Some(Case { lookup: lk.id, at, node: node.listing.node, ..Case::default() })
-            })
+                Some((part.weight, Case { lookup: lk.id, at, node: node.listing.node, ..Case::default() }))
+            });
+            // Further calls are scarce: the part that weighs most has the first.
+            placed.reduce(|most, next| if next.0 > most.0 { next } else { most }).map(|(_, case)| case)
         })
     }
 
@@ -774,8 +780,10 @@
         let at = |wanted: Gauge| gauges.iter().position(|g| *g == wanted);
         let read = |wanted: Gauge| report.get(at(wanted)?).copied().filter(sane);
         let (o, rate) = (read(Gauge::LatencyMs).or(read(Gauge::Queue)), read(Gauge::Rate));
+        // Work that takes no time is no report at all, and what came before it is not to be believed either.
+        let untrue = read(Gauge::LatencyMs) == Some(0.0);
         if let Some(node) = self.nodes.get_mut(&id) {
-            node.report = o.map(|o| blend(node.report, o, FRESH)).or(node.report);
+            node.report = o.map(|o| blend(node.report, o, FRESH)).or(node.report).filter(|_| !untrue);
             node.best_rate = node.best_rate.max(rate.unwrap_or(0.0));
             self.stale = true;
         }
