--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,6 +43,8 @@
 const LATE: f64 = 4.0;
 /// Of the part calls out, the share that may be copies of others.
 const COPIES: f64 = 0.1;
+/// Middle latencies that a second step is given: few parts, yet each has to come.
+const SECOND: f64 = 2.0;
 /// The share of its time that a lookup of little gain may be predicted to take.
 const SPARE_TIME: f64 = 0.6;
 /// A customer's unused share is kept for so many seconds.
@@ -361,13 +363,20 @@
         lookup.complete() && enough
     }
 
+    /// When a step is answered with what is in: its gain is about to fall. A first step leaves the second its time.
+    fn cut_at(&self, lookup: &Lookup) -> Micros {
+        let second = !lookup.second && self.row(lookup).second_step > 0;
+        let needed = self.survey.middle.filter(|_| second).map_or(Micros(0), |m| Micros((m * SECOND) as u64));
+        Micros(lookup.soft.0 - needed.0.min(lookup.soft.since(self.now).0))
+    }
+
     /// An answer is due when it is whole; one in part when its gain is about to fall, or no more can come.
     fn answer_is_due(&self) -> Option<Case> {
         self.find(|lk| {
             // To the letter, but for sums: weights that are off are no leave to answer from too little.
             let enough = lk.complete() && lk.weight_in() + EXACT >= self.bars(lk).1 && lk.weight_in() > 0.0;
             let last = || lk.parts.iter().all(|p| p.satisfied || self.spent(lk, p));
-            self.whole(lk) || enough && (self.soon(lk.soft) || last())
+            self.whole(lk) || enough && (self.soon(self.cut_at(lk)) || last())
         })
     }
 
@@ -759,11 +768,15 @@
     fn find_call(&self, wanted: impl Fn(&Lookup, &Part) -> bool) -> Option<Case> {
         self.lookups.values().filter(|lk| lk.placed).find_map(|lk| {
             let open = |part: &Part| !part.satisfied && wanted(lk, part) && self.may_call(lk, part);
-            let placed = lk.parts.iter().enumerate().filter(|(_, part)| open(part)).filter_map(|(at, part)| {
-                let holders = self.holders(part, &BTreeMap::new());
-                let node = self.cheapest(&holders, |n| self.o(n, lk.index))?;
-                Some((part.weight, Case { lookup: lk.id, at, node: node.listing.node, ..Case::default() }))
-            });
+            let placed =
+                lk.parts.iter().enumerate().filter(|(_, part)| open(part)).filter_map(|(at, part)| {
+                    let holders = self.holders(part, &BTreeMap::new());
+                    let node = self.cheapest(&holders, |n| self.o(n, lk.index))?;
+                    Some((
+                        part.weight,
+                        Case { lookup: lk.id, at, node: node.listing.node, ..Case::default() },
+                    ))
+                });
             // Further calls are scarce: the part that weighs most has the first.
             placed.reduce(|most, next| if next.0 > most.0 { next } else { most }).map(|(_, case)| case)
         })
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -264,6 +264,19 @@
     assert_eq!(tape.0, [Did::Answer(whole)]);
 }
 
+/// A first answer just before the soft deadline leaves the second step no time: most of the gain came late.
+#[test_case(790, false; "there is time yet")]
+#[test_case(810, true; "the second step needs the rest")]
+fn a_first_step_leaves_the_second_its_time(later: u64, answered: bool) {
+    let mut brain = router(tariff(), 3);
+    (brain.tariff.indexes[0].second_step, brain.tariff.indexes[0].least) = (2, 0.5);
+    let mut half = lookup(&brain, &[0.5, 0.5], &[OUT]);
+    half.parts[0].satisfied = true;
+    hold(&mut brain, half);
+    brain.now += ms(later);
+    assert_eq!(brain.answer_is_due().is_some(), answered);
+}
+
 #[test]
 fn the_first_answer_waits_for_as_many_parts_as_are_to_come() {
     let mut brain = router(tariff(), 1);
