--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,7 +31,7 @@
 const PART_RATIO: f64 = 0.8;
 /// Weight of a new report or answer against what was known: a few answers make an opinion.
 const FRESH: f64 = 0.3;
-/// The same for what hardly changes: the mean hint, and the size of an index's lookups.
+/// The same for what hardly changes: the mean hint.
 const STEADY: f64 = FRESH * FRESH;
 /// A node is doubted when it answers so many times later than the middle node.
 const DOUBT: f64 = 2.5;
@@ -59,9 +59,9 @@
 const CROSSING: f64 = 20.0;
 /// Predictions are means: a part may be so much later.
 const MARGIN: f64 = 1.25;
-/// A lookup is as late as the latest of its calls: so many times their mean, and so many more with each
-/// logarithm of their number; parts in one call come together.
-const LATEST: (f64, f64) = (0.5, 0.9);
+/// A lookup is as late as the latest of its calls; parts of one call come together. Answers scatter by so much of
+/// their mean, and the latest of n lies the root of 2 ln n times that beyond it.
+const SPREAD: f64 = 0.6;
 /// Weights as they come are rounded: sums of them may fall so much short of a forecast's whole.
 const SHORT: f64 = 0.00005;
 /// A sum of fractions falls so much short of what it is, at most: eight tenths are 0.7999999999999999.
@@ -177,7 +177,7 @@
         self.now = now;
         self.take();
         let row = &mut self.tariff.indexes[index.at()];
-        row.size = Some(blend(row.size, expected as f64, STEADY));
+        row.seen = true;
         let (soft, end) = (now + row.soft.min(left), now + left);
         let lookup =
             Lookup { id, query, repeat, index, customer, soft, end, left, expected, ..Lookup::default() };
@@ -513,15 +513,14 @@
         out.log(&format!("shedding: over, {} lookups in hand", self.lookups.len()));
     }
 
-    /// The share of its time that a lookup may be predicted to take: all of it where the gain for its work is
-    /// the best there is, less for others, so that they give way first when nodes are busy.
+    /// The share of its time that a lookup may be predicted to take: all of it where the gain is the best there
+    /// is, less for others, so that they give way first when nodes are busy. Not by parts: where one index needs
+    /// all shards and another needs one, the middle one would have no room on a quiet day.
     fn time_allowed(&self, lookup: &Lookup, within_share: bool) -> f64 {
-        let size = |row: &IndexRow| row.size.filter(|_| !self.tariff.gain_by_work).unwrap_or(1.0);
-        let density = |row: &IndexRow| row.gain / size(row);
-        let best =
-            self.tariff.indexes.iter().filter(|row| row.size.is_some()).map(density).fold(0.0, f64::max);
+        let seen = self.tariff.indexes.iter().filter(|row| row.seen);
+        let best = seen.map(|row| row.gain).fold(0.0, f64::max);
         let share = if within_share { 1.0 } else { self.tariff.over_share_gain };
-        let rank = if best > 0.0 { share * density(self.row(lookup)) / best } else { 1.0 };
+        let rank = if best > 0.0 { share * self.row(lookup).gain / best } else { 1.0 };
         let rank = if lookup.left < self.row(lookup).soft { 1.0 } else { rank };
         SPARE_TIME + (1.0 - SPARE_TIME) * rank
     }
@@ -684,7 +683,7 @@
             sum += latency / MARGIN;
         }
         let parts = plan.places.len().max(1) as f64;
-        let latest = sum / parts * (LATEST.0 + LATEST.1 * (planned.len().max(1) as f64).ln());
+        let latest = sum / parts * (1.0 + SPREAD * (2.0 * (planned.len().max(1) as f64).ln()).sqrt());
         // Not where some may be missing; and a client that gives less than the aim is no sign of load.
         let holds = self.bars(lookup).1 >= 1.0 && lookup.left >= self.row(lookup).soft;
         if holds && latest > left {
@@ -756,9 +755,11 @@
     /// share of what is out: when everything is late, more would only add to it.
     fn needs_a_copy(&self) -> Option<Case> {
         let middle = Micros(self.survey.middle? as u64);
+        // One at a time where no budget bounds them: more cost an overloaded fleet a fifth of its gain.
+        let share = self.tariff.extra_window.map_or(0.0, |_| COPIES);
         let out = self.lookups.values().flat_map(|lk| &lk.parts).map(Part::calls_out);
         let (copies, out) = out.fold((0, 0), |(c, o), n| (c + n.saturating_sub(1), o + n));
-        if copies as f64 >= (out as f64 * COPIES).max(1.0) {
+        if copies as f64 >= (out as f64 * share).max(1.0) {
             return None;
         }
         let late = |c: &Call| c.ending.is_none() && self.now.since(c.sent) > middle.times(LATE);
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -265,7 +265,7 @@
 }
 
 /// A first answer just before the soft deadline leaves the second step no time: most of the gain came late.
-#[test_case(790, false; "there is time yet")]
+#[test_case(770, false; "there is time yet")]
 #[test_case(810, true; "the second step needs the rest")]
 fn a_first_step_leaves_the_second_its_time(later: u64, answered: bool) {
     let mut brain = router(tariff(), 3);
@@ -559,11 +559,11 @@
 }
 
 #[test_case(5.0, 1.0, true, 1.0; "the best gain")]
-#[test_case(1.0, 0.0, true, 0.68; "less gain for its work")]
+#[test_case(1.0, 0.0, true, 0.68; "less gain")]
 #[test_case(5.0, 0.0, false, 0.6; "beyond the customer's share")]
 fn time_allowed_follows_gain(gain: f64, over_share_gain: f64, within_share: bool, allowed: f64) {
-    let mut brain = router(Tariff { gain_by_work: true, over_share_gain, ..tariff() }, 0);
-    let row = IndexRow { size: Some(4.0), ..brain.tariff.indexes[0].clone() };
+    let mut brain = router(Tariff { over_share_gain, ..tariff() }, 0);
+    let row = IndexRow { seen: true, ..brain.tariff.indexes[0].clone() };
     brain.tariff.indexes = vec![IndexRow { gain, ..row.clone() }, IndexRow { gain: 5.0, ..row }];
     let lookup = lookup(&brain, &[1.0], &[]);
     assert!((brain.time_allowed(&lookup, within_share) - allowed).abs() < 1e-9);
@@ -638,7 +638,7 @@
 fn a_lookup_is_as_late_as_the_latest_of_its_parts(parts: usize, left: u64, nacked: bool) {
     let (mut brain, mut tape) = (router(Tariff { cells: 64, reach: 1, ..tariff() }, 40), Tape::default());
     for (cell, node) in brain.nodes.values_mut().enumerate() {
-        (node.listing.cell, node.pace) = (CellNo(cell as u32), Some(100_000.0));
+        (node.listing.cell, node.pace) = (CellNo(cell as u32), Some(130_000.0));
     }
     brain = fresh(brain);
     let mut held = Lookup { left: ms(left), ..lookup(&brain, &vec![1.0 / parts as f64; parts], &[]) };
--- a/src/types.rs
+++ b/src/types.rs
@@ -143,8 +143,8 @@
     pub need: f64,
     pub least: f64,
     pub second_step: usize,
-    /// Smoothed number of parts of its lookups.
-    pub size: Option<f64>,
+    /// Lookups of it have come to this router.
+    pub seen: bool,
 }
 
 /// The terms of service that a router reads at its start. A `None` is a limit that is not set.
@@ -154,8 +154,6 @@
     /// Lookups a second within each customer's share, over all routers.
     pub quotas: Vec<f64>,
     pub over_share_gain: f64,
-    /// Gain counts in proportion to a lookup's work; else each lookup counts alike.
-    pub gain_by_work: bool,
     pub routers: f64,
     pub zone: ZoneNo,
     /// Price of a part that crosses zones, as a share of its gain.
--- a/tariff/src/lib.rs
+++ b/tariff/src/lib.rs
@@ -83,7 +83,6 @@
             .map(|row| num(row, "quotaPerS").unwrap_or(f64::INFINITY))
             .collect(),
         over_share_gain: num(all, "overShareWorth").unwrap_or(1.0),
-        gain_by_work: all["valueBy"] == "work",
         routers: num(all, "balancers").unwrap_or(1.0).max(1.0),
         zone: ZoneNo(num(all, "zone").unwrap_or(0.0) as u16),
         crossing: num(&all["charges"], "crossZone").unwrap_or(0.0),
@@ -129,7 +128,7 @@
         },
         need,
         least: of_extra("minShare").unwrap_or(need),
-        size: None,
+        seen: false,
         second_step: of_extra("secondStep").map_or(0, |n| n as usize),
     }
 }
