Wrong settings are named with key and value; beliefs carry over a move where they mean the same

Beliefs name the terms that they rest on; under other indexes, customers, gauges or shards, reports, rates, standings, shares and deadly lookups start afresh, and answer latency, pace, warm-up sends and the spent budget go on (Brain::carried). Before, a node that failed index 0 was doubted for whatever index had that number next. Tests for both.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,8 +59,8 @@
 const CROSSING: f64 = 20.0;
 /// Predictions are means: a part may be so much later.
 const MARGIN: f64 = 1.25;
-/// A lookup is as late as the latest of its calls; parts of one call come together. Answers scatter by so much of
-/// their mean, and the latest of n lies the root of 2 ln n times that beyond it.
+/// A lookup is as late as the latest of its calls; parts of one call come together. Answers scatter by so
+/// much of their mean, and the latest of n lies the root of 2 ln n times that beyond it.
 const SPREAD: f64 = 0.6;
 /// Weights as they come are rounded: sums of them may fall so much short of a forecast's whole.
 const SHORT: f64 = 0.00005;
@@ -262,6 +262,27 @@
         self.settle(out);
     }
 
+    /// What the figures of beliefs rest on.
+    fn terms(&self) -> String {
+        let (rows, of) = (self.tariff.indexes.iter().map(|row| (row.soft, row.repeat)), &self.tariff);
+        format!("{:?}", (rows.collect::<Vec<_>>(), &of.gauges, of.quotas.len(), of.cells, of.reach))
+    }
+
+    /// What of another's beliefs means the same here. Under other indexes, customers, gauges or shards what
+    /// was learnt by them starts afresh; how nodes answer, what they were sent, and what was spent go on.
+    fn carried(&self, of: &Beliefs) -> Beliefs {
+        let mut of = of.clone();
+        if of.terms.as_ref().is_none_or(|terms| *terms == self.terms()) {
+            return of;
+        }
+        for (_, node) in &mut of.nodes {
+            (node.report, node.best_rate, node.doubted) = (None, 0.0, None);
+            node.standings.clear();
+        }
+        let Beliefs { nodes, taken, extras, alarm, .. } = of;
+        Beliefs { nodes, taken, extras, alarm, ..Beliefs::default() }
+    }
+
     fn index_nodes(&mut self) {
         self.cells.clear();
         for (id, node) in &self.nodes {
@@ -363,7 +384,8 @@
         lookup.complete() && enough
     }
 
-    /// When a step is answered with what is in: its gain is about to fall. A first step leaves the second its time.
+    /// When a step is answered with what is in: its gain is about to fall. A first step leaves the second
+    /// its time.
     fn cut_at(&self, lookup: &Lookup) -> Micros {
         let second = !lookup.second && self.row(lookup).second_step > 0;
         let needed = self.survey.middle.filter(|_| second).map_or(Micros(0), |m| Micros((m * SECOND) as u64));
@@ -401,8 +423,8 @@
         !part.satisfied && part.calls_out() == 0 && !self.may_call(lookup, part)
     }
 
-    /// Given up as soon as what is in and may still come is too little, or what comes later earns nothing, and just
-    /// before the client's end.
+    /// Given up as soon as what is in and may still come is too little, or what comes later earns nothing,
+    /// and just before the client's end.
     fn hopeless(&self) -> Option<Case> {
         self.find(|lk| {
             let spent = || lk.parts.iter().filter(|p| self.spent(lk, p)).map(|p| p.weight).sum::<f64>();
@@ -513,9 +535,9 @@
         out.log(&format!("shedding: over, {} lookups in hand", self.lookups.len()));
     }
 
-    /// The share of its time that a lookup may be predicted to take: all of it where the gain is the best there
-    /// is, less for others, so that they give way first when nodes are busy. Not by parts: where one index needs
-    /// all shards and another needs one, the middle one would have no room on a quiet day.
+    /// The share of its time that a lookup may be predicted to take: all of it where the gain is the best
+    /// there is, less for others, so that they give way first when nodes are busy. Not by parts: where one
+    /// index needs all shards and another needs one, the middle one would have no room on a quiet day.
     fn time_allowed(&self, lookup: &Lookup, within_share: bool) -> f64 {
         let seen = self.tariff.indexes.iter().filter(|row| row.seen);
         let best = seen.map(|row| row.gain).fold(0.0, f64::max);
@@ -698,7 +720,8 @@
     }
 
     fn call(&mut self, id: LookupId, at: usize, to: NodeId, out: &mut dyn Actions) {
-        // A plan may hold further calls of many parts: each may use up the budget that the next was planned on.
+        // A plan may hold further calls of many parts: each may use up the budget that the next was planned
+        // on.
         let lookup = self.lookups.get(&id).filter(|lk| self.may_call(lk, &lk.parts[at]));
         let Some(lookup) = lookup else { return };
         let part = &lookup.parts[at];
--- a/src/brain/snapshot.rs
+++ b/src/brain/snapshot.rs
@@ -46,6 +46,9 @@
     pub alarm: Option<u64>,
     /// Deadly lookups: time ahead until which they are known, index, customer, shards. Without: learnt by more falls.
     pub fatal: Vec<(u64, u8, u16, Vec<u32>)>,
+    /// What these figures rest on, for one that reads them under other terms. Without: the same terms.
+    #[serde(default)]
+    pub terms: Option<String>,
     /// Age of the last nack at admission, while they come.
     pub shed: Option<u64>,
 }
@@ -112,6 +115,7 @@
             extras: ages(&self.extras),
             alarm: self.alarm_at.as_ref().map(age),
             fatal: self.fatal.iter().map(print).collect(),
+            terms: Some(self.terms()),
             shed: self.shed_at.as_ref().map(age),
         }
     }
@@ -120,6 +124,7 @@
     /// others, or of another start of a node, is passed over; tells how many nodes were taken.
     pub fn believe(&mut self, now: Micros, of: &Beliefs) -> usize {
         self.now = now;
+        let of = &self.carried(of);
         let at = |age: &u64| now.since(Micros(*age));
         let mut taken = 0;
         for (id, belief) in &of.nodes {
@@ -228,6 +233,31 @@
         assert_eq!(seen(&brain), (8.0, 0.1, 0.2, 2));
     }
 
+    /// The first seconds after a move to other indexes: a node that failed one is not doubted for another that has
+    /// its number, one that warms up gets no allowance twice, and no share of the budget is spent twice.
+    #[test_case(true, (Some(4000.0), Some(90.0), 1, 1, 1, 1); "the same terms")]
+    #[test_case(false, (Some(4000.0), None, 0, 1, 1, 0); "other terms")]
+    fn what_means_the_same_is_carried_over_a_move(
+        same: bool, kept: (Option<f64>, Option<f64>, usize, usize, usize, usize),
+    ) {
+        let now = Micros(900_000_000);
+        let mut old = brain(now);
+        old.tariff.indexes = vec![Default::default()];
+        let node = old.nodes.get_mut(&NodeId(2)).expect("a node");
+        (node.latency, node.report) = (Some(4000.0), Some(90.0));
+        node.standings = vec![Standing { fear: 1.0, toll: 1e6, ..Standing::default() }];
+        node.sends.push_back((now, 2.0));
+        old.extras.push_back(now);
+        old.fatal.push_back((now + Micros(5_000_000), (IndexNo(0), CustomerNo(0), vec![ShardNo(3)])));
+        let mut new = brain(now);
+        new.tariff.indexes = vec![Default::default()];
+        new.tariff.reach = if same { 0 } else { 3 };
+        new.believe(now, &old.beliefs(now));
+        let node = &new.nodes[&NodeId(2)];
+        let counts = (node.standings.len(), node.sends.len(), new.extras.len(), new.fatal.len());
+        assert_eq!((node.latency, node.report, counts.0, counts.1, counts.2, counts.3), kept);
+    }
+
     #[test]
     fn another_start_of_a_node_another_node_and_nonsense_are_passed_over() {
         let mut new = brain(Micros(1_000_000));
--- a/tariff/src/lib.rs
+++ b/tariff/src/lib.rs
@@ -74,6 +74,7 @@
     if !all.is_object() {
         return Err("settings that are not a JSON object".into());
     }
+    check(all)?;
     let (limits, rules, extra) = (&all["ceilings"], &all["rules"], &all["extra"]);
     let indexes = rows(all, "classes").iter().enumerate().map(|(at, row)| index(at, row, extra)).collect();
     Ok(Tariff {
@@ -113,6 +114,39 @@
     })
 }
 
+/// A figure that the decisions rest on is absent or a number in its range; what else it may be is a mistake.
+fn check(all: &Value) -> Result<(), BadTariff> {
+    let share = |at: &str, value: &Value| figure(at, value, 1.0);
+    let some = |at: &str, value: &Value| figure(at, value, f64::MAX);
+    for (at, row) in rows(all, "classes").iter().enumerate() {
+        share(&format!("classes[{at}].lateValue"), &row["lateValue"])?;
+        for key in ["worth", "onTime", "deadline", "window"] {
+            some(&format!("classes[{at}].{key}"), &row[key])?;
+        }
+    }
+    for key in ["minShare", "classNeed", "secondStep"] {
+        for (at, value) in rows(&all["extra"], key).iter().enumerate() {
+            let at = format!("extra.{key}[{at}]");
+            if key == "secondStep" {
+                some(&at, value)?
+            } else {
+                share(&at, value)?
+            }
+        }
+    }
+    for key in ["spareAttempts", "extraRatio", "countedOver", "fall", "fallMultiple", "warmWithin"] {
+        some(&format!("rules.{key}"), &all["rules"][key])?;
+    }
+    share("rules.coldFrom", &all["rules"]["coldFrom"])
+}
+
+fn figure(at: &str, value: &Value, most: f64) -> Result<(), BadTariff> {
+    let within = value.as_f64().is_some_and(|n| (0.0..=most).contains(&n));
+    let upper = if most == 1.0 { "from 0 to 1" } else { "of 0 or more" };
+    let good = value.is_null() || within;
+    good.then_some(()).ok_or_else(|| format!("settings: {at} is {value}, wanted a number {upper}"))
+}
+
 fn index(at: usize, row: &Value, extra: &Value) -> IndexRow {
     let of_extra = |key: &str| extra[key].get(at).and_then(Value::as_f64);
     let need = of_extra("classNeed").unwrap_or(1.0);
@@ -141,3 +175,25 @@
         _ => Gauge::Unread,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+    use test_case::test_case;
+
+    #[test_case(json!({"classes": [{"lateValue": "much"}]}), "classes[0].lateValue is \"much\""; "a text")]
+    #[test_case(json!({"classes": [{}, {"lateValue": 1.5}]}), "classes[1].lateValue is 1.5"; "more than a whole")]
+    #[test_case(json!({"extra": {"minShare": [0.6, -1]}}), "extra.minShare[1] is -1"; "less than none")]
+    #[test_case(json!({"rules": {"extraRatio": []}}), "rules.extraRatio is []"; "a list")]
+    fn a_wrong_setting_is_named_with_its_value(all: Value, named: &str) {
+        let error = tariff(&all).expect_err("a mistake");
+        assert!(error.contains(named), "{error}");
+    }
+
+    #[test_case(json!({"classes": [{}]}), 1.0; "absent: as before it was read")]
+    #[test_case(json!({"classes": [{"lateValue": 0.1}]}), 0.1; "read")]
+    fn the_late_value_has_a_default(all: Value, late: f64) {
+        assert_eq!(tariff(&all).expect("terms").indexes[0].late, late);
+    }
+}
