Sockets mended: no cut at the soft deadline, no heaviest first, few parts spread as before

The spread by nodes was 1.0 for parts that share one call; by parts, the lesser of the old and the root, it is as before for a few parts.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,9 +59,10 @@
 const CROSSING: f64 = 20.0;
 /// Predictions are means: a part may be so much later.
 const MARGIN: f64 = 1.25;
-/// A lookup is as late as the latest of its calls; parts of one call come together. Answers scatter by so
-/// much of their mean, and the latest of n lies the root of 2 ln n times that beyond it.
+/// A lookup is as late as the latest of its parts. Many scatter by so much of their mean, the latest of n the root
+/// of 2 ln n times that beyond it; a few, of one or two calls, by LATEST and its logarithm.
 const SPREAD: f64 = 0.6;
+const LATEST: (f64, f64) = (0.5, 0.9);
 /// Weights as they come are rounded: sums of them may fall so much short of a forecast's whole.
 const SHORT: f64 = 0.00005;
 /// A sum of fractions falls so much short of what it is, at most: eight tenths are 0.7999999999999999.
@@ -423,14 +424,12 @@
         !part.satisfied && part.calls_out() == 0 && !self.may_call(lookup, part)
     }
 
-    /// Given up as soon as what is in and may still come is too little, or what comes later earns nothing,
-    /// and just before the client's end.
+    /// Given up as soon as what is in and may still come is too little, and just before the client's end.
     fn hopeless(&self) -> Option<Case> {
         self.find(|lk| {
             let spent = || lk.parts.iter().filter(|p| self.spent(lk, p)).map(|p| p.weight).sum::<f64>();
             let short = |spent: f64| spent > 0.0 && 1.0 - spent + EXACT < self.bars(lk).1;
-            let worthless = self.row(lk).late <= 0.0 && self.soon(lk.soft);
-            worthless || self.soon(lk.end) || lk.complete() && (self.deadly(lk) || short(spent()))
+            self.soon(lk.end) || lk.complete() && (self.deadly(lk) || short(spent()))
         })
     }
 
@@ -705,7 +704,8 @@
             sum += latency / MARGIN;
         }
         let parts = plan.places.len().max(1) as f64;
-        let latest = sum / parts * (1.0 + SPREAD * (2.0 * (planned.len().max(1) as f64).ln()).sqrt());
+        let spread = (LATEST.0 + LATEST.1 * parts.ln()).min(1.0 + SPREAD * (2.0 * parts.ln()).sqrt());
+        let latest = sum / parts * spread;
         // Not where some may be missing; and a client that gives less than the aim is no sign of load.
         let holds = self.bars(lookup).1 >= 1.0 && lookup.left >= self.row(lookup).soft;
         if holds && latest > left {
@@ -791,18 +791,14 @@
 
     fn find_call(&self, wanted: impl Fn(&Lookup, &Part) -> bool) -> Option<Case> {
         self.lookups.values().filter(|lk| lk.placed).find_map(|lk| {
-            let open = |part: &Part| !part.satisfied && wanted(lk, part) && self.may_call(lk, part);
-            let placed =
-                lk.parts.iter().enumerate().filter(|(_, part)| open(part)).filter_map(|(at, part)| {
-                    let holders = self.holders(part, &BTreeMap::new());
-                    let node = self.cheapest(&holders, |n| self.o(n, lk.index))?;
-                    Some((
-                        part.weight,
-                        Case { lookup: lk.id, at, node: node.listing.node, ..Case::default() },
-                    ))
-                });
-            // Further calls are scarce: the part that weighs most has the first.
-            placed.reduce(|most, next| if next.0 > most.0 { next } else { most }).map(|(_, case)| case)
+            lk.parts.iter().enumerate().find_map(|(at, part)| {
+                if part.satisfied || !wanted(lk, part) || !self.may_call(lk, part) {
+                    return None;
+                }
+                let holders = self.holders(part, &BTreeMap::new());
+                let node = self.cheapest(&holders, |n| self.o(n, lk.index))?;
+                Some(Case { lookup: lk.id, at, node: node.listing.node, ..Case::default() })
+            })
         })
     }
 
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -596,6 +596,37 @@
     assert_eq!(brain.nodes[&NodeId(1)].report, Some(100.0));
 }
 
+/// A node that is slow and reports itself idle would draw parts by an o of nothing.
+#[test]
+fn a_latency_of_none_is_no_report() {
+    let (mut brain, mut tape) = (router(tariff(), 2), Tape::default());
+    node(&mut brain, 1).latency = Some(250_000.0);
+    brain.probed(brain.now, NodeId(1), &[0.0], &mut tape);
+    let brain = fresh(brain);
+    assert_eq!(brain.reading(&brain.nodes[&NodeId(1)]), Some(250.0));
+}
+
+/// A lookup of many parts has several late ones; without a budget, one at a time.
+#[test_case(Some(ms(5000)), 3; "under a budget, a tenth of what is out")]
+#[test_case(None, 1; "one at a time")]
+fn copies_are_few(extra_window: Option<Micros>, copies: usize) {
+    let budget = Tariff { extra_spare: 9.0, extra_window, ..tariff() };
+    let (mut brain, mut tape) = (router(budget, 3), Tape::default());
+    let mut late = lookup(&brain, &[0.04; 25], &[OUT]);
+    late.parts.iter_mut().for_each(|part| part.calls[0].sent = Micros(brain.now.0 - 450_000));
+    hold(&mut brain, late);
+    brain.settle(&mut tape);
+    let calls: Vec<PartId> = tape
+        .0
+        .iter()
+        .filter_map(|did| match did {
+            Did::Call(part, _) => Some(*part),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(calls.len(), copies);
+}
+
 #[test]
 fn a_failed_probe_is_no_failed_call() {
     let mut brain = router(tariff(), 1);
