--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,8 +59,8 @@
 const CROSSING: f64 = 20.0;
 /// Predictions are means: a part may be so much later.
 const MARGIN: f64 = 1.25;
-/// A lookup is as late as the latest of its parts. Many scatter by so much of their mean, the latest of n the root
-/// of 2 ln n times that beyond it; a few, of one or two calls, by LATEST and its logarithm.
+/// A lookup is as late as the latest of its parts. Many scatter by so much of their mean, the latest of n the
+/// root of 2 ln n times that beyond it; a few, of one or two calls, by LATEST and its logarithm.
 const SPREAD: f64 = 0.6;
 const LATEST: (f64, f64) = (0.5, 0.9);
 /// Weights as they come are rounded: sums of them may fall so much short of a forecast's whole.
