--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,7 +31,7 @@
 const PART_RATIO: f64 = 0.8;
 /// Weight of a new report or answer against what was known: a few answers make an opinion.
 const FRESH: f64 = 0.3;
-/// The same for what hardly changes: the mean hint, and the size of an index's lookups.
+/// The same for what hardly changes: the mean hint.
 const STEADY: f64 = FRESH * FRESH;
 /// A node is doubted when it answers so many times later than the middle node.
 const DOUBT: f64 = 2.5;
@@ -41,6 +41,10 @@
 const LASTING: f64 = 8.0;
 /// A part is late after this many times the middle latency.
 const LATE: f64 = 4.0;
+/// Of the part calls out, the share that may be copies of others.
+const COPIES: f64 = 0.1;
+/// Middle latencies that a second step is given: few parts, yet each has to come.
+const SECOND: f64 = 2.0;
 /// The share of its time that a lookup of little gain may be predicted to take.
 const SPARE_TIME: f64 = 0.6;
 /// A customer's unused share is kept for so many seconds.
@@ -55,9 +59,9 @@
 const CROSSING: f64 = 20.0;
 /// Predictions are means: a part may be so much later.
 const MARGIN: f64 = 1.25;
-/// A lookup is as late as the latest of its parts: so many times their mean, and so many more with each
-/// logarithm of their number.
-const LATEST: (f64, f64) = (0.5, 0.9);
+/// A lookup is as late as the latest of its calls; parts of one call come together. Answers scatter by so much of
+/// their mean, and the latest of n lies the root of 2 ln n times that beyond it.
+const SPREAD: f64 = 0.6;
 /// Weights as they come are rounded: sums of them may fall so much short of a forecast's whole.
 const SHORT: f64 = 0.00005;
 /// A sum of fractions falls so much short of what it is, at most: eight tenths are 0.7999999999999999.
@@ -173,7 +177,7 @@
         self.now = now;
         self.take();
         let row = &mut self.tariff.indexes[index.at()];
-        row.size = Some(blend(row.size, expected as f64, STEADY));
+        row.seen = true;
         let (soft, end) = (now + row.soft.min(left), now + left);
         let lookup =
             Lookup { id, query, repeat, index, customer, soft, end, left, expected, ..Lookup::default() };
@@ -359,13 +363,20 @@
         lookup.complete() && enough
     }
 
+    /// When a step is answered with what is in: its gain is about to fall. A first step leaves the second its time.
+    fn cut_at(&self, lookup: &Lookup) -> Micros {
+        let second = !lookup.second && self.row(lookup).second_step > 0;
+        let needed = self.survey.middle.filter(|_| second).map_or(Micros(0), |m| Micros((m * SECOND) as u64));
+        Micros(lookup.soft.0 - needed.0.min(lookup.soft.since(self.now).0))
+    }
+
     /// An answer is due when it is whole; one in part when its gain is about to fall, or no more can come.
     fn answer_is_due(&self) -> Option<Case> {
         self.find(|lk| {
             // To the letter, but for sums: weights that are off are no leave to answer from too little.
             let enough = lk.complete() && lk.weight_in() + EXACT >= self.bars(lk).1 && lk.weight_in() > 0.0;
             let last = || lk.parts.iter().all(|p| p.satisfied || self.spent(lk, p));
-            self.whole(lk) || enough && (self.soon(lk.soft) || last())
+            self.whole(lk) || enough && (self.soon(self.cut_at(lk)) || last())
         })
     }
 
@@ -390,12 +401,14 @@
         !part.satisfied && part.calls_out() == 0 && !self.may_call(lookup, part)
     }
 
-    /// Given up as soon as what is in and may still come is too little, and just before the client's end.
+    /// Given up as soon as what is in and may still come is too little, or what comes later earns nothing, and just
+    /// before the client's end.
     fn hopeless(&self) -> Option<Case> {
         self.find(|lk| {
             let spent = || lk.parts.iter().filter(|p| self.spent(lk, p)).map(|p| p.weight).sum::<f64>();
             let short = |spent: f64| spent > 0.0 && 1.0 - spent + EXACT < self.bars(lk).1;
-            self.soon(lk.end) || lk.complete() && (self.deadly(lk) || short(spent()))
+            let worthless = self.row(lk).late <= 0.0 && self.soon(lk.soft);
+            worthless || self.soon(lk.end) || lk.complete() && (self.deadly(lk) || short(spent()))
         })
     }
 
@@ -500,15 +513,14 @@
         out.log(&format!("shedding: over, {} lookups in hand", self.lookups.len()));
     }
 
-    /// The share of its time that a lookup may be predicted to take: all of it where the gain for its work is
-    /// the best there is, less for others, so that they give way first when nodes are busy.
+    /// The share of its time that a lookup may be predicted to take: all of it where the gain is the best there
+    /// is, less for others, so that they give way first when nodes are busy. Not by parts: where one index needs
+    /// all shards and another needs one, the middle one would have no room on a quiet day.
     fn time_allowed(&self, lookup: &Lookup, within_share: bool) -> f64 {
-        let size = |row: &IndexRow| row.size.filter(|_| !self.tariff.gain_by_work).unwrap_or(1.0);
-        let density = |row: &IndexRow| row.gain / size(row);
-        let best =
-            self.tariff.indexes.iter().filter(|row| row.size.is_some()).map(density).fold(0.0, f64::max);
+        let seen = self.tariff.indexes.iter().filter(|row| row.seen);
+        let best = seen.map(|row| row.gain).fold(0.0, f64::max);
         let share = if within_share { 1.0 } else { self.tariff.over_share_gain };
-        let rank = if best > 0.0 { share * density(self.row(lookup)) / best } else { 1.0 };
+        let rank = if best > 0.0 { share * self.row(lookup).gain / best } else { 1.0 };
         let rank = if lookup.left < self.row(lookup).soft { 1.0 } else { rank };
         SPARE_TIME + (1.0 - SPARE_TIME) * rank
     }
@@ -671,7 +683,7 @@
             sum += latency / MARGIN;
         }
         let parts = plan.places.len().max(1) as f64;
-        let latest = sum / parts * (LATEST.0 + LATEST.1 * parts.ln());
+        let latest = sum / parts * (1.0 + SPREAD * (2.0 * (planned.len().max(1) as f64).ln()).sqrt());
         // Not where some may be missing; and a client that gives less than the aim is no sign of load.
         let holds = self.bars(lookup).1 >= 1.0 && lookup.left >= self.row(lookup).soft;
         if holds && latest > left {
@@ -686,7 +698,9 @@
     }
 
     fn call(&mut self, id: LookupId, at: usize, to: NodeId, out: &mut dyn Actions) {
-        let Some(lookup) = self.lookups.get(&id) else { return };
+        // A plan may hold further calls of many parts: each may use up the budget that the next was planned on.
+        let lookup = self.lookups.get(&id).filter(|lk| self.may_call(lk, &lk.parts[at]));
+        let Some(lookup) = lookup else { return };
         let part = &lookup.parts[at];
         let (part_id, z, number) = (part.id, self.z(part), CallNo(part.calls.len() as u8));
         let index = lookup.index;
@@ -737,11 +751,15 @@
         self.find_call(|lk, part| part.calls_out() == 0 && (lk.outlived() || lk.sent_out().next().is_none()))
     }
 
-    /// One late part holds back its lookup: it gets a copy while that may still be in time. One copy out at a
-    /// time: when everything is late, more would only add to it.
+    /// A late part holds back its lookup: it gets a copy while that may still be in time. Copies are a small
+    /// share of what is out: when everything is late, more would only add to it.
     fn needs_a_copy(&self) -> Option<Case> {
         let middle = Micros(self.survey.middle? as u64);
-        if self.lookups.values().flat_map(|lk| &lk.parts).any(|p| p.calls_out() > 1) {
+        // One at a time where no budget bounds them: more cost an overloaded fleet a fifth of its gain.
+        let share = self.tariff.extra_window.map_or(0.0, |_| COPIES);
+        let out = self.lookups.values().flat_map(|lk| &lk.parts).map(Part::calls_out);
+        let (copies, out) = out.fold((0, 0), |(c, o), n| (c + n.saturating_sub(1), o + n));
+        if copies as f64 >= (out as f64 * share).max(1.0) {
             return None;
         }
         let late = |c: &Call| c.ending.is_none() && self.now.since(c.sent) > middle.times(LATE);
@@ -750,14 +768,18 @@
 
     fn find_call(&self, wanted: impl Fn(&Lookup, &Part) -> bool) -> Option<Case> {
         self.lookups.values().filter(|lk| lk.placed).find_map(|lk| {
-            lk.parts.iter().enumerate().find_map(|(at, part)| {
-                if part.satisfied || !wanted(lk, part) || !self.may_call(lk, part) {
-                    return None;
-                }
-                let holders = self.holders(part, &BTreeMap::new());
-                let node = self.cheapest(&holders, |n| self.o(n, lk.index))?;
-                Some(Case { lookup: lk.id, at, node: node.listing.node, ..Case::default() })
-            })
+            let open = |part: &Part| !part.satisfied && wanted(lk, part) && self.may_call(lk, part);
+            let placed =
+                lk.parts.iter().enumerate().filter(|(_, part)| open(part)).filter_map(|(at, part)| {
+                    let holders = self.holders(part, &BTreeMap::new());
+                    let node = self.cheapest(&holders, |n| self.o(n, lk.index))?;
+                    Some((
+                        part.weight,
+                        Case { lookup: lk.id, at, node: node.listing.node, ..Case::default() },
+                    ))
+                });
+            // Further calls are scarce: the part that weighs most has the first.
+            placed.reduce(|most, next| if next.0 > most.0 { next } else { most }).map(|(_, case)| case)
         })
     }
 
@@ -772,8 +794,10 @@
         let at = |wanted: Gauge| gauges.iter().position(|g| *g == wanted);
         let read = |wanted: Gauge| report.get(at(wanted)?).copied().filter(sane);
         let (o, rate) = (read(Gauge::LatencyMs).or(read(Gauge::Queue)), read(Gauge::Rate));
+        // Work that takes no time is no report at all, and what came before it is not to be believed either.
+        let untrue = read(Gauge::LatencyMs) == Some(0.0);
         if let Some(node) = self.nodes.get_mut(&id) {
-            node.report = o.map(|o| blend(node.report, o, FRESH)).or(node.report);
+            node.report = o.map(|o| blend(node.report, o, FRESH)).or(node.report).filter(|_| !untrue);
             node.best_rate = node.best_rate.max(rate.unwrap_or(0.0));
             self.stale = true;
         }
--- a/src/types.rs
+++ b/src/types.rs
@@ -137,12 +137,14 @@
 pub struct IndexRow {
     pub soft: Micros,
     pub gain: f64,
+    /// The share of its gain that is left after the soft deadline.
+    pub late: f64,
     pub repeat: Repeat,
     pub need: f64,
     pub least: f64,
     pub second_step: usize,
-    /// Smoothed number of parts of its lookups.
-    pub size: Option<f64>,
+    /// Lookups of it have come to this router.
+    pub seen: bool,
 }
 
 /// The terms of service that a router reads at its start. A `None` is a limit that is not set.
@@ -152,8 +154,6 @@
     /// Lookups a second within each customer's share, over all routers.
     pub quotas: Vec<f64>,
     pub over_share_gain: f64,
-    /// Gain counts in proportion to a lookup's work; else each lookup counts alike.
-    pub gain_by_work: bool,
     pub routers: f64,
     pub zone: ZoneNo,
     /// Price of a part that crosses zones, as a share of its gain.
