--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -127,7 +127,7 @@
                 }
                 Step::Return { .. } => {}
                 Step::Wait(micros) => {
-                    now = now + Micros(micros);
+                    now += Micros(micros);
                     brain.elapsed(now, TimerId(0), &mut tape);
                 }
             }
