--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,9 +59,8 @@
 const CROSSING: f64 = 20.0;
 /// Predictions are means: a part may be so much later.
 const MARGIN: f64 = 1.25;
-/// A lookup is as late as the latest of its parts. Many scatter by so much of their mean, the latest of n the
-/// root of 2 ln n times that beyond it; a few, of one or two calls, by LATEST and its logarithm.
-const SPREAD: f64 = 0.6;
+/// A lookup is as late as the latest of its calls: so many times the mean, and so many more with each logarithm
+/// of their number. Parts that share a call come together.
 const LATEST: (f64, f64) = (0.5, 0.9);
 /// Weights as they come are rounded: sums of them may fall so much short of a forecast's whole.
 const SHORT: f64 = 0.00005;
@@ -703,9 +702,8 @@
             plan.places.push((at, node.listing.node));
             sum += latency / MARGIN;
         }
-        let parts = plan.places.len().max(1) as f64;
-        let spread = (LATEST.0 + LATEST.1 * parts.ln()).min(1.0 + SPREAD * (2.0 * parts.ln()).sqrt());
-        let latest = sum / parts * spread;
+        let calls = planned.len().max(1) as f64;
+        let latest = sum / plan.places.len().max(1) as f64 * (LATEST.0 + LATEST.1 * calls.ln()).max(1.0);
         // Not where some may be missing; and a client that gives less than the aim is no sign of load.
         let holds = self.bars(lookup).1 >= 1.0 && lookup.left >= self.row(lookup).soft;
         if holds && latest > left {
