--- a/adapter/src/host.rs
+++ b/adapter/src/host.rs
@@ -31,6 +31,7 @@
     pub const EMIT: u8 = 20;
     pub const ATTEMPT: u8 = 21;
     pub const TRACK: u8 = 22;
+    pub const LET_GO: u8 = 23;
     pub const ASSEMBLE: u8 = 24;
     pub const BUG: u8 = 25;
     pub const RETRACT: u8 = 26;
@@ -73,6 +74,10 @@
         self.record(action::RETRACT).put(&part.0.to_be_bytes()).put(&[call.0]);
     }
 
+    fn close_idle(&mut self, node: NodeId) {
+        self.record(action::LET_GO).node(node.0);
+    }
+
     fn probe(&mut self, node: NodeId) {
         self.record(action::HEALTH_CHECK).node(node.0);
     }
--- a/benches/cost.rs
+++ b/benches/cost.rs
@@ -24,6 +24,7 @@
     fn abort(&mut self, _: LookupId) {}
     fn cancel(&mut self, _: PartId, _: CallNo) {}
     fn probe(&mut self, _: NodeId) {}
+    fn close_idle(&mut self, _: NodeId) {}
     fn watch_roster(&mut self) {}
     fn timer(&mut self, _: Micros, _: TimerId) {}
     fn log(&mut self, _: &str) {}
--- a/lab/src/sim/front.rs
+++ b/lab/src/sim/front.rs
@@ -43,6 +43,7 @@
     Nack(LookupId, Micros),
     Abort(LookupId),
     Cancel(PartId, CallNo),
+    CloseIdle(NodeId),
     Probe(NodeId),
     Watch,
     Timer(Micros, TimerId),
@@ -67,6 +68,9 @@
     fn cancel(&mut self, part: PartId, call: CallNo) {
         self.0.push(Act::Cancel(part, call));
     }
+    fn close_idle(&mut self, node: NodeId) {
+        self.0.push(Act::CloseIdle(node));
+    }
     fn probe(&mut self, node: NodeId) {
         self.0.push(Act::Probe(node));
     }
@@ -243,6 +247,12 @@
                     returns.push(id);
                 }
             }
+            Act::CloseIdle(node) => {
+                let carries = |call: &Call| call.router == router && u64::from(call.node) == node.0;
+                if !self.calls.values().any(carries) {
+                    self.fronts[router as usize].connections.remove(&(node.0 as u32));
+                }
+            }
             Act::Probe(node) => {
                 let (epoch, node) = (self.fronts[router as usize].epoch, node.0 as u32);
                 if let Some(delay) = self.between(router, node, Way::There) {
--- a/lab/src/sim/planted.rs
+++ b/lab/src/sim/planted.rs
@@ -65,6 +65,9 @@
     fn cancel(&mut self, part: PartId, call: CallNo) {
         self.out.cancel(part, call);
     }
+    fn close_idle(&mut self, node: NodeId) {
+        self.out.close_idle(node);
+    }
     fn probe(&mut self, node: NodeId) {
         self.out.probe(node);
     }
--- a/router/src/memory/nodes.rs
+++ b/router/src/memory/nodes.rs
@@ -157,6 +157,14 @@
         }
     }
 
+    /// Retires a node's connections that carry nothing.
+    pub fn retire_idle(&mut self, node: NodeId) {
+        for connection in self.connections.values_mut().filter(|of| of.node == node && of.idle()) {
+            connection.retired = true;
+            connection.stirred.notify(1);
+        }
+    }
+
     pub fn forget_gone(&mut self) {
         let Nodes { nodes, ids, .. } = self;
         nodes.retain(|_, node| {
@@ -335,6 +343,19 @@
         assert_eq!(nodes.connection(id).map(|of| of.retired), Some(retired));
     }
 
+    #[test]
+    fn what_carries_something_is_not_let_go() {
+        let (mut nodes, node, id) = connected();
+        nodes.connection_mut(id).expect("a connection").waiting.push_back(Vec::new());
+        nodes.retire_idle(node);
+        assert_eq!(nodes.usable(node).count(), 1);
+        nodes.connection_mut(id).expect("a connection").waiting.clear();
+        nodes.retire_idle(NodeId(node.0 + 1));
+        assert_eq!(nodes.usable(node).count(), 1, "another node's");
+        nodes.retire_idle(node);
+        assert_eq!(nodes.usable(node).count(), 0);
+    }
+
     #[test]
     fn only_an_idle_connection_makes_room() {
         let (mut nodes, _, id) = connected();
--- a/router/src/stages/book.rs
+++ b/router/src/stages/book.rs
@@ -177,6 +177,10 @@
         self.give_up((part, call), Ending::Cancelled, true);
     }
 
+    fn close_idle(&mut self, node: NodeId) {
+        self.nodes.retire_idle(node);
+    }
+
     fn probe(&mut self, node: NodeId) {
         self.probes.push(node);
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -6,7 +6,8 @@
 //!
 //! The design (EC-Store's cost model) places every part. Beside it stand six mechanisms:
 //! 1. doubt: what a node's own answers show outweighs a report that says better;
-//! 2. again: another try after a failure, one copy of a late part, none for a lookup that brings nodes down;
+//! 2. again: another try after a failure, a copy of a late part, none for a lookup that brings nodes down; a
+//!    new connection in place of one that has rested, while such are dropped unseen;
 //! 3. admission: a lookup is taken only if predicted in time, beyond a share only with time to spare;
 //! 4. cut: a lookup ends as soon as waiting gains nothing, with what is in or with nothing;
 //! 5. warm-up: a node that has just started gets this router's share of what it can bear;
@@ -41,6 +42,10 @@
 const LASTING: f64 = 8.0;
 /// A part is late after this many times the middle latency.
 const LATE: f64 = 4.0;
+/// Rest of connections is distrusted for so many of the shortest soft deadline.
+const KEPT: f64 = 16.0;
+/// Share of calls on rested connections that stay silent where such are dropped: more than a slow node's.
+const SILENT: f64 = 0.15;
 /// Of the part calls out, the share that may be copies of others.
 const COPIES: f64 = 0.1;
 /// Middle latencies that a second step is given: few parts, yet each has to come.
@@ -59,8 +64,8 @@
 const CROSSING: f64 = 20.0;
 /// Predictions are means: a part may be so much later.
 const MARGIN: f64 = 1.25;
-/// A lookup is as late as the latest of its calls: so many times the mean, and so many more with each logarithm
-/// of their number. Parts that share a call come together.
+/// A lookup is as late as the latest of its calls: so many times the mean, and so many more with each
+/// logarithm of their number. Parts that share a call come together.
 const LATEST: (f64, f64) = (0.5, 0.9);
 /// Weights as they come are rounded: sums of them may fall so much short of a forecast's whole.
 const SHORT: f64 = 0.00005;
@@ -107,15 +112,20 @@
     fatal: VecDeque<(Micros, Print)>,
     /// The last nack at admission, while such nacks come.
     shed_at: Option<Micros>,
+    /// Smoothed share of calls on rested connections that stayed silent, and since when such are not used.
+    silent: f64,
+    distrusted: Option<Micros>,
 }
 
 type Rule = (fn(&Brain) -> Option<Case>, fn(&mut Brain, Case, &mut dyn Actions));
 
 /// Gone through in this order, from the top again after each that fires.
-const RULES: [Rule; 9] = [
+const RULES: [Rule; 11] = [
     (Brain::roster_is_due, Brain::ask_roster),
     (Brain::answer_is_due, Brain::answer),
     (Brain::hopeless, Brain::give_up),
+    (Brain::rested_is_silent, Brain::count_silent),
+    (Brain::rest_is_trusted, Brain::trust_rest),
     (Brain::unplaced, Brain::place_or_nack),
     (Brain::needs_another_try, Brain::call_again),
     (Brain::needs_a_copy, Brain::call_again),
@@ -207,6 +217,8 @@
         let owed = self.nodes.get_mut(&node).and_then(|n| Some((n.owed.remove(&(part, call))?, n)));
         if let Some((owed, n)) = owed {
             if ending == Ending::Satisfied {
+                let heard = owed.rested.then(|| blend(Some(self.silent), 0.0, STEADY));
+                self.silent = heard.unwrap_or(self.silent);
                 n.pace = Some(blend(n.pace, lag.0 as f64 / (owed.depth + FREE_DEPTH), FRESH));
             }
             self.learn(node, owed.index, lag, ending);
@@ -727,9 +739,14 @@
         let index = lookup.index;
         let due = if self.soon(lookup.soft) { lookup.end } else { lookup.soft };
         let limit = due.since(self.now).max(Micros(1));
+        let longest = self.memory();
         let Some(node) = self.nodes.get_mut(&to) else { return };
-        let depth = node.owed_z() + z;
-        node.owed.insert((part_id, number), Owed { lookup: id, at, index, sent: self.now, z, depth });
+        let (depth, mut rested) = (node.owed_z() + z, node.rested(self.now).0 as f64 > longest);
+        if rested && self.distrusted.is_some() {
+            out.close_idle(to);
+            rested = false;
+        }
+        node.owed.insert((part_id, number), Owed { lookup: id, at, index, sent: self.now, z, depth, rested });
         let (now, kept) = (self.now, self.tariff.warm_within);
         drop_front(&mut node.sends, |(at, _)| now.since(*at) > kept);
         node.sends.push_back((self.now, z.max(1.0)));
@@ -767,6 +784,36 @@
         made + 1.0 <= self.tariff.extra_spare + self.tariff.extra_ratio * taken
     }
 
+    /// Connections that rest may be dropped on the way, and neither end is told: what is sent on one is lost.
+    /// Seen as calls that are late, at many nodes, after nothing had gone there for a soft deadline.
+    fn rested_is_silent(&self) -> Option<Case> {
+        let middle = self.survey.middle?;
+        let late = |n: &Node| Micros(n.latency.unwrap_or(middle).max(middle) as u64).times(LATE);
+        let lost = |n: &&Node| n.owed.values().any(|o| o.rested && self.now.since(o.sent) > late(n));
+        self.watched_nodes().find(lost).map(|n| Case { node: n.listing.node, ..Case::default() })
+    }
+
+    fn count_silent(&mut self, case: Case, out: &mut dyn Actions) {
+        let Some(node) = self.nodes.get_mut(&case.node) else { return };
+        node.owed.values_mut().for_each(|o| o.rested = false);
+        self.silent = blend(Some(self.silent), 1.0, STEADY);
+        if self.silent > SILENT && self.distrusted.is_none() {
+            self.distrusted = Some(self.now);
+            let share = self.silent * 100.0;
+            out.log(&format!("connections: new ones after a rest, {share:.0}% of the rested silent"));
+        }
+    }
+
+    fn rest_is_trusted(&self) -> Option<Case> {
+        let over = |at: &Micros| self.now.since(*at).0 as f64 > self.memory() * KEPT;
+        self.distrusted.filter(over).map(|_| Case::default())
+    }
+
+    fn trust_rest(&mut self, _: Case, out: &mut dyn Actions) {
+        (self.distrusted, self.silent) = (None, SILENT / 2.0);
+        out.log("connections: used again after a rest");
+    }
+
     /// A part without a call out gets one, elsewhere if it can.
     fn needs_another_try(&self) -> Option<Case> {
         self.find_call(|lk, part| part.calls_out() == 0 && (lk.outlived() || lk.sent_out().next().is_none()))
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -698,3 +698,33 @@
     brain.watched.insert(NodeId(1));
     assert_eq!(brain.doubt_has_changed().map(|case| case.index), Some(IndexNo(1)));
 }
+
+// Connections that rest may be dropped unseen: calls on such are lost, and the next go on new ones.
+#[test_case(0.14, true, 100, 0, true; "one more after many")]
+#[test_case(0.14, false, 100, 0, false; "it had not rested")]
+#[test_case(0.14, true, 1000, 0, false; "a node that is always so late")]
+#[test_case(0.0, true, 100, 0, false; "the first")]
+#[test_case(0.14, true, 100, 60_000, false; "long ago")]
+fn what_rests_is_not_used_while_such_is_lost(
+    silent: f64, rested: bool, latency: u64, later: u64, closed: bool,
+) {
+    let (mut brain, mut tape) = (router(tariff(), 3), Tape::default());
+    owe(&mut brain, 2, 1, ms(500));
+    let slow = node(&mut brain, 2);
+    slow.latency = Some(latency as f64 * 1000.0);
+    slow.owed.values_mut().for_each(|owed| owed.rested = rested);
+    node(&mut brain, 1).sends.push_back((ms(1000), 1.0));
+    brain.silent = silent;
+    brain.settle(&mut tape);
+    node(&mut brain, 2).owed.clear();
+    (brain.now, node(&mut brain, 1).seen) = (brain.now + ms(later), ms(1000));
+    let held = Lookup {
+        parts: vec![Part { id: PartId(1), weight: 1.0, ..Part::default() }],
+        ..lookup(&brain, &[1.0], &[])
+    };
+    hold(&mut brain, held);
+    brain.settle(&mut tape);
+    brain.call(LookupId(1), 0, NodeId(1), &mut tape);
+    let close = tape.0.iter().position(|did| *did == Did::CloseIdle(NodeId(1)));
+    assert_eq!(close.is_some(), closed);
+}
--- a/src/brain/tests/helpers.rs
+++ b/src/brain/tests/helpers.rs
@@ -9,6 +9,7 @@
     Nack(Micros),
     Abort,
     Cancel(PartId, CallNo),
+    CloseIdle(NodeId),
     Probe(NodeId),
     Watch,
     Log,
@@ -33,6 +34,9 @@
     fn cancel(&mut self, part: PartId, call: CallNo) {
         self.0.push(Did::Cancel(part, call));
     }
+    fn close_idle(&mut self, node: NodeId) {
+        self.0.push(Did::CloseIdle(node));
+    }
     fn probe(&mut self, node: NodeId) {
         self.0.push(Did::Probe(node));
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -14,6 +14,8 @@
     fn abort(&mut self, lookup: LookupId);
     /// Stops waiting for a part call.
     fn cancel(&mut self, part: PartId, call: CallNo);
+    /// Closes the connections to a node that carry nothing.
+    fn close_idle(&mut self, node: NodeId);
     /// Asks a node for its load report.
     fn probe(&mut self, node: NodeId);
     /// Asks the roster for its changes from now on.
--- a/src/types.rs
+++ b/src/types.rs
@@ -192,6 +192,8 @@
     pub z: f64,
     /// This router's parts out at the node when it was sent, itself included.
     pub depth: f64,
+    /// It went on a connection that had rested, and nothing is known of it yet.
+    pub rested: bool,
 }
 
 /// How a node serves one index, as this router has seen it.
@@ -240,6 +242,12 @@
         self.owed.values().map(move |owed| (owed, now)).chain(abroad)
     }
 
+    /// For how long nothing has gone between this router and the node, if ever something has.
+    pub fn rested(&self, now: Micros) -> Micros {
+        let last = self.sends.back().map(|(at, _)| (*at).max(self.seen));
+        last.filter(|_| self.owed.is_empty()).map_or(Micros(0), |last| now.since(last))
+    }
+
     /// Our parts out, in parts of the mean size.
     pub fn owed_z(&self) -> f64 {
         self.out(Micros(0)).map(|(owed, _)| owed.z).sum()
