The switch under other terms tested on loopback; the unused value of late answers is gone

Seen: the first seconds after an upgrade under other settings had a unit test only, and IndexRow::late was read and checked with no decision resting on it. Change: router/tests/upgrade.rs plays an upgrade to other indexes, another gauge and a budget: how nodes answer goes over, reports start afresh, twenty lookups of the new indexes are served within the first second, the index that is gone is not; a wrong figure is named with key and value by check, and the old process serves on. Nothing of the module's choices changes.

--- a/router/tests/upgrade.rs
+++ b/router/tests/upgrade.rs
@@ -211,6 +211,67 @@
     assert_ne!(status["process"], of.router.child.id());
 }
 
+/// Another deployment's settings: other indexes in other places, another gauge, a budget for further calls.
+fn other_terms(ratio: &str) -> String {
+    let (classes, rest) = common::SETTINGS.split_once("\"ceilings\"").expect("settings");
+    let head = classes.split_once("\"classes\"").expect("settings").0;
+    let classes = r#""classes":[{"name":"claim","semantics":"at_most_once","onTime":600000,"deadline":3000000},
+        {"name":"history","semantics":"idempotent","onTime":600000,"deadline":3000000},
+        {"name":"whole","semantics":"idempotent","onTime":600000,"deadline":3000000}],"#;
+    let rules = format!(r#""rules":{{"spareAttempts":20,"extraRatio":{ratio},"countedOver":5000000,"#);
+    format!("{head}{classes}\"ceilings\"{rest}")
+        .replace("[1,0.5,1]", "[1,0.6,1]")
+        .replace("\"depth\"", "\"load_share\",\"mean_ms\"")
+        .replace("\"rules\":{", &rules)
+}
+
+#[test]
+fn under_other_terms_what_still_means_the_same_goes_over() {
+    let of = Upgradable::start(&[Act::Serve, Act::Serve], "");
+    let mut stream = of.router.connect();
+    for at in 0..20 {
+        assert_eq!(common::ask(&mut stream, "half", &format!("b{at}")).0, 200);
+    }
+    let known = |of: &Upgradable, what: &str| -> BTreeMap<String, bool> {
+        let nodes = of.status()["nodes"].as_array().expect("nodes").clone();
+        nodes.iter().map(|node| (node["name"].to_string(), node[what].is_number())).collect()
+    };
+    let (latencies, reports) = (known(&of, "latency_ms"), known(&of, "report"));
+    assert!(latencies.values().any(|known| *known) && reports.values().any(|known| *known));
+    let config = std::fs::read_to_string(&of.router.config).expect("a configuration");
+    std::fs::write(&of.router.config, config.replace(common::SETTINGS, &other_terms("0.05")))
+        .expect("written");
+    let upgraded = of.upgrade(&[]);
+    assert!(upgraded.0, "{}", upgraded.1);
+    let since = Instant::now();
+    assert_eq!(known(&of, "latency_ms"), latencies, "how nodes answer");
+    assert!(!known(&of, "report").values().any(|known| *known), "another gauge's figures");
+    // The first second: the new indexes are served at once, the old one's that is gone is not.
+    for at in 0..20 {
+        let index = ["claim", "history", "whole"][at % 3];
+        assert_eq!(common::ask(&mut stream, index, &format!("o{at}")).0, 200, "{index}");
+    }
+    assert!(since.elapsed() < 1000 * MS, "{:?}", since.elapsed());
+    assert_ne!(common::ask(&mut stream, "half", "gone").0, 200);
+    assert!(known(&of, "latency_ms").values().any(|known| *known));
+}
+
+#[test]
+fn wrong_terms_are_named_and_leave_the_old_process_serving() {
+    let of = Upgradable::start(&[Act::Serve], "");
+    let before = of.pid();
+    let config = std::fs::read_to_string(&of.router.config).expect("a configuration");
+    std::fs::write(&of.router.config, config.replace(common::SETTINGS, &other_terms("\"many\"")))
+        .expect("written");
+    let mut check = Command::new(env!("CARGO_BIN_EXE_ternpick"));
+    let out = check.args(["check", "--config"]).arg(&of.router.config).output().expect("it runs");
+    let text = String::from_utf8_lossy(&[out.stdout, out.stderr].concat()).into_owned();
+    assert!(!out.status.success() && text.contains("rules.extraRatio is \"many\""), "{text}");
+    assert!(!of.upgrade(&[]).0);
+    served(of.router.address, "w1");
+    assert_eq!(of.pid(), before);
+}
+
 #[test_case("die:1"; "before hello")]
 #[test_case("die:2"; "after hello")]
 #[test_case("die:3"; "with the listeners")]
--- a/src/types.rs
+++ b/src/types.rs
@@ -137,8 +137,6 @@
 pub struct IndexRow {
     pub soft: Micros,
     pub gain: f64,
-    /// The share of its gain that is left after the soft deadline.
-    pub late: f64,
     pub repeat: Repeat,
     pub need: f64,
     pub least: f64,
