--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,8 +50,10 @@
 const COPIES: f64 = 0.1;
 /// Middle latencies that a second step is given: few parts, yet each has to come.
 const SECOND: f64 = 2.0;
-/// The share of its time that a lookup of little gain may be predicted to take.
+/// The share of its time that a lookup of little gain may be predicted to take: more where lateness and work
+/// in vain are cheap.
 const SPARE_TIME: f64 = 0.6;
+const DEAR: f64 = 2.5;
 /// A customer's unused share is kept for so many seconds.
 const QUOTA_SECONDS: f64 = 2.0;
 /// Of the warm-up allowance; the rest covers parts heavier than the mean.
@@ -554,7 +556,8 @@
         let share = if within_share { 1.0 } else { self.tariff.over_share_gain };
         let rank = if best > 0.0 { share * self.row(lookup).gain / best } else { 1.0 };
         let rank = if lookup.left < self.row(lookup).soft { 1.0 } else { rank };
-        SPARE_TIME + (1.0 - SPARE_TIME) * rank
+        let spare = self.tariff.vain.map_or(SPARE_TIME, |vain| SPARE_TIME.max(1.0 - DEAR * vain));
+        spare + (1.0 - spare) * rank
     }
 
     /// Takes one lookup from the customer's share; false if it has used that up.
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -558,11 +558,13 @@
     assert_eq!(predicted, 50_000.0 / 0.25 * (1.0 + FREE_DEPTH));
 }
 
-#[test_case(5.0, 1.0, true, 1.0; "the best gain")]
-#[test_case(1.0, 0.0, true, 0.68; "less gain")]
-#[test_case(5.0, 0.0, false, 0.6; "beyond the customer's share")]
-fn time_allowed_follows_gain(gain: f64, over_share_gain: f64, within_share: bool, allowed: f64) {
-    let mut brain = router(Tariff { over_share_gain, ..tariff() }, 0);
+#[test_case(5.0, None, true, 1.0; "the best gain")]
+#[test_case(1.0, None, true, 0.68; "less gain")]
+#[test_case(1.0, Some(0.08), true, 0.84; "less gain, and lateness is cheap")]
+#[test_case(1.0, Some(9.0), true, 0.68; "less gain, and lateness is dear")]
+#[test_case(5.0, None, false, 0.6; "beyond the customer's share")]
+fn time_allowed_follows_gain(gain: f64, vain: Option<f64>, within_share: bool, allowed: f64) {
+    let mut brain = router(Tariff { over_share_gain: 0.0, vain, ..tariff() }, 0);
     let row = IndexRow { seen: true, ..brain.tariff.indexes[0].clone() };
     brain.tariff.indexes = vec![IndexRow { gain, ..row.clone() }, IndexRow { gain: 5.0, ..row }];
     let lookup = lookup(&brain, &[1.0], &[]);
--- a/src/types.rs
+++ b/src/types.rs
@@ -156,6 +156,8 @@
     pub zone: ZoneNo,
     /// Price of a part that crosses zones, as a share of its gain.
     pub crossing: f64,
+    /// Price of lookups that all end late, and of work in vain, as shares of the gain; where they are told.
+    pub vain: Option<f64>,
     pub cells: u32,
     pub reach: u32,
     pub call_cost: Micros,
--- a/tariff/src/lib.rs
+++ b/tariff/src/lib.rs
@@ -87,6 +87,9 @@
         routers: num(all, "balancers").unwrap_or(1.0).max(1.0),
         zone: ZoneNo(num(all, "zone").unwrap_or(0.0) as u16),
         crossing: num(&all["charges"], "crossZone").unwrap_or(0.0),
+        vain: num(&all["charges"], "lateFail")
+            .zip(num(&all["charges"], "waste"))
+            .map(|(late, waste)| late + waste),
         cells: num(extra, "positions").map_or(1, |n| n as u32).max(1),
         reach: num(extra, "reach").map_or(1, |n| n as u32),
         call_cost: time(extra, "callCost").unwrap_or_default(),
@@ -133,6 +136,9 @@
             }
         }
     }
+    for key in ["lateFail", "waste", "crossZone"] {
+        some(&format!("charges.{key}"), &all["charges"][key])?;
+    }
     for key in ["spareAttempts", "extraRatio", "countedOver", "fall", "fallMultiple", "warmWithin"] {
         some(&format!("rules.{key}"), &all["rules"][key])?;
     }
@@ -183,6 +189,7 @@
     #[test_case(json!({"classes": [{"worth": "much"}]}), "classes[0].worth is \"much\""; "a text")]
     #[test_case(json!({"extra": {"classNeed": [1, 1.5]}}), "extra.classNeed[1] is 1.5"; "more than a whole")]
     #[test_case(json!({"extra": {"minShare": [0.6, -1]}}), "extra.minShare[1] is -1"; "less than none")]
+    #[test_case(json!({"charges": {"waste": -0.1}}), "charges.waste is -0.1"; "a price below nothing")]
     #[test_case(json!({"rules": {"extraRatio": []}}), "rules.extraRatio is []"; "a list")]
     fn a_wrong_setting_is_named_with_its_value(all: Value, named: &str) {
         let error = tariff(&all).expect_err("a mistake");
