--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -301,6 +301,7 @@
             routers: self.routers as f64,
             zone,
             crossing: 0.0,
+            vain: None,
             cells: n.cells,
             reach: n.reach,
             call_cost: Micros(n.dial_work),
