Settings: defaults that shut each other out leave no default, in whatever order they join

Cause: Unifier::any dropped the mark with the way that failed and took a single way left for plain, so a later mark won (settings/src/value.rs, the last match). Change: where all marked ways fail and what is left is open, a marked way that is none stays; export and wordings pass it over.

--- a/settings/src/export.rs
+++ b/settings/src/export.rs
@@ -62,10 +62,11 @@
                 each.map(|(at, item)| self.value(item, &format!("{path}[{at}]"), of)).collect()
             }
             Form::Any(ways) => {
-                let mut open: Vec<&V> = ways.iter().filter(|(star, _)| *star).map(|(_, way)| way).collect();
+                let ways = || ways.iter().filter(|(_, way)| !matches!(way.form, Form::Bad));
+                let mut open: Vec<&V> = ways().filter(|(star, _)| *star).map(|(_, way)| way).collect();
                 if open.len() != 1 {
                     // A list or record that may be anything of its kind is itself once it is closed: `[...] | *[]`.
-                    open = ways.iter().map(|(_, way)| way).collect();
+                    open = ways().map(|(_, way)| way).collect();
                 }
                 match open.as_slice() {
                     [one] => self.value(one, path, holder),
--- a/settings/src/value.rs
+++ b/settings/src/value.rs
@@ -260,7 +260,10 @@
                 });
                 told.map(Demand::to_string).collect::<Vec<_>>().join(" and ")
             }
-            Form::Any(any) => any.iter().map(|(_, one)| one.wanted()).collect::<Vec<_>>().join(" or "),
+            Form::Any(any) => {
+                let some = any.iter().filter(|(_, one)| !matches!(one.form, Form::Bad));
+                some.map(|(_, one)| one.wanted()).collect::<Vec<_>>().join(" or ")
+            }
             Form::Record(_) => Kind::Record.words().into(),
             Form::List(..) => Kind::List.words().into(),
             Form::Bad => "a value".into(),
@@ -370,7 +373,8 @@
         }
     }
 
-    /// One of several with another value: the ways that stay open.
+    /// One of several with another value: the ways that stay open. Where all that are marked fail, that is kept as
+    /// a marked way that is none: in another order of joining a later mark would else become the default.
     fn any(&mut self, any: &[(bool, V)], whole: &V, other: &V, problems: &mut Vec<Problem>) -> V {
         let marked = |ways: &[(bool, V)]| ways.iter().any(|(star, _)| *star);
         let theirs = match &other.form {
@@ -380,11 +384,14 @@
         let (my_marks, their_marks) = (marked(any), marked(&theirs));
         let mut open: Vec<(bool, V)> = Vec::new();
         let mut failed: Vec<(V, Vec<Problem>)> = Vec::new();
+        let mut none = false;
         for (star, mine) in any {
             for (their_star, their) in &theirs {
                 let mut tried = Vec::new();
                 let one = self.unify(mine, their, &mut tried);
-                if !tried.is_empty() {
+                if matches!(one.form, Form::Bad) && tried.is_empty() {
+                    none = true;
+                } else if !tried.is_empty() {
                     failed.push((Rc::clone(mine), tried));
                 } else if open.len() >= MOST_WAYS {
                     let what = format!("more than {MOST_WAYS} ways are open here");
@@ -400,11 +407,13 @@
             // What is said is said, also where it is what it would be by default.
             return Rc::clone(other);
         }
+        let spent = (my_marks || their_marks) && !open.iter().any(|(star, _)| *star);
         match open.len() {
+            0 if none && failed.is_empty() => value(Form::Bad, other.at),
             0 => {
                 // A default is one of what may be there: the other way says what that is.
                 if any.len() == 2 && any.iter().filter(|(star, _)| *star).count() == 1 && theirs.len() == 1 {
-                    let beside = usize::from(any[0].0);
+                    let beside = usize::from(any[0].0).min(failed.len() - 1);
                     problems.append(&mut failed[beside].1);
                     return value(Form::Bad, other.at);
                 }
@@ -421,8 +430,11 @@
                 }
                 value(Form::Bad, other.at)
             }
-            1 => open.swap_remove(0).1,
-            _ => value(Form::Any(open), whole.at),
+            1 if !spent || !matches!(open[0].1.form, Form::Demands(_)) => open.swap_remove(0).1,
+            _ => {
+                open.extend(spent.then(|| (true, value(Form::Bad, whole.at))));
+                value(Form::Any(open), whole.at)
+            }
         }
     }
 
--- a/settings/tests/records.rs
+++ b/settings/tests/records.rs
@@ -135,6 +135,17 @@
     proptest::collection::vec(field, 0..4).prop_map(|fields| format!("{{{}}}", fields.join(", ")))
 }
 
+// Found by the property below: defaults that shut each other out left the last one standing, in one order of three.
+#[test_case("*0 | int", "*3 | int", ">=1", None; "two defaults and a bound")]
+#[test_case("*0 | int", ">=1", "5", Some(5); "what is said after a default that cannot be")]
+#[test_case("*0 | 1", ">=1", "int", Some(1); "the one way left")]
+fn defaults_join_alike_in_any_order(x: &str, y: &str, z: &str, wanted: Option<i64>) {
+    for [a, b, c] in [[x, y, z], [z, x, y], [y, z, x], [x, z, y], [z, y, x], [y, x, z]] {
+        let read = read(&format!("roles: {{}}\nv: {{b: {a}}} & {{b: {b}}} & {{b: {c}}}"));
+        assert_eq!(read.ok().and_then(|all| all["v"]["b"].as_i64()), wanted, "{a} & {b} & {c}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
 
