--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -14,7 +14,7 @@
 use crate::sim::{Day, Sim};
 
 /// Days of another form are played anew.
-const FORM: u32 = 2;
+const FORM: u32 = 3;
 
 #[derive(Debug, thiserror::Error)]
 pub enum Failed {
--- a/lab/src/measure.rs
+++ b/lab/src/measure.rs
@@ -10,6 +10,8 @@
 /// Service counts as back once this share of what it was before is had for so many seconds on end.
 pub const BACK_AT: f64 = 0.95;
 pub const BACK_FOR: usize = 5;
+/// Ranks of nodes whose work is told.
+const RANKS: usize = 21;
 /// The longest time that is told apart, in microseconds.
 const LONGEST: u64 = 3_600_000_000;
 
@@ -38,6 +40,8 @@
     pub busy: f64,
     /// Work of the busiest node over that of the mean one.
     pub imbalance: f64,
+    /// Share of their time that nodes worked, the least busy first, at even steps of rank.
+    pub by_rank: Vec<f64>,
 }
 
 pub struct Measure {
@@ -153,7 +157,8 @@
         let mut f = self.figures.clone();
         let lookups = f.lookups.max(1) as f64;
         let at = |q| self.times.value_at_quantile(q) as f64 / 1e3;
-        let work: Vec<f64> = nodes.iter().map(|node| node.worked as f64).collect();
+        let mut work: Vec<f64> = nodes.iter().map(|node| node.worked as f64).collect();
+        work.sort_by(f64::total_cmp);
         let mean = work.iter().sum::<f64>() / work.len().max(1) as f64;
         f.service = if offered > 0.0 { had / offered } else { 1.0 };
         f.mean_ms = self.times.mean() / 1e3;
@@ -163,12 +168,20 @@
         f.further_calls = self.further as f64 / self.calls.max(1) as f64;
         f.dials_a_lookup = self.dials as f64 / lookups;
         f.probes_a_second = self.probes as f64 / (self.seconds - self.settle) as f64;
-        f.busy = mean / (self.seconds * SECOND) as f64 / world.nodes.cores as f64;
+        let time = (self.seconds * SECOND) as f64 * world.nodes.cores as f64;
+        f.busy = mean / time;
+        f.by_rank = ranks(&work).map(|worked| worked / time).collect();
         f.imbalance = if mean > 0.0 { work.iter().copied().fold(0.0, f64::max) / mean } else { 1.0 };
         f
     }
 }
 
+/// Of sorted figures those at even steps, the first and the last among them.
+fn ranks(sorted: &[f64]) -> impl Iterator<Item = f64> + '_ {
+    let last = sorted.len().saturating_sub(1);
+    (0..RANKS).filter_map(move |at| sorted.get(at * last / (RANKS - 1)).copied())
+}
+
 /// Seconds from the end of the last trouble until service is as it was before the first; none: not within the day,
 /// which for a trouble that has gone means that the system holds itself down.
 pub fn back_after(by_second: &[f64], settle: u64, begins: u64, ends: u64) -> Option<f64> {
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -248,6 +248,36 @@
     world.troubles.iter().map(|of| (seconds(of.at), seconds(of.end()), of.kind.to_string())).collect()
 }
 
+/// What a lookup costs the fleet beside its parts' work, against the number of nodes, where worlds differ in that.
+fn by_size(plan: &Plan, groups: &[Group]) -> Option<Chart<'static>> {
+    let first = plan.loads.first().copied().unwrap_or(1.0);
+    let mut sizes: Vec<(&str, usize)> =
+        plan.worlds.iter().map(|world| (world.name.as_str(), world.node_count())).collect();
+    sizes.sort_by_key(|(_, nodes)| *nodes);
+    if sizes.first()?.1 == sizes.last()?.1 {
+        return None;
+    }
+    let line = |policy: &Who| {
+        let points = sizes.iter().filter_map(|(world, nodes)| {
+            let same = |of: &&Group| of.world == *world && of.policy == *policy && of.load == first;
+            let extra = groups.iter().find(same)?.mean(|day| {
+                let of = &day.figures;
+                of.calls_a_lookup * of.further_calls + of.dials_a_lookup
+            });
+            Some(((*nodes as f64).log10(), extra))
+        });
+        Line { name: policy.to_string(), points: points.collect(), bars: Vec::new() }
+    };
+    Some(Chart {
+        title: format!("new connections and further calls a lookup against fleet size, load {first}"),
+        across: "nodes (1: ten, 2: a hundred, 3: a thousand)",
+        up: "a lookup",
+        lines: plan.policies.iter().map(line).collect(),
+        marks: Vec::new(),
+        most: None,
+    })
+}
+
 /// Charts by file name.
 pub fn charts(plan: &Plan, days: &[Day]) -> Result<BTreeMap<String, String>, Failed> {
     let (mut charts, groups) = (BTreeMap::new(), groups(days));
@@ -314,6 +344,24 @@
             most: None,
         };
         charts.insert(format!("{}-latency.svg", world.name), chart.svg()?);
+        let lines = of.iter().filter(|group| group.load == first).map(|group| {
+            let ranks = group.days.iter().map(|day| day.figures.by_rank.len()).min().unwrap_or(0);
+            let share = |at: usize| 100.0 * at as f64 / (ranks - 1).max(1) as f64;
+            let points = (0..ranks).map(|at| (share(at), group.mean(|day| day.figures.by_rank[at])));
+            Line { name: group.policy.to_string(), points: points.collect(), bars: Vec::new() }
+        });
+        let chart = Chart {
+            title: format!("{}: load by node, load {first}", world.name),
+            across: "% of the nodes, the least busy first",
+            up: "share of time worked",
+            lines: lines.collect(),
+            marks: Vec::new(),
+            most: None,
+        };
+        charts.insert(format!("{}-nodes.svg", world.name), chart.svg()?);
+    }
+    if let Some(chart) = by_size(plan, &groups) {
+        charts.insert("size-cost.svg".into(), chart.svg()?);
     }
     Ok(charts)
 }
--- a/lab/tests/days.rs
+++ b/lab/tests/days.rs
@@ -138,7 +138,7 @@
     assert_eq!((&again, played), (&days, 3));
     let names = report::write(&plan, &again, folder.path(), true).expect("written");
     let page = std::fs::read_to_string(folder.path().join("report.html")).expect("a page");
-    assert!(names.len() == 7 && page.matches("<svg").count() == 2 && !page.contains("http-equiv"));
+    assert!(names.len() == 9 && page.matches("<svg").count() == 3 && !page.contains("http-equiv"));
     let png = std::fs::read(folder.path().join("w-latency.png")).expect("a picture");
     assert!(png.starts_with(b"\x89PNG"));
     // Half the nodes' worth of hanging is told apart from nothing by the same seeds.
@@ -186,3 +186,31 @@
     let names: Vec<String> = read.map(|find| find.run.world.name).collect();
     assert!(names.len() >= 3, "{names:?}");
 }
+
+#[test]
+fn load_by_node_and_cost_by_size_are_drawn() {
+    let (one, mut other) =
+        (plan("routers: 2", ""), plan("routers: 2, nodes: cells: 12", "").worlds.remove(0));
+    let mut plan = one;
+    other.name = "larger".into();
+    plan.worlds.push(other);
+    plan.worlds.iter_mut().for_each(|world| world.seconds = 6);
+    let days: Vec<Day> = experiment::runs(&plan)
+        .iter()
+        .map(|run| Sim::play(&run.world, run.policy, run.seed, run.load))
+        .collect();
+    for day in &days {
+        let ranks = &day.figures.by_rank;
+        assert!(ranks.len() == 21 && ranks.is_sorted(), "{ranks:?}");
+        assert!(ranks[0] <= day.figures.busy && day.figures.busy <= ranks[20], "{ranks:?}");
+        assert!((ranks[20] / day.figures.busy - day.figures.imbalance).abs() < 1e-9);
+    }
+    let charts = report::charts(&plan, &days).expect("charts");
+    assert!(charts["w-nodes.svg"].contains("load by node"));
+    assert!(charts["size-cost.svg"].contains("against fleet size"));
+    plan.worlds.pop();
+    assert!(
+        !report::charts(&plan, &days).expect("charts").contains_key("size-cost.svg"),
+        "one size is no line"
+    );
+}
