--- a/src/brain.rs
+++ b/src/brain.rs
@@ -204,8 +204,8 @@
         self.now = now;
         self.take();
         self.mean_hint = hint.map(|hint| blend(self.mean_hint, hint.0 as f64, STEADY)).or(self.mean_hint);
-        // Parts may still come for a lookup that has ended in the same batch.
-        if let Some(lookup) = self.lookups.values_mut().find(|lk| lk.query == query) {
+        // Parts come for the newest, and may still for a lookup that has ended in the same batch.
+        if let Some(lookup) = self.lookups.values_mut().rev().find(|lk| lk.query == query) {
             lookup.parts.push(Part { id, shard, weight, hint, ..Part::default() });
         }
         self.settle(out);
@@ -218,6 +218,7 @@
         self.now = now;
         let owed = self.nodes.get_mut(&node).and_then(|n| Some((n.owed.remove(&(part, call))?, n)));
         if let Some((owed, n)) = owed {
+            n.rested_call = n.rested_call.filter(|_| !owed.rested);
             if ending == Ending::Satisfied {
                 let heard = owed.rested.then(|| blend(Some(self.silent), 0.0, STEADY));
                 self.silent = heard.unwrap_or(self.silent);
@@ -576,22 +577,23 @@
         within
     }
 
-    fn ready(&self) -> impl Iterator<Item = &Node> {
-        self.nodes.values().filter(|n| n.listing.phase == Phase::Ready)
-    }
-
     fn take_survey(&self) -> Survey {
-        let read: Vec<f64> = self.ready().filter_map(|n| self.reading(n)).collect();
+        // One walk: at thousands of nodes it is what deciding costs.
+        let reported = self.tariff.gauges.contains(&Gauge::LatencyMs);
+        let [mut read, mut paces, mut latencies, mut works, mut rates] = [const { Vec::new() }; 5];
+        for n in self.nodes.values().filter(|n| n.listing.phase == Phase::Ready) {
+            read.extend(self.reading(n));
+            paces.extend(n.pace);
+            latencies.extend(n.latency);
+            works.extend(if reported { n.report.map(|ms| ms * 1e3) } else { n.latency });
+            rates.extend(Some(n.best_rate).filter(|rate| *rate > 0.0));
+        }
         let mean_o =
             if read.is_empty() { self.memory() } else { read.iter().sum::<f64>() / read.len() as f64 };
-        let pace = median(self.ready().filter_map(|n| n.pace)).unwrap_or(0.0);
-        let middle = median(self.ready().filter_map(|n| n.latency));
         // What a warm node surely does: one core's work, or what the middle reported; a few are always odd.
-        let reported = self.tariff.gauges.contains(&Gauge::LatencyMs);
-        let known = |n: &Node| if reported { n.report.map(|ms| ms * 1e3) } else { n.latency };
-        let work = self.mean_hint.or_else(|| median(self.ready().filter_map(known)));
-        let best = median(self.ready().map(|n| n.best_rate).filter(|rate| *rate > 0.0)).unwrap_or(0.0);
-        let rate = best.max(1e6 / work.unwrap_or(self.memory()));
+        let work = self.mean_hint.or_else(|| median(works)).unwrap_or(self.memory());
+        let rate = median(rates).unwrap_or(0.0).max(1e6 / work);
+        let (pace, middle) = (median(paces).unwrap_or(0.0), median(latencies));
         Survey { mean_o, m: mean_o * PART_RATIO, middle, pace, rate }
     }
 
@@ -749,6 +751,7 @@
             out.close_idle(to);
             rested = false;
         }
+        node.rested_call = rested.then_some(self.now).or(node.rested_call);
         node.owed.insert((part_id, number), Owed { lookup: id, at, index, sent: self.now, z, depth, rested });
         let (now, kept) = (self.now, self.tariff.warm_within);
         drop_front(&mut node.sends, |(at, _)| now.since(*at) > kept);
@@ -792,13 +795,14 @@
     fn rested_is_silent(&self) -> Option<Case> {
         let middle = self.survey.middle?;
         let late = |n: &Node| Micros(n.latency.unwrap_or(middle).max(middle) as u64).times(LATE);
-        let lost = |n: &&Node| n.owed.values().any(|o| o.rested && self.now.since(o.sent) > late(n));
+        let lost = |n: &&Node| n.rested_call.is_some_and(|sent| self.now.since(sent) > late(n));
         self.watched_nodes().find(lost).map(|n| Case { node: n.listing.node, ..Case::default() })
     }
 
     fn count_silent(&mut self, case: Case, out: &mut dyn Actions) {
         let Some(node) = self.nodes.get_mut(&case.node) else { return };
         node.owed.values_mut().for_each(|o| o.rested = false);
+        node.rested_call = None;
         self.silent = blend(Some(self.silent), 1.0, STEADY);
         if self.silent > SILENT && self.distrusted.is_none() {
             self.distrusted = Some(self.now);
@@ -952,8 +956,7 @@
     }
 }
 
-fn median(of: impl Iterator<Item = f64>) -> Option<f64> {
-    let mut of: Vec<f64> = of.collect();
+fn median(mut of: Vec<f64>) -> Option<f64> {
     let middle = of.len() / 2;
     (!of.is_empty()).then(|| *of.select_nth_unstable_by(middle, f64::total_cmp).1)
 }
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -714,7 +714,7 @@
     owe(&mut brain, 2, 1, ms(500));
     let slow = node(&mut brain, 2);
     slow.latency = Some(latency as f64 * 1000.0);
-    slow.owed.values_mut().for_each(|owed| owed.rested = rested);
+    slow.rested_call = slow.owed.values().next().map(|owed| owed.sent).filter(|_| rested);
     node(&mut brain, 1).sends.push_back((ms(1000), 1.0));
     brain.silent = silent;
     brain.settle(&mut tape);
--- a/src/types.rs
+++ b/src/types.rs
@@ -231,6 +231,8 @@
     pub owed: BTreeMap<(PartId, CallNo), Owed>,
     /// What another process of this router had out here, and when that was told; emptied when that one is done.
     pub abroad: (Micros, Vec<Owed>),
+    /// When the call was sent that went on a rested connection, while nothing is known of it.
+    pub rested_call: Option<Micros>,
     /// Parts sent of late; emptied by age.
     pub sends: VecDeque<(Micros, f64)>,
 }
