--- a/src/brain.rs
+++ b/src/brain.rs
@@ -218,9 +218,9 @@
         self.now = now;
         let owed = self.nodes.get_mut(&node).and_then(|n| Some((n.owed.remove(&(part, call))?, n)));
         if let Some((owed, n)) = owed {
-            n.rested_call = n.rested_call.filter(|_| !owed.rested);
+            let rested = n.rested_call.take_if(|of| *of == (part, call)).is_some();
             if ending == Ending::Satisfied {
-                let heard = owed.rested.then(|| blend(Some(self.silent), 0.0, STEADY));
+                let heard = rested.then(|| blend(Some(self.silent), 0.0, STEADY));
                 self.silent = heard.unwrap_or(self.silent);
                 n.pace = Some(blend(n.pace, lag.0 as f64 / (owed.depth + FREE_DEPTH), FRESH));
             }
@@ -751,8 +751,8 @@
             out.close_idle(to);
             rested = false;
         }
-        node.rested_call = rested.then_some(self.now).or(node.rested_call);
-        node.owed.insert((part_id, number), Owed { lookup: id, at, index, sent: self.now, z, depth, rested });
+        node.rested_call = rested.then_some((part_id, number)).or(node.rested_call);
+        node.owed.insert((part_id, number), Owed { lookup: id, at, index, sent: self.now, z, depth });
         let (now, kept) = (self.now, self.tariff.warm_within);
         drop_front(&mut node.sends, |(at, _)| now.since(*at) > kept);
         node.sends.push_back((self.now, z.max(1.0)));
@@ -795,13 +795,13 @@
     fn rested_is_silent(&self) -> Option<Case> {
         let middle = self.survey.middle?;
         let late = |n: &Node| Micros(n.latency.unwrap_or(middle).max(middle) as u64).times(LATE);
-        let lost = |n: &&Node| n.rested_call.is_some_and(|sent| self.now.since(sent) > late(n));
+        let sent = |n: &Node| Some(n.owed.get(n.rested_call.as_ref()?)?.sent);
+        let lost = |n: &&Node| sent(n).is_some_and(|sent| self.now.since(sent) > late(n));
         self.watched_nodes().find(lost).map(|n| Case { node: n.listing.node, ..Case::default() })
     }
 
     fn count_silent(&mut self, case: Case, out: &mut dyn Actions) {
         let Some(node) = self.nodes.get_mut(&case.node) else { return };
-        node.owed.values_mut().for_each(|o| o.rested = false);
         node.rested_call = None;
         self.silent = blend(Some(self.silent), 1.0, STEADY);
         if self.silent > SILENT && self.distrusted.is_none() {
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -714,7 +714,7 @@
     owe(&mut brain, 2, 1, ms(500));
     let slow = node(&mut brain, 2);
     slow.latency = Some(latency as f64 * 1000.0);
-    slow.rested_call = slow.owed.values().next().map(|owed| owed.sent).filter(|_| rested);
+    slow.rested_call = slow.owed.keys().next().copied().filter(|_| rested);
     node(&mut brain, 1).sends.push_back((ms(1000), 1.0));
     brain.silent = silent;
     brain.settle(&mut tape);
@@ -729,4 +729,5 @@
     brain.call(LookupId(1), 0, NodeId(1), &mut tape);
     let close = tape.0.iter().position(|did| *did == Did::CloseIdle(NodeId(1)));
     assert_eq!(close.is_some(), closed);
+    assert_eq!(node(&mut brain, 1).rested_call.is_some(), !closed, "a new connection has not rested");
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -192,8 +192,6 @@
     pub z: f64,
     /// This router's parts out at the node when it was sent, itself included.
     pub depth: f64,
-    /// It went on a connection that had rested, and nothing is known of it yet.
-    pub rested: bool,
 }
 
 /// How a node serves one index, as this router has seen it.
@@ -231,8 +229,8 @@
     pub owed: BTreeMap<(PartId, CallNo), Owed>,
     /// What another process of this router had out here, and when that was told; emptied when that one is done.
     pub abroad: (Micros, Vec<Owed>),
-    /// When the call was sent that went on a rested connection, while nothing is known of it.
-    pub rested_call: Option<Micros>,
+    /// The call that went on a rested connection, while nothing is known of it.
+    pub rested_call: Option<(PartId, CallNo)>,
     /// Parts sent of late; emptied by age.
     pub sends: VecDeque<(Micros, f64)>,
 }
