--- /dev/null
+++ b/consensus/src/seat.rs
@@ -0,0 +1,596 @@
+//! A seat: one voter, or one that learns to be. A thin border round raft-rs: time and chance go in, and nothing that rests
+//! on what is not yet kept comes out.
+
+use std::panic::{catch_unwind, AssertUnwindSafe};
+
+use nanorand::{Rng, WyRand};
+use protobuf::Message as _;
+use raft::eraftpb::{ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, Message, MessageType, Snapshot};
+use raft::{Config, RawNode, Ready, SnapshotStatus, StateRole};
+use serde::{Deserialize, Serialize};
+
+use crate::shelf::{Opened, Shelf};
+use crate::witness::{Promise, Witness};
+use crate::{FleetId, Refused, SeatNo, Terms};
+
+/// What seats say to each other.
+#[derive(Debug, Serialize, Deserialize)]
+enum Word {
+    Raft(Vec<u8>),
+    /// A seat that has started asks what it has promised.
+    Roll(Promise),
+    Seen(Promise),
+    /// What the one that leads knows of everybody's promises.
+    Promises(Vec<(SeatNo, Promise)>),
+}
+
+/// Whether the seat takes part.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It asks the others what it has promised; so many have answered.
+    Proving(Vec<SeatNo>),
+    TakesPart,
+    /// Its state cannot be used. It says nothing more, and has to be replaced.
+    Spoilt(String),
+}
+
+/// Something to keep before [`Seat::kept`] says what follows from it.
+pub struct Work {
+    /// The image to keep; none: nothing has changed in it.
+    pub image: Option<Vec<u8>>,
+}
+
+/// What follows once the work is kept.
+#[derive(Debug, Default)]
+pub struct Done {
+    pub messages: Vec<(SeatNo, Vec<u8>)>,
+    /// The whole state up to a place, in place of all before.
+    pub restored: Option<(u64, Vec<u8>)>,
+    /// Entries that are agreed, with their places.
+    pub entries: Vec<(u64, Vec<u8>)>,
+    /// Questions ([`Seat::ask`]) that are answered: this seat led when they were put, and the entries up to the place
+    /// are to be played before they count.
+    pub answered: Vec<(u64, u64)>,
+}
+
+/// How a seat stands; for people and for the driver.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    pub seat: SeatNo,
+    pub term: u64,
+    pub leads: bool,
+    pub leader: Option<SeatNo>,
+    pub last: u64,
+    pub agreed: u64,
+    pub played: u64,
+    pub voters: Vec<SeatNo>,
+    pub learners: Vec<SeatNo>,
+    pub standing: String,
+}
+
+pub struct Seat {
+    raft: RawNode<Shelf>,
+    fleet: FleetId,
+    no: SeatNo,
+    boots: u64,
+    terms: Terms,
+    chance: WyRand,
+    standing: Standing,
+    /// What this seat knew of itself when it started.
+    opened: Promise,
+    witness: Witness,
+    ticks: u64,
+    /// The state of the election that the present time-out was drawn for.
+    drawn: (u64, u64, StateRole),
+    ready: Option<Ready>,
+    /// Words beside the log's own, to go out with the next work.
+    aside: Vec<(SeatNo, Word)>,
+    changed: bool,
+    conf_changed: bool,
+    played: u64,
+}
+
+fn config(no: SeatNo, applied: u64, terms: &Terms) -> Config {
+    Config {
+        id: no.0,
+        applied,
+        election_tick: terms.election_ticks,
+        min_election_tick: terms.election_ticks,
+        max_election_tick: terms.election_ticks * 2,
+        heartbeat_tick: terms.heartbeat_ticks,
+        max_size_per_msg: terms.message_bytes,
+        max_inflight_msgs: 16,
+        max_uncommitted_size: terms.message_bytes * 8,
+        max_committed_size_per_ready: terms.message_bytes * 4,
+        // A leader that hears no majority steps down, and one that was cut off does not disturb the others on its return.
+        check_quorum: true,
+        pre_vote: true,
+        ..Config::default()
+    }
+}
+
+impl Seat {
+    /// The image of a seat at the founding of a fleet: all voters begin from the same.
+    pub fn founds(fleet: FleetId, no: SeatNo, voters: &[SeatNo], state: Vec<u8>) -> Vec<u8> {
+        let mut snapshot = Snapshot::default();
+        let meta = snapshot.mut_metadata();
+        (meta.index, meta.term) = (1, 1);
+        let mut conf = ConfState::default();
+        conf.voters = voters.iter().map(|seat| seat.0).collect();
+        meta.set_conf_state(conf);
+        snapshot.data = state.into();
+        let mut shelf = Shelf::default();
+        shelf.restore(snapshot);
+        shelf.image(fleet, no, 0, &Witness::default())
+    }
+
+    /// A seat that was just given to a member: it has promised nothing, and votes only once the others have made it a
+    /// voter. To be used only where the agreed state says that the seat is new.
+    pub fn fresh(fleet: FleetId, no: SeatNo, terms: Terms, seed: u64) -> Result<Seat, Refused> {
+        let opened = Opened { fleet, seat: no, boots: 0, shelf: Shelf::default(), witness: Witness::default() };
+        Self::of(opened, terms, seed)
+    }
+
+    /// A seat as it was kept. One of another fleet, or another seat, is refused with words.
+    pub fn open(image: &[u8], fleet: FleetId, terms: Terms, seed: u64) -> Result<Seat, Refused> {
+        let opened = Shelf::open(image).map_err(Refused::Spoilt)?;
+        if opened.fleet != fleet {
+            return Err(Refused::OtherFleet { found: opened.fleet, wanted: fleet });
+        }
+        Self::of(opened, terms, seed)
+    }
+
+    fn of(opened: Opened, terms: Terms, seed: u64) -> Result<Seat, Refused> {
+        let Opened { fleet, seat: no, boots, shelf, witness } = opened;
+        if no.0 == 0 {
+            return Err(Refused::Spoilt("seat 0 is none".into()));
+        }
+        let applied = shelf.snapshot.get_metadata().index;
+        let last = shelf.last();
+        let own = Promise {
+            term: shelf.hard.term,
+            vote: shelf.hard.vote,
+            last: (shelf.term_at(last).unwrap_or_default(), last),
+        };
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let raft = RawNode::new(&config(no, applied, &terms), shelf, &logger)
+            .map_err(|error| Refused::Spoilt(error.to_string()))?;
+        let mut seat = Seat {
+            raft,
+            fleet,
+            no,
+            boots: boots + 1,
+            terms,
+            chance: WyRand::new_seed(seed),
+            standing: Standing::Proving(Vec::new()),
+            opened: own,
+            witness,
+            ticks: 0,
+            drawn: (u64::MAX, 0, StateRole::Follower),
+            ready: None,
+            aside: Vec::new(),
+            changed: true,
+            conf_changed: false,
+            played: applied,
+        };
+        seat.draw();
+        // What it knows of itself from others, kept beside its own state, has to agree with that.
+        let own_witness = seat.witness.of(no);
+        if let Some(words) = own_witness.beyond(&own) {
+            return Err(Refused::Older(words));
+        }
+        seat.prove();
+        Ok(seat)
+    }
+
+    pub fn no(&self) -> SeatNo {
+        self.no
+    }
+
+    pub fn standing(&self) -> &Standing {
+        &self.standing
+    }
+
+    /// The state that the log began from, and its place; to be played first.
+    pub fn begins_from(&self) -> Option<(u64, Vec<u8>)> {
+        let snapshot = &self.raft.store().snapshot;
+        let index = snapshot.get_metadata().index;
+        (index > 0).then(|| (index, snapshot.data.to_vec()))
+    }
+
+    pub fn leads(&self) -> bool {
+        self.standing == Standing::TakesPart && self.raft.raft.state == StateRole::Leader
+    }
+
+    pub fn leader(&self) -> Option<SeatNo> {
+        Some(SeatNo(self.raft.raft.leader_id)).filter(|seat| seat.0 != 0)
+    }
+
+    pub fn term(&self) -> u64 {
+        self.raft.raft.term
+    }
+
+    fn numbers(of: &[u64]) -> Vec<SeatNo> {
+        let mut all: Vec<SeatNo> = of.iter().map(|no| SeatNo(*no)).collect();
+        all.sort_unstable();
+        all
+    }
+
+    /// Those whose votes count now, with those whose count is coming or going.
+    pub fn voters(&self) -> Vec<SeatNo> {
+        let conf = &self.raft.store().conf;
+        let mut all = Self::numbers(&[conf.get_voters(), conf.get_voters_outgoing()].concat());
+        all.dedup();
+        all
+    }
+
+    pub fn learners(&self) -> Vec<SeatNo> {
+        let conf = &self.raft.store().conf;
+        Self::numbers(&[conf.get_learners(), conf.get_learners_next()].concat())
+    }
+
+    pub fn status(&self) -> Status {
+        let store = self.raft.store();
+        let standing = match &self.standing {
+            Standing::Proving(heard) => format!("asking what it has promised, {} have answered", heard.len()),
+            Standing::TakesPart => "takes part".to_owned(),
+            Standing::Spoilt(words) => format!("spoilt: {words}"),
+        };
+        Status {
+            seat: self.no,
+            term: self.term(),
+            leads: self.leads(),
+            leader: self.leader(),
+            last: store.last(),
+            agreed: self.raft.raft.raft_log.committed,
+            played: self.played,
+            voters: self.voters(),
+            learners: self.learners(),
+            standing,
+        }
+    }
+
+    /// A time-out by this seat's own chance, drawn anew whenever an election could begin anew.
+    fn draw(&mut self) {
+        let raft = &mut self.raft.raft;
+        let now = (raft.term, raft.leader_id, raft.state);
+        if now != self.drawn {
+            self.drawn = now;
+            let ticks = self.terms.election_ticks;
+            raft.set_randomized_election_timeout(self.chance.generate_range(ticks..ticks * 2));
+        }
+    }
+
+    /// Enough others have said that it has promised nothing that it does not know.
+    fn prove(&mut self) {
+        let Standing::Proving(heard) = &self.standing else { return };
+        let voters = self.voters();
+        let others = heard.iter().filter(|seat| voters.contains(seat)).count();
+        // One whose vote does not count can promise nothing that matters.
+        let votes = voters.contains(&self.no);
+        if !votes || others + 1 > voters.len() / 2 {
+            self.standing = Standing::TakesPart;
+        }
+    }
+
+    fn spoil(&mut self, words: String) {
+        self.standing = Standing::Spoilt(words);
+        self.aside.clear();
+    }
+
+    /// One tick of the clock has passed.
+    pub fn tick(&mut self) {
+        self.ticks += 1;
+        match &self.standing {
+            Standing::Spoilt(_) => {}
+            Standing::Proving(heard) => {
+                if self.ticks % self.terms.heartbeat_ticks as u64 == 1 {
+                    let heard = heard.clone();
+                    let others = self.voters().into_iter().filter(|seat| *seat != self.no && !heard.contains(seat));
+                    let asks: Vec<_> = others.map(|seat| (seat, Word::Roll(self.opened))).collect();
+                    self.aside.extend(asks);
+                }
+            }
+            Standing::TakesPart => {
+                self.guarded(|raft| {
+                    raft.tick();
+                    Ok(())
+                });
+                if self.leads() && self.ticks % self.terms.witness_ticks as u64 == 0 {
+                    self.spread();
+                }
+            }
+        }
+        self.draw();
+    }
+
+    /// What is known of everybody's promises goes to every voter: one that asks need not ask the very seat it promised.
+    fn spread(&mut self) {
+        let (voters, learners) = (self.voters(), self.learners());
+        self.witness.keep_only(&[voters.clone(), learners].concat());
+        let own = self.promise();
+        self.witness.join(self.no, own);
+        let all = self.witness.all();
+        let others = voters.into_iter().filter(|seat| *seat != self.no);
+        self.aside.extend(others.map(|seat| (seat, Word::Promises(all.clone()))));
+    }
+
+    fn promise(&self) -> Promise {
+        let store = self.raft.store();
+        let last = store.last();
+        let (term, vote) = (store.hard.term, store.hard.vote);
+        Promise { term, vote, last: (store.term_at(last).unwrap_or_default(), last) }
+    }
+
+    /// Runs the core; what it cannot bear spoils this seat and nothing else.
+    fn guarded(&mut self, run: impl FnOnce(&mut RawNode<Shelf>) -> raft::Result<()>) {
+        let raft = &mut self.raft;
+        let ran = catch_unwind(AssertUnwindSafe(|| run(raft)));
+        if ran.is_err() {
+            self.spoil("the agreement's core could not go on from its state".into());
+        }
+    }
+
+    /// Something has come from another seat. What makes no sense is passed over.
+    pub fn hear(&mut self, from: SeatNo, bytes: &[u8]) {
+        if matches!(self.standing, Standing::Spoilt(_)) {
+            return;
+        }
+        let Ok(word) = postcard::from_bytes::<Word>(bytes) else { return };
+        match word {
+            Word::Roll(promise) => {
+                self.witness.join(from, promise);
+                let known = self.witness.of(from);
+                self.aside.push((from, Word::Seen(known)));
+            }
+            Word::Seen(promise) => {
+                if let Standing::Proving(heard) = &mut self.standing {
+                    if let Some(words) = promise.beyond(&self.opened) {
+                        return self.spoil(format!("it is an older copy: {words}"));
+                    }
+                    if !heard.contains(&from) {
+                        heard.push(from);
+                    }
+                    self.prove();
+                }
+            }
+            Word::Promises(all) => {
+                for (seat, promise) in all.into_iter().filter(|(seat, _)| *seat != self.no) {
+                    self.witness.join(seat, promise);
+                }
+            }
+            Word::Raft(bytes) => self.hear_raft(from, &bytes),
+        }
+    }
+
+    fn hear_raft(&mut self, from: SeatNo, bytes: &[u8]) {
+        let mut message = Message::default();
+        if message.merge_from_bytes(bytes).is_err() || message.from != from.0 || message.to != self.no.0 {
+            return;
+        }
+        let kind = message.get_msg_type();
+        // Only what seats say to each other; the core's own words come from nobody else.
+        if raft::raw_node::is_local_msg(kind) || kind == MessageType::MsgPropose {
+            return;
+        }
+        let store = self.raft.store();
+        self.witness.heard(from, &message, |index| store.term_at(index));
+        if self.standing != Standing::TakesPart {
+            return;
+        }
+        // A leader never says that more is agreed here than this seat has answered for.
+        let last = self.raft.raft.raft_log.last_index();
+        if kind == MessageType::MsgHeartbeat && message.commit > last && message.term >= self.term() {
+            let words = format!("it has answered for entry {}, its own end at {last}", message.commit);
+            return self.spoil(format!("it is an older copy: {words}"));
+        }
+        self.guarded(|raft| raft.step(message));
+        self.draw();
+    }
+
+    /// Puts an entry into the log, if this seat leads. Whether it is agreed is known when it comes out, not before.
+    pub fn put(&mut self, data: Vec<u8>) -> Result<(), Refused> {
+        if !self.leads() {
+            return Err(Refused::LeadsNot);
+        }
+        if data.len() as u64 > self.terms.entry_bytes {
+            return Err(Refused::TooLong { length: data.len() as u64, most: self.terms.entry_bytes });
+        }
+        self.raft.propose(vec![], data).map_err(|error| Refused::NotNow(error.to_string()))
+    }
+
+    /// Asks whether this seat leads still; see [`Done::answered`]. A question may stay without an answer.
+    pub fn ask(&mut self, number: u64) {
+        if self.leads() {
+            self.guarded(|raft| {
+                raft.read_index(number.to_le_bytes().to_vec());
+                Ok(())
+            });
+        }
+    }
+
+    /// Brings voters and learners to what is wanted, jointly; one change at a time. Nothing where nothing differs.
+    pub fn change(&mut self, voters: &[SeatNo], learners: &[SeatNo]) -> Result<bool, Refused> {
+        let conf = &self.raft.store().conf;
+        if !self.leads() || !conf.get_voters_outgoing().is_empty() || voters.is_empty() {
+            return Ok(false);
+        }
+        let (have_voters, have_learners) = (self.voters(), self.learners());
+        let single = |kind: ConfChangeType, seat: SeatNo| {
+            let mut single = ConfChangeSingle::default();
+            single.set_change_type(kind);
+            single.node_id = seat.0;
+            single
+        };
+        let mut changes = Vec::new();
+        for seat in voters.iter().filter(|seat| !have_voters.contains(seat)) {
+            changes.push(single(ConfChangeType::AddNode, *seat));
+        }
+        for seat in learners.iter().filter(|seat| !have_learners.contains(seat)) {
+            changes.push(single(ConfChangeType::AddLearnerNode, *seat));
+        }
+        for seat in have_voters.iter().chain(&have_learners) {
+            if !voters.contains(seat) && !learners.contains(seat) {
+                changes.push(single(ConfChangeType::RemoveNode, *seat));
+            }
+        }
+        if changes.is_empty() {
+            return Ok(false);
+        }
+        let mut change = ConfChangeV2::default();
+        change.set_changes(changes.into());
+        self.raft.propose_conf_change(vec![], change).map_err(|error| Refused::NotNow(error.to_string()))?;
+        Ok(true)
+    }
+
+    /// Whether a seat that learns has all that is agreed, nearly.
+    pub fn has_learnt(&self, seat: SeatNo) -> bool {
+        let raft = &self.raft.raft;
+        raft.prs().get(seat.0).is_some_and(|progress| progress.matched + 4 >= raft.raft_log.committed)
+    }
+
+    /// Passes the lead on, if it can be.
+    pub fn transfer(&mut self, to: SeatNo) {
+        if self.leads() {
+            self.guarded(|raft| {
+                raft.transfer_leader(to.0);
+                Ok(())
+            });
+        }
+    }
+
+    /// Whether the entries kept are many, or who votes has changed: then the state up to what was played goes in their
+    /// place. A seat that is new learns nothing from a state in which it has no place.
+    pub fn is_long(&self) -> bool {
+        if self.conf_changed {
+            return true;
+        }
+        let store = self.raft.store();
+        self.played.saturating_sub(store.first()) >= self.terms.entries_kept
+    }
+
+    /// The state after all that was played.
+    pub fn compact(&mut self, state: Vec<u8>) {
+        let played = self.played;
+        self.conf_changed = false;
+        self.raft.mut_store().compact(played, state);
+        self.changed = true;
+    }
+
+    /// What is to be kept next, if anything waits. Until [`Seat::kept`] is called nothing more comes out.
+    pub fn work(&mut self) -> Option<Work> {
+        if self.ready.is_some() {
+            return None;
+        }
+        let takes_part = self.standing == Standing::TakesPart;
+        if takes_part && self.raft.has_ready() {
+            let mut made = None;
+            self.guarded(|raft| {
+                made = Some(raft.ready());
+                Ok(())
+            });
+            let ready = made?;
+            let store = self.raft.mut_store();
+            if *ready.snapshot() != Snapshot::default() {
+                store.restore(ready.snapshot().clone());
+                self.changed = true;
+            }
+            if !ready.entries().is_empty() {
+                store.append(ready.entries());
+                self.changed = true;
+            }
+            if let Some(hard) = ready.hs() {
+                self.changed |= (hard.term, hard.vote) != (store.hard.term, store.hard.vote);
+                store.hard = hard.clone();
+            }
+            self.ready = Some(ready);
+        } else if self.aside.is_empty() && !self.changed {
+            return None;
+        } else {
+            self.ready = None;
+        }
+        let keeps = std::mem::take(&mut self.changed);
+        let image = keeps.then(|| self.raft.store().image(self.fleet, self.no, self.boots, &self.witness));
+        Some(Work { image })
+    }
+
+    /// The work is kept: this follows.
+    pub fn kept(&mut self) -> Done {
+        let mut done = Done::default();
+        for (to, word) in std::mem::take(&mut self.aside) {
+            done.messages.push((to, postcard::to_stdvec(&word).unwrap_or_default()));
+        }
+        let Some(mut ready) = self.ready.take() else { return done };
+        let snapshot = ready.snapshot();
+        if *snapshot != Snapshot::default() {
+            let index = snapshot.get_metadata().index;
+            done.restored = Some((index, snapshot.data.to_vec()));
+            self.played = index;
+        }
+        let mut messages = ready.take_messages();
+        messages.extend(ready.take_persisted_messages());
+        let mut entries = ready.take_committed_entries();
+        for read in ready.take_read_states() {
+            if let Ok(number) = <[u8; 8]>::try_from(read.request_ctx.as_slice()) {
+                done.answered.push((u64::from_le_bytes(number), read.index));
+            }
+        }
+        let mut light = None;
+        self.guarded(|raft| {
+            light = Some(raft.advance(ready));
+            Ok(())
+        });
+        if let Some(mut light) = light {
+            messages.extend(light.take_messages());
+            entries.extend(light.take_committed_entries());
+            if let Some(commit) = light.commit_index() {
+                self.raft.mut_store().hard.commit = commit;
+            }
+        }
+        self.play(entries, &mut done);
+        self.guarded(|raft| {
+            raft.advance_apply();
+            Ok(())
+        });
+        for message in messages {
+            let to = SeatNo(message.to);
+            if message.get_msg_type() == MessageType::MsgSnapshot {
+                // It may be lost on the way: the core waits for no word of it, and sees by the answers what is missing.
+                self.guarded(|raft| {
+                    raft.report_snapshot(to.0, SnapshotStatus::Finish);
+                    Ok(())
+                });
+            }
+            let word = Word::Raft(message.write_to_bytes().unwrap_or_default());
+            done.messages.push((to, postcard::to_stdvec(&word).unwrap_or_default()));
+        }
+        self.draw();
+        done
+    }
+
+    fn play(&mut self, entries: Vec<Entry>, done: &mut Done) {
+        for entry in entries {
+            self.played = entry.index;
+            match entry.get_entry_type() {
+                EntryType::EntryNormal if entry.data.is_empty() => {}
+                EntryType::EntryNormal => done.entries.push((entry.index, entry.data.to_vec())),
+                EntryType::EntryConfChange => {}
+                EntryType::EntryConfChangeV2 => {
+                    let mut change = ConfChangeV2::default();
+                    if change.merge_from_bytes(&entry.data).is_err() {
+                        continue;
+                    }
+                    let mut conf = None;
+                    self.guarded(|raft| {
+                        conf = Some(raft.apply_conf_change(&change)?);
+                        Ok(())
+                    });
+                    if let Some(conf) = conf {
+                        self.raft.mut_store().conf = conf;
+                        self.conf_changed = true;
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/policy/src/chair.rs
@@ -0,0 +1,411 @@
+//! What the router that leads keeps while it does: whom it has heard, which leases it gave, and which step of a change
+//! comes next. All of it may be lost: a new one learns it anew, and waits out the leases that others gave.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ternpick::types::Micros;
+
+use crate::ids::{Incarnation, Index, Member, Round, Seq, Version};
+use crate::register::{Entry, Pending, Register, Verdict};
+use crate::say::{Grant, Renew, Told, View};
+use crate::terms::Terms;
+
+/// Processes of one member whose leases may run at a time; one more gets none before the oldest is over.
+const MOST_PROCESSES: usize = 4;
+/// How long an entry, or a question to the others, may be on its way before it is put again.
+const PUT_AGAIN: Micros = Micros(300_000);
+
+/// What the driver is to do, in order.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Order {
+    /// Put an entry into the log.
+    Put(Entry),
+    /// Make sure that this router leads still, and tell with [`Chair::confirmed`].
+    Ask(u64),
+    Tell(Member, Told),
+    Say(String),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Heard {
+    incarnation: Incarnation,
+    seq: Seq,
+    at: Micros,
+    verdict: Option<(Version, Verdict)>,
+    stopped: Option<(Version, Round)>,
+    alone: bool,
+    index: Index,
+    members_at: Index,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Waiting {
+    incarnation: Incarnation,
+    seq: Seq,
+    came: Micros,
+    unfit: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Chair {
+    terms: Terms,
+    /// From when on this router leads; leases that others gave began before.
+    since: Micros,
+    /// One entry a member.
+    heard: BTreeMap<Member, Heard>,
+    /// When the last request that got a lease had come, by process; emptied as leases run out.
+    leases: BTreeMap<(Member, Incarnation), Micros>,
+    /// Requests to be answered once it is sure that this router leads; one a member.
+    waiting: BTreeMap<Member, Waiting>,
+    /// Those that the question on its way covers, with its number and when it was put.
+    asked: Option<(u64, Micros, BTreeMap<Member, Waiting>)>,
+    last_ask: u64,
+    /// An entry on its way: for which state of the register, and since when.
+    put: Option<(Index, Micros)>,
+    /// It is one from which on nobody gets a lease.
+    beginning: bool,
+    /// When the round that runs was first seen.
+    round_seen: Option<(Version, Round, Micros)>,
+    /// Those that did not stop in time: no lease for them before the change is over.
+    late: BTreeSet<Member>,
+    /// The state that was last pushed to all.
+    pushed: Index,
+    #[cfg(any(test, feature = "planted"))]
+    pub planted: Option<Planted>,
+}
+
+/// Faults that tests must catch.
+#[cfg(any(test, feature = "planted"))]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Planted {
+    /// A change takes hold without waiting for leases that may still run.
+    NoWait,
+    /// Leases are given without asking whether this router leads still.
+    NoAsking,
+    /// A new one does not wait out the leases of the one before.
+    ForgetsOthers,
+}
+
+impl Chair {
+    /// This router leads, and has heard so at `now`.
+    pub fn takes(terms: Terms, now: Micros, register: &Register) -> Chair {
+        Chair {
+            terms,
+            since: now,
+            heard: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+            asked: None,
+            last_ask: 0,
+            put: None,
+            beginning: false,
+            round_seen: None,
+            late: BTreeSet::new(),
+            pushed: register.changed,
+            #[cfg(any(test, feature = "planted"))]
+            planted: None,
+        }
+    }
+
+    #[cfg(any(test, feature = "planted"))]
+    fn has(&self, fault: Planted) -> bool {
+        self.planted == Some(fault)
+    }
+
+    /// A router asks.
+    pub fn hear(&mut self, now: Micros, register: &Register, of: Renew) -> Vec<Order> {
+        if !register.members.contains_key(&of.member) {
+            return vec![Order::Tell(of.member, Told { stranger: true, ..Told::default() })];
+        }
+        // What came late or twice says less than what is known.
+        let newer = |heard: &Heard| heard.incarnation != of.incarnation || heard.seq < of.seq;
+        if !self.heard.get(&of.member).is_none_or(newer) {
+            return vec![];
+        }
+        let heard = Heard {
+            incarnation: of.incarnation,
+            seq: of.seq,
+            at: now,
+            verdict: of.verdict,
+            stopped: of.stopped,
+            alone: of.alone,
+            index: of.index,
+            members_at: of.members_at,
+        };
+        let waiting =
+            Waiting { incarnation: of.incarnation, seq: of.seq, came: now, unfit: of.unfit.is_some() };
+        self.heard.insert(of.member.clone(), heard);
+        self.waiting.insert(of.member, waiting);
+        self.beat(now, register)
+    }
+
+    /// Whether no lease of this member, given by whomever, can still run; `but`: apart from this process's own.
+    fn over(&self, now: Micros, member: &Member, but: Option<Incarnation>) -> bool {
+        let span = self.terms.surely_over();
+        let own = self.leases.iter().filter(|((of, process), _)| of == member && Some(*process) != but);
+        let mut own_over = own.map(|(_, came)| *came).all(|came| now > came + span);
+        let mut others_over = now > self.since + span;
+        #[cfg(any(test, feature = "planted"))]
+        {
+            others_over |= self.has(Planted::ForgetsOthers) || self.has(Planted::NoWait);
+            own_over |= self.has(Planted::NoWait);
+        }
+        let _ = (&mut own_over, &mut others_over);
+        own_over && others_over
+    }
+
+    /// Whether this member surely admits nothing more in this round.
+    fn has_stopped(&self, now: Micros, member: &Member, next: &Pending) -> bool {
+        let round = Some((next.paper.number, next.round));
+        let Some(heard) = self.heard.get(member).filter(|heard| heard.stopped == round) else {
+            return self.over(now, member, None);
+        };
+        heard.alone || self.over(now, member, Some(heard.incarnation))
+    }
+
+    fn is_fresh(&self, now: Micros, member: &Member) -> bool {
+        let span = self.terms.fresh();
+        !self.late.contains(member) && self.heard.get(member).is_some_and(|heard| now.since(heard.at) < span)
+    }
+
+    /// This router led still when the question with this number was put, and the register is as new as that.
+    pub fn confirmed(&mut self, now: Micros, register: &Register, ask: u64) -> Vec<Order> {
+        let Some((_, _, covered)) = self.asked.take_if(|(number, ..)| *number == ask) else { return vec![] };
+        let orders = self.grant(now, register, covered);
+        orders.into_iter().chain(self.beat(now, register)).collect()
+    }
+
+    fn grant(&mut self, now: Micros, register: &Register, to: BTreeMap<Member, Waiting>) -> Vec<Order> {
+        let span = self.terms.surely_over();
+        self.leases.retain(|_, came| now <= *came + span);
+        let mut orders = Vec::new();
+        for (member, waiting) in to {
+            let may = !waiting.unfit && self.may_have(register, &member, waiting.incarnation);
+            let grant = may.then_some(Grant {
+                incarnation: waiting.incarnation,
+                seq: waiting.seq,
+                epoch: register.epoch,
+                version: register.in_force.number,
+            });
+            if may {
+                self.leases.insert((member.clone(), waiting.incarnation), waiting.came);
+            }
+            let told = self.told(register, &member, grant);
+            orders.push(Order::Tell(member, told));
+        }
+        orders
+    }
+
+    /// Leases go to members that are through with the proposal on its way, and to nobody while it takes hold.
+    fn may_have(&self, register: &Register, member: &Member, process: Incarnation) -> bool {
+        let known = self.leases.contains_key(&(member.clone(), process));
+        let processes = self.leases.keys().filter(|(of, _)| of == member).count();
+        if !register.members.contains_key(member) || (self.put.is_some() && self.beginning) || !known && processes >= MOST_PROCESSES {
+            return false;
+        }
+        match &register.next {
+            None => true,
+            Some(next) => next.barrier.is_none() && next.fits.contains(member) && !self.late.contains(member),
+        }
+    }
+
+    fn told(&mut self, register: &Register, member: &Member, grant: Option<Grant>) -> Told {
+        let (known, members) = self.heard.get(member).map_or((Index(0), Index(0)), |h| (h.index, h.members_at));
+        let view = (known < register.changed || known == Index(0)).then(|| View::of(register));
+        let members = (members < register.members_at || known == Index(0)).then(|| register.members.clone());
+        Told { view, members, grant, stranger: false }
+    }
+
+    /// Looks what is to be done now. To be called after each entry that was played, and every few milliseconds.
+    pub fn beat(&mut self, now: Micros, register: &Register) -> Vec<Order> {
+        let mut orders = Vec::new();
+        self.put.take_if(|(index, at)| *index < register.index || now.since(*at) > PUT_AGAIN);
+        self.follow_round(now, register);
+        if let (None, Some(next)) = (self.put, &register.next) {
+            let step = if next.barrier.is_some() {
+                self.end_round(now, register, next, &mut orders)
+            } else {
+                self.say_verdicts(next).or_else(|| self.begin_round(now, register, next))
+            };
+            if let Some(entry) = step {
+                self.put = Some((register.index, now));
+                self.beginning = matches!(entry, Entry::Begin { .. });
+                orders.push(Order::Put(entry));
+            }
+        }
+        self.push(now, register, &mut orders);
+        self.ask(now, register, &mut orders);
+        orders
+    }
+
+    fn follow_round(&mut self, now: Micros, register: &Register) {
+        let running = register.next.as_ref().filter(|next| next.barrier.is_some());
+        match running.map(|next| (next.paper.number, next.round)) {
+            None => self.round_seen = None,
+            Some((number, round)) => {
+                let same = self.round_seen.is_some_and(|(of, seen, _)| (of, seen) == (number, round));
+                if !same {
+                    self.round_seen = Some((number, round, now));
+                }
+            }
+        }
+        if register.next.is_none() {
+            self.late.clear();
+        }
+    }
+
+    /// What members have said of the proposal and the register does not know yet.
+    fn say_verdicts(&self, next: &Pending) -> Option<Entry> {
+        let number = next.paper.number;
+        let said = self.heard.iter().filter_map(|(member, heard)| {
+            let (of, verdict) = heard.verdict.as_ref()?;
+            let new = *of == number && !next.fits.contains(member);
+            new.then(|| (member.clone(), verdict.clone()))
+        });
+        let said: Vec<_> = said.collect();
+        (!said.is_empty()).then_some(Entry::Verdicts { number, said })
+    }
+
+    /// Begins to take hold once each member fits and is there, or has surely no lease.
+    fn begin_round(&self, now: Micros, register: &Register, next: &Pending) -> Option<Entry> {
+        if next.unconfirmed || !register.left.iter().all(|member| self.over(now, member, None)) {
+            return None;
+        }
+        let mut without = BTreeSet::new();
+        for member in register.members.keys() {
+            if next.fits.contains(member) && self.is_fresh(now, member) {
+                // Beside one that was taken over from, its word is not the whole member's yet.
+                let heard = self.heard.get(member).filter(|heard| !heard.alone);
+                match heard.is_none_or(|heard| self.over(now, member, Some(heard.incarnation))) {
+                    true => continue,
+                    false => return None,
+                }
+            }
+            if !self.over(now, member, None) {
+                return None;
+            }
+            without.insert(member.clone());
+        }
+        let (number, round) = (next.paper.number, Round(next.round.0 + 1));
+        (without.len() < register.members.len()).then_some(Entry::Begin { number, round, without })
+    }
+
+    /// In force once all have stopped; as before if somebody has not in time.
+    fn end_round(
+        &mut self, now: Micros, register: &Register, next: &Pending, orders: &mut Vec<Order>,
+    ) -> Option<Entry> {
+        let (number, round, without) = (next.paper.number, next.round, next.barrier.as_ref()?);
+        let present = register.members.keys().filter(|member| !without.contains(*member));
+        let missing: BTreeSet<Member> =
+            present.filter(|member| !self.has_stopped(now, member, next)).cloned().collect();
+        #[cfg(any(test, feature = "planted"))]
+        let missing = if self.has(Planted::NoWait) { BTreeSet::new() } else { missing };
+        if missing.is_empty() {
+            return Some(Entry::InForce { number, round });
+        }
+        let (_, _, seen) = self.round_seen?;
+        if now.since(seen) < Micros(self.terms.patience) {
+            return None;
+        }
+        let names: Vec<&str> = missing.iter().map(|member| member.0.as_str()).collect();
+        orders.push(Order::Say(format!(
+            "policy: round {round} of proposal {number} ends after {} ms, not stopped: {}",
+            now.since(seen).0 / 1000,
+            names.join(", ")
+        )));
+        self.late.extend(missing);
+        Some(Entry::Resume { number, round })
+    }
+
+    /// News goes to all that were heard of late, so that nobody waits for its own next request.
+    fn push(&mut self, now: Micros, register: &Register, orders: &mut Vec<Order>) {
+        if self.pushed >= register.changed {
+            return;
+        }
+        self.pushed = register.changed;
+        let there: Vec<Member> =
+            self.heard.keys().filter(|member| self.is_fresh(now, member)).cloned().collect();
+        for member in there {
+            let told = self.told(register, &member, None);
+            if told.view.is_some() {
+                orders.push(Order::Tell(member, told));
+            }
+        }
+    }
+
+    /// One question at a time covers all requests that wait.
+    fn ask(&mut self, now: Micros, register: &Register, orders: &mut Vec<Order>) {
+        self.asked.take_if(|(_, at, _)| now.since(*at) > PUT_AGAIN);
+        if self.asked.is_some() || self.waiting.is_empty() {
+            return;
+        }
+        let covered = std::mem::take(&mut self.waiting);
+        #[cfg(any(test, feature = "planted"))]
+        if self.has(Planted::NoAsking) {
+            let told = self.grant(now, register, covered);
+            return orders.extend(told);
+        }
+        let _ = register;
+        self.last_ask += 1;
+        self.asked = Some((self.last_ask, now, covered));
+        orders.push(Order::Ask(self.last_ask));
+    }
+
+    /// When time alone may change something.
+    pub fn next_due(&self, now: Micros, register: &Register) -> Micros {
+        let busy = register.next.is_some() || self.asked.is_some() || !self.waiting.is_empty();
+        now + Micros(if busy { 10_000 } else { self.terms.renew / 2 })
+    }
+
+    /// Who has been heard from, how long ago, and who has not stopped or confirmed; for people.
+    pub fn members(&self, now: Micros, register: &Register) -> Vec<Seen> {
+        let seen = |member: &Member| {
+            let heard = self.heard.get(member);
+            let over = self.over(now, member, None);
+            let fits = register.next.as_ref().map(|next| next.fits.contains(member));
+            let stopped = register.next.as_ref().filter(|next| next.barrier.is_some());
+            Seen {
+                member: member.clone(),
+                heard: heard.map(|heard| now.since(heard.at)),
+                knows: heard.map(|heard| heard.index),
+                lease_over: over,
+                fits,
+                stopped: stopped.map(|next| self.has_stopped(now, member, next)),
+            }
+        };
+        register.members.keys().map(seen).collect()
+    }
+
+    /// How long from now until the lease of every silent member is surely over.
+    pub fn at_the_latest(&self, now: Micros, register: &Register) -> Micros {
+        let span = self.terms.surely_over();
+        let silent = register.members.keys().filter(|member| !self.is_fresh(now, member));
+        let ends = silent.filter(|member| !self.over(now, member, None)).map(|member| {
+            let own = self.leases.iter().filter(|((of, _), _)| of == member).map(|(_, came)| *came);
+            own.max().unwrap_or_default().max(self.since) + span
+        });
+        ends.max().map_or(Micros(0), |end| end.since(now)) + Micros(self.terms.patience)
+    }
+}
+
+/// How the router that leads sees a member.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Seen {
+    pub member: Member,
+    /// How long ago it was heard, in microseconds.
+    #[serde(serialize_with = "micros", deserialize_with = "of_micros")]
+    pub heard: Option<Micros>,
+    pub knows: Option<Index>,
+    pub lease_over: bool,
+    pub fits: Option<bool>,
+    pub stopped: Option<bool>,
+}
+
+fn micros<S: serde::Serializer>(of: &Option<Micros>, to: S) -> Result<S::Ok, S::Error> {
+    serde::Serialize::serialize(&of.map(|micros| micros.0), to)
+}
+
+fn of_micros<'de, D: serde::Deserializer<'de>>(from: D) -> Result<Option<Micros>, D::Error> {
+    let micros: Option<u64> = serde::Deserialize::deserialize(from)?;
+    Ok(micros.map(Micros))
+}
--- /dev/null
+++ b/policy/src/register.rs
@@ -0,0 +1,428 @@
+//! The register: what the fleet has agreed on, replayed from the log alone. The same entries give the same state on
+//! every router, whatever its clock and its chance. `docs/design/policy.md` has the table of states and entries.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{Epoch, Index, Member, Op, Round, SeatNo, Version};
+
+/// Commands whose outcome is known when they are said again; the oldest go first.
+const MOST_DONE: usize = 128;
+/// Proposals that are remembered with what became of them; the oldest go first.
+const MOST_HISTORY: usize = 32;
+/// The longest text of a policy, in bytes.
+pub const LONGEST_TEXT: usize = 8 * 1024;
+/// The longest words that are kept, in bytes: a reason, or why something was refused.
+pub const LONGEST_WORDS: usize = 1024;
+/// The most routers of one fleet.
+pub const MOST_MEMBERS: usize = 1000;
+
+/// What one member said of a proposal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Verdict {
+    Fits,
+    /// It can't be used there, with the words for it.
+    Refused(String),
+}
+
+/// A policy and who wanted it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Paper {
+    pub number: Version,
+    pub text: String,
+    pub author: String,
+    pub reason: String,
+}
+
+/// What an entry asks for. What no longer fits the state when its turn comes changes nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Entry {
+    /// `base`: the version that its author looked at; another in force means that it is refused.
+    Propose { op: Op, base: Option<Version>, paper: Paper, confirm: bool },
+    /// What members said, by who heard them.
+    Verdicts { number: Version, said: Vec<(Member, Verdict)> },
+    /// A second person wants it too.
+    Confirm { op: Op, number: Version, by: String },
+    /// All members fit, or their leases are surely over (`without`): every router is to stop admitting.
+    Begin { number: Version, round: Round, without: BTreeSet<Member> },
+    /// All have stopped, or their leases are surely over.
+    InForce { number: Version, round: Round },
+    /// Somebody did not stop in time: all go on as before.
+    Resume { number: Version, round: Round },
+    Withdraw { op: Op, number: Version, by: String, reason: String },
+    Enter { op: Op, member: Member, address: String, zone: String },
+    Leave { op: Op, member: Member },
+    /// A member is given a new seat in the agreement; any earlier one of its is void.
+    Seat { op: Op, member: Member },
+    /// A member has a seat no longer.
+    Unseat { op: Op, member: Member },
+    /// A new seat has learnt what was agreed, and is to vote: from here on it never begins with nothing again.
+    Learnt { seat: SeatNo },
+}
+
+/// What became of a command.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Outcome {
+    Proposed(Version),
+    Seated(SeatNo),
+    Done,
+    Refused(String),
+}
+
+/// What became of a proposal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Fate {
+    Open,
+    InForce,
+    /// Who refused it, and why.
+    Refused(Member, String),
+    Withdrawn(String, String),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Past {
+    pub number: Version,
+    pub author: String,
+    pub reason: String,
+    pub fate: Fate,
+    /// Where in the log its fate was settled.
+    pub at: Index,
+}
+
+/// A router that belongs to the fleet.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Seated {
+    /// Where other routers reach it.
+    pub address: String,
+    pub zone: String,
+    /// Its seat in the agreement.
+    pub seat: Option<SeatNo>,
+    /// The seat is new: it has never voted, and has yet to learn what was agreed.
+    pub learns: bool,
+}
+
+/// A proposal on its way.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Pending {
+    pub paper: Paper,
+    /// Who fits; one that does not ends the proposal.
+    pub fits: BTreeSet<Member>,
+    /// It waits for a second person.
+    pub unconfirmed: bool,
+    /// The last try to take hold.
+    pub round: Round,
+    /// While it takes hold: members whose leases were surely over when that began.
+    pub barrier: Option<BTreeSet<Member>>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Register {
+    /// The place of the last entry that is in it.
+    pub index: Index,
+    /// Where something last changed that every router needs to know.
+    pub changed: Index,
+    pub epoch: Epoch,
+    pub in_force: Paper,
+    pub next: Option<Pending>,
+    /// The number of the newest proposal ever made.
+    pub newest: Version,
+    pub members: BTreeMap<Member, Seated>,
+    /// Where the members last changed.
+    pub members_at: Index,
+    /// Members that left since the last version came in force: their leases still count. Emptied by it.
+    pub left: BTreeSet<Member>,
+    /// The newest seat ever given.
+    pub last_seat: SeatNo,
+    done: VecDeque<(Op, Outcome)>,
+    pub history: VecDeque<Past>,
+}
+
+impl Register {
+    /// The register of a new fleet: version 0, the platform's own settings.
+    pub fn begins(members: BTreeMap<Member, Seated>) -> Self {
+        let last_seat = members.values().filter_map(|seated| seated.seat).max().unwrap_or_default();
+        Register {
+            index: Index(0),
+            changed: Index(0),
+            epoch: Epoch(0),
+            in_force: Paper::default(),
+            next: None,
+            newest: Version(0),
+            members,
+            members_at: Index(0),
+            left: BTreeSet::new(),
+            last_seat,
+            done: VecDeque::new(),
+            history: VecDeque::new(),
+        }
+    }
+
+    /// What became of a command, if it is still remembered.
+    pub fn outcome(&self, op: Op) -> Option<&Outcome> {
+        self.done.iter().find(|(of, _)| *of == op).map(|(_, outcome)| outcome)
+    }
+
+    /// Whether a change takes hold just now: nobody admits.
+    pub fn in_barrier(&self) -> bool {
+        self.next.as_ref().is_some_and(|next| next.barrier.is_some())
+    }
+
+    pub fn holder(&self, seat: SeatNo) -> Option<&Member> {
+        self.members.iter().find(|(_, of)| of.seat == Some(seat)).map(|(member, _)| member)
+    }
+
+    /// Plays one entry. What it came to is remembered by its command.
+    pub fn play(&mut self, index: Index, entry: Entry) {
+        self.index = index;
+        let checking = matches!(entry, Entry::Verdicts { .. });
+        let (op, outcome) = match entry {
+            Entry::Propose { op, base, paper, confirm } => (Some(op), self.propose(op, base, paper, confirm)),
+            Entry::Confirm { op, number, by } => (Some(op), self.confirm(op, number, &by)),
+            Entry::Withdraw { op, number, by, reason } => (Some(op), self.withdraw(op, number, by, reason)),
+            Entry::Enter { op, member, address, zone } => (Some(op), self.enter(op, member, address, zone)),
+            Entry::Leave { op, member } => (Some(op), self.leave(op, &member)),
+            Entry::Seat { op, member } => (Some(op), self.seat(op, &member)),
+            Entry::Unseat { op, member } => (Some(op), self.unseat(op, &member)),
+            Entry::Verdicts { number, said } => (None, self.verdicts(number, said)),
+            Entry::Begin { number, round, without } => (None, self.begin(number, round, without)),
+            Entry::InForce { number, round } => (None, self.come_in_force(number, round)),
+            Entry::Learnt { seat } => (None, self.learnt(seat)),
+            Entry::Resume { number, round } => (None, self.resume(number, round)),
+        };
+        // Who fits is the leader's matter, until somebody does not.
+        if !checking || self.next.is_none() {
+            self.changed = index;
+        }
+        if let (Some(op), Some(outcome)) = (op, outcome) {
+            self.done.push_back((op, outcome));
+            while self.done.len() > MOST_DONE {
+                self.done.pop_front();
+            }
+        }
+    }
+
+    /// Nothing where the command was played before: its outcome stands.
+    fn once(&self, op: Op) -> Option<()> {
+        self.outcome(op).is_none().then_some(())
+    }
+
+    fn propose(&mut self, op: Op, base: Option<Version>, mut paper: Paper, confirm: bool) -> Option<Outcome> {
+        self.once(op)?;
+        if let Some(next) = &self.next {
+            let (number, author) = (next.paper.number, &next.paper.author);
+            return Some(Outcome::Refused(format!("proposal {number} by {author} is on its way")));
+        }
+        if let Some(base) = base.filter(|base| *base != self.in_force.number) {
+            let words = format!("it was made from version {base}, in force is {}", self.in_force.number);
+            return Some(Outcome::Refused(words));
+        }
+        let long = paper.text.len() > LONGEST_TEXT;
+        if long || paper.reason.len() + paper.author.len() > LONGEST_WORDS {
+            return Some(Outcome::Refused("it is longer than any policy is".into()));
+        }
+        self.newest = Version(self.newest.0 + 1);
+        paper.number = self.newest;
+        let past = Past {
+            number: paper.number,
+            author: paper.author.clone(),
+            reason: paper.reason.clone(),
+            fate: Fate::Open,
+            at: self.index,
+        };
+        self.history.push_back(past);
+        while self.history.len() > MOST_HISTORY {
+            self.history.pop_front();
+        }
+        let fits = BTreeSet::new();
+        self.next = Some(Pending { paper, fits, unconfirmed: confirm, round: Round(0), barrier: None });
+        Some(Outcome::Proposed(self.newest))
+    }
+
+    /// The proposal of this number, if it is the one on its way.
+    fn pending(&mut self, number: Version) -> Option<&mut Pending> {
+        self.next.as_mut().filter(|next| next.paper.number == number)
+    }
+
+    fn settle(&mut self, number: Version, fate: Fate) {
+        if let Some(past) = self.history.iter_mut().find(|past| past.number == number) {
+            (past.fate, past.at) = (fate, self.index);
+        }
+    }
+
+    /// What members say counts only while the proposal is looked at; one refusal and it is nowhere.
+    fn verdicts(&mut self, number: Version, said: Vec<(Member, Verdict)>) -> Option<Outcome> {
+        let members: BTreeSet<Member> = self.members.keys().cloned().collect();
+        let next = self.pending(number).filter(|next| next.barrier.is_none())?;
+        for (member, verdict) in said.into_iter().filter(|(member, _)| members.contains(member)) {
+            match verdict {
+                Verdict::Fits => {
+                    next.fits.insert(member);
+                }
+                Verdict::Refused(mut words) => {
+                    truncate(&mut words);
+                    self.next = None;
+                    self.settle(number, Fate::Refused(member, words));
+                    return None;
+                }
+            }
+        }
+        None
+    }
+
+    fn confirm(&mut self, op: Op, number: Version, by: &str) -> Option<Outcome> {
+        self.once(op)?;
+        let Some(next) = self.pending(number) else {
+            return Some(Outcome::Refused(format!("proposal {number} is not on its way")));
+        };
+        if next.paper.author == by {
+            return Some(Outcome::Refused(format!("{by} made it: somebody else has to confirm it")));
+        }
+        next.unconfirmed = false;
+        Some(Outcome::Done)
+    }
+
+    fn begin(&mut self, number: Version, round: Round, without: BTreeSet<Member>) -> Option<Outcome> {
+        let members: Vec<Member> = self.members.keys().cloned().collect();
+        let next = self.pending(number).filter(|next| next.barrier.is_none() && !next.unconfirmed)?;
+        let all = members.iter().all(|member| next.fits.contains(member) || without.contains(member));
+        if all && round.0 == next.round.0 + 1 {
+            (next.round, next.barrier) = (round, Some(without));
+            self.epoch = Epoch(self.epoch.0 + 1);
+        }
+        None
+    }
+
+    fn come_in_force(&mut self, number: Version, round: Round) -> Option<Outcome> {
+        self.pending(number).filter(|next| next.barrier.is_some() && next.round == round)?;
+        self.in_force = self.next.take()?.paper;
+        self.epoch = Epoch(self.epoch.0 + 1);
+        self.left.clear();
+        self.settle(number, Fate::InForce);
+        None
+    }
+
+    fn resume(&mut self, number: Version, round: Round) -> Option<Outcome> {
+        let next = self.pending(number).filter(|next| next.barrier.is_some() && next.round == round)?;
+        next.barrier = None;
+        self.epoch = Epoch(self.epoch.0 + 1);
+        None
+    }
+
+    fn withdraw(&mut self, op: Op, number: Version, by: String, reason: String) -> Option<Outcome> {
+        self.once(op)?;
+        if self.pending(number).is_none() {
+            let words = match self.history.iter().find(|past| past.number == number).map(|past| &past.fate) {
+                Some(Fate::InForce) => "it is in force: to go back, propose the earlier policy anew",
+                Some(Fate::Refused(..)) => "it was refused",
+                Some(Fate::Withdrawn(..)) => "it was withdrawn before",
+                _ => "there is no such proposal on its way",
+            };
+            return Some(Outcome::Refused(format!("proposal {number}: {words}")));
+        }
+        if self.next.take().is_some_and(|next| next.barrier.is_some()) {
+            self.epoch = Epoch(self.epoch.0 + 1);
+        }
+        let (mut by, mut reason) = (by, reason);
+        truncate(&mut by);
+        truncate(&mut reason);
+        self.settle(number, Fate::Withdrawn(by, reason));
+        Some(Outcome::Done)
+    }
+
+    /// Members change only while no change takes hold: who has to stop stays the same through a round.
+    fn fixed(&self) -> Option<Outcome> {
+        let words = "a change takes hold just now; ask again in a moment";
+        self.in_barrier().then(|| Outcome::Refused(words.into()))
+    }
+
+    fn enter(&mut self, op: Op, member: Member, address: String, zone: String) -> Option<Outcome> {
+        self.once(op)?;
+        if let Some(refused) = self.fixed() {
+            return Some(refused);
+        }
+        let full = self.members.len() >= MOST_MEMBERS;
+        if full || member.0.is_empty() || member.0.len() + address.len() + zone.len() > LONGEST_WORDS {
+            return Some(Outcome::Refused(format!("a fleet has at most {MOST_MEMBERS} members, with names")));
+        }
+        let known = self.members.get(&member);
+        let (seat, learns) = known.map_or((None, false), |seated| (seated.seat, seated.learns));
+        self.left.remove(&member);
+        self.members.insert(member, Seated { address, zone, seat, learns });
+        self.members_at = self.index;
+        Some(Outcome::Done)
+    }
+
+    fn leave(&mut self, op: Op, member: &Member) -> Option<Outcome> {
+        self.once(op)?;
+        if let Some(refused) = self.fixed() {
+            return Some(refused);
+        }
+        match self.members.get(member) {
+            None => return Some(Outcome::Refused(format!("{member} is no member"))),
+            Some(Seated { seat: Some(_), .. }) => {
+                return Some(Outcome::Refused(format!("{member} has a vote: take that first")));
+            }
+            Some(_) => {}
+        }
+        self.members.remove(member);
+        self.left.insert(member.clone());
+        if let Some(next) = &mut self.next {
+            next.fits.remove(member);
+        }
+        self.members_at = self.index;
+        Some(Outcome::Done)
+    }
+
+    fn seat(&mut self, op: Op, member: &Member) -> Option<Outcome> {
+        self.once(op)?;
+        let number = SeatNo(self.last_seat.0 + 1);
+        let Some(seated) = self.members.get_mut(member) else {
+            return Some(Outcome::Refused(format!("{member} is no member")));
+        };
+        (seated.seat, seated.learns) = (Some(number), true);
+        (self.last_seat, self.members_at) = (number, self.index);
+        Some(Outcome::Seated(number))
+    }
+
+    fn learnt(&mut self, seat: SeatNo) -> Option<Outcome> {
+        let seated = self.members.values_mut().find(|seated| seated.seat == Some(seat) && seated.learns)?;
+        seated.learns = false;
+        self.members_at = self.index;
+        None
+    }
+
+    /// Who votes, and who learns to: what the agreement's own list of voters is to become.
+    pub fn seats(&self) -> (Vec<SeatNo>, Vec<SeatNo>) {
+        let of = |learns: bool| {
+            let held = self.members.values().filter(move |seated| seated.learns == learns);
+            let mut all: Vec<SeatNo> = held.filter_map(|seated| seated.seat).collect();
+            all.sort_unstable();
+            all
+        };
+        (of(false), of(true))
+    }
+
+    fn unseat(&mut self, op: Op, member: &Member) -> Option<Outcome> {
+        self.once(op)?;
+        let voters = self.seats().0;
+        let Some(seated) = self.members.get_mut(member) else {
+            return Some(Outcome::Refused(format!("{member} is no member")));
+        };
+        if voters.len() == 1 && seated.seat == Some(voters[0]) {
+            return Some(Outcome::Refused(format!("{member} is the last that votes")));
+        }
+        (seated.seat, seated.learns) = (None, false);
+        self.members_at = self.index;
+        Some(Outcome::Done)
+    }
+}
+
+/// Cuts words to the most that is kept, at a character's end.
+fn truncate(words: &mut String) {
+    let mut end = words.len().min(LONGEST_WORDS);
+    while !words.is_char_boundary(end) {
+        end -= 1;
+    }
+    words.truncate(end);
+}
--- /dev/null
+++ b/policy/src/say.rs
@@ -0,0 +1,86 @@
+//! What a router and the one that leads say to each other about leases and policies.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{Epoch, Incarnation, Index, Member, Round, Seq, Version};
+use crate::register::{Paper, Register, Seated, Verdict};
+
+/// A router asks for its lease, and says where it stands. All that it says is its state, so that a later one makes an
+/// earlier one needless, and one that comes twice says nothing new.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Renew {
+    pub member: Member,
+    pub incarnation: Incarnation,
+    pub seq: Seq,
+    /// How far it knows the register, and the members.
+    pub index: Index,
+    pub members_at: Index,
+    /// What it says of the proposal on its way.
+    pub verdict: Option<(Version, Verdict)>,
+    /// It has stopped admitting for this round, and will not admit before it hears of the round's end.
+    pub stopped: Option<(Version, Round)>,
+    /// No other process of this member may still have a lease.
+    pub alone: bool,
+    /// It cannot use the policy in force: it wants no lease.
+    pub unfit: Option<Version>,
+}
+
+/// A lease: this process may admit under this version, in this epoch, for the agreed span from when it asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Grant {
+    pub incarnation: Incarnation,
+    pub seq: Seq,
+    pub epoch: Epoch,
+    pub version: Version,
+}
+
+/// The proposal on its way, as routers need it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct NextView {
+    pub paper: Paper,
+    pub unconfirmed: bool,
+    pub round: Round,
+    /// It takes hold: nobody admits.
+    pub barrier: bool,
+}
+
+/// The register, as far as a router without a vote needs it. Its size does not depend on how far behind one is.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct View {
+    pub index: Index,
+    pub epoch: Epoch,
+    pub in_force: Paper,
+    pub next: Option<NextView>,
+    pub members_at: Index,
+}
+
+impl View {
+    pub fn of(register: &Register) -> View {
+        let next = register.next.as_ref().map(|next| NextView {
+            paper: next.paper.clone(),
+            unconfirmed: next.unconfirmed,
+            round: next.round,
+            barrier: next.barrier.is_some(),
+        });
+        View {
+            index: register.changed,
+            epoch: register.epoch,
+            in_force: register.in_force.clone(),
+            next,
+            members_at: register.members_at,
+        }
+    }
+}
+
+/// What the router that leads says to another.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Told {
+    /// Left out where the other knows it.
+    pub view: Option<View>,
+    pub members: Option<BTreeMap<Member, Seated>>,
+    pub grant: Option<Grant>,
+    /// Who asked is no member of the fleet.
+    pub stranger: bool,
+}
