--- /dev/null
+++ b/history/src/event.rs
@@ -0,0 +1,77 @@
+//! Events: what clients, operators, nodes and whoever breaks things did and saw, each with a time of one monotonic clock.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// One line of a history. Times are microseconds from its beginning; lines stand in their order.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Event {
+    pub at: u64,
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// What became of a proposal, as its operator was told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "came", content = "number")]
+pub enum Came {
+    InForce(u64),
+    /// It is nowhere, and stays so.
+    Refused(Option<u64>),
+    Withdrawn(u64),
+    /// Nobody can tell: it may come in force yet, or have done so.
+    Open(Option<u64>),
+}
+
+/// What a policy says that nodes can see.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Seen {
+    /// Calls for a part at most, by index.
+    #[serde(default)]
+    pub calls: BTreeMap<String, u64>,
+    /// Nodes that get no new work.
+    #[serde(default)]
+    pub drained: Vec<String>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "what")]
+pub enum What {
+    /// What holds of the platform, before any policy.
+    Begins { seen: Seen },
+    /// A client has sent a whole lookup.
+    Asked { lookup: String, router: String, index: String },
+    /// Its final answer came. `version`: the policy that it says it was decided under; none: it was not taken, or the
+    /// router said that it had no lease (`unguarded`).
+    Answered {
+        lookup: String,
+        status: u16,
+        version: Option<u64>,
+        #[serde(default)]
+        unguarded: bool,
+        /// Parts that are in it, and whether it calls itself whole.
+        parts: u64,
+        of: u64,
+        whole: bool,
+        least: f64,
+    },
+    /// No answer came: the connection could not be made (`refused`, nobody had taken it), or it ended.
+    Unanswered { lookup: String, refused: bool },
+    /// An operator's proposal began.
+    Proposed { op: String, seen: Seen },
+    /// What the operator was told of it.
+    Settled { op: String, came: Came },
+    /// A node has begun a part of a lookup.
+    Part { node: String, lookup: String, shard: u64 },
+    /// A router said under which version it is, being asked.
+    Says { router: String, version: Option<u64>, term: Option<u64> },
+    /// Something was broken, or mended.
+    Fault { kind: String, whom: String },
+    /// A process of a router was ended, or ended by itself: what it had taken has no answer.
+    Ended { router: String },
+    Started { router: String },
+    /// A process stands still, and goes on (SIGSTOP, SIGCONT).
+    Stopped { router: String },
+    Continued { router: String },
+}
--- /dev/null
+++ b/history/tests/checker.rs
@@ -0,0 +1,251 @@
+//! The checker is shown what it must reject, by hand and by mutation, and agrees with a general tester on what is a
+//! register at all.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use stateright::semantics::{ConsistencyTester, LinearizabilityTester, SequentialSpec};
+use ternpick_history::{check, Bounds, Came, Event, Rule, Seen, Verdict, What};
+use test_case::test_case;
+
+fn text(events: &[What]) -> String {
+    let line = |(at, what): (usize, &What)| {
+        let event = Event { at: at as u64 * 1_000_000, what: what.clone() };
+        serde_json::to_string(&event).expect("a line") + "\n"
+    };
+    events.iter().enumerate().map(line).collect()
+}
+
+fn verdict(events: &[What]) -> Verdict {
+    check(text(events).as_bytes(), Bounds::default())
+}
+
+fn begins() -> What {
+    What::Begins { seen: Seen { calls: BTreeMap::from([("half".into(), 3)]), drained: vec![] } }
+}
+
+fn asked(lookup: &str) -> What {
+    What::Asked { lookup: lookup.into(), router: "n0".into(), index: "half".into() }
+}
+
+fn answer(lookup: &str, version: Option<u64>, parts: u64, whole: bool) -> What {
+    let (lookup, status) = (lookup.into(), if version.is_some() { 200 } else { 503 });
+    What::Answered { lookup, status, version, unguarded: false, parts, of: 4, whole, least: 0.5 }
+}
+
+fn answered(lookup: &str, version: u64) -> What {
+    answer(lookup, Some(version), 4, true)
+}
+
+fn proposed(op: &str) -> What {
+    What::Proposed { op: op.into(), seen: Seen::default() }
+}
+
+fn settled(op: &str, came: Came) -> What {
+    What::Settled { op: op.into(), came }
+}
+
+fn drains(op: &str, node: &str, calls: u64) -> What {
+    let seen = Seen { calls: BTreeMap::from([("half".into(), calls)]), drained: vec![node.into()] };
+    What::Proposed { op: op.into(), seen }
+}
+
+fn part(node: &str, lookup: &str) -> What {
+    What::Part { node: node.into(), lookup: lookup.into(), shard: 0 }
+}
+
+fn says(version: u64) -> What {
+    What::Says { router: "n1".into(), version: Some(version), term: Some(1) }
+}
+
+fn gone(lookup: &str, refused: bool) -> What {
+    What::Unanswered { lookup: lookup.into(), refused }
+}
+
+fn ended() -> What {
+    What::Ended { router: "n0".into() }
+}
+
+use Came::{InForce, Open, Refused, Withdrawn};
+
+#[test_case(vec![proposed("p"), asked("a"), answered("a", 1), asked("b"), answered("b", 0)], Rule::NoEarlierVersion; "decided under a version that another lookup had left behind")]
+#[test_case(vec![proposed("p"), settled("p", InForce(1)), asked("b"), answered("b", 0)], Rule::NoEarlierVersion; "decided under an earlier one than the operator was told")]
+#[test_case(vec![asked("a"), answered("a", 1)], Rule::OnlyProposed; "a version that nobody proposed")]
+#[test_case(vec![proposed("p"), settled("p", Refused(Some(1))), asked("a"), answered("a", 1)], Rule::NowhereMeansNever; "refused, and seen later")]
+#[test_case(vec![proposed("p"), asked("a"), answered("a", 1), settled("p", Withdrawn(1))], Rule::NowhereMeansNever; "seen, and withdrawn later")]
+#[test_case(vec![proposed("p"), settled("p", Withdrawn(1)), says(1)], Rule::NowhereMeansNever; "withdrawn, and a router says it")]
+#[test_case(vec![asked("a"), answered("a", 0), answered("a", 0)], Rule::OneAnswer; "two answers")]
+#[test_case(vec![asked("a")], Rule::OneAnswer; "no answer and no end")]
+#[test_case(vec![asked("a"), gone("a", false)], Rule::OneAnswer; "lost by a router that lives")]
+#[test_case(vec![ended(), asked("a"), gone("a", false)], Rule::OneAnswer; "lost by a router that was ended before")]
+#[test_case(vec![proposed("p"), says(1), says(0)], Rule::NeverBack; "a router goes back")]
+#[test_case(vec![asked("a"), part("s", "a"), part("s", "a"), part("s", "a"), part("s", "a"), answered("a", 0)], Rule::Calls; "more calls than the platform allows")]
+#[test_case(vec![drains("p", "s", 1), settled("p", InForce(1)), asked("a"), part("t", "a"), part("t", "a"), answered("a", 1)], Rule::Calls; "more calls than the policy allows")]
+#[test_case(vec![drains("p", "s", 2), settled("p", InForce(1)), asked("a"), part("s", "a"), answered("a", 1)], Rule::Drains; "work at a drained node")]
+#[test_case(vec![asked("a"), answer("a", Some(0), 1, false)], Rule::Honest; "less than the least share")]
+#[test_case(vec![asked("a"), answer("a", Some(0), 3, true)], Rule::Honest; "called whole and is not")]
+fn a_bad_history_is_rejected_by_the_rule_that_it_breaks(events: Vec<What>, rule: Rule) {
+    let all: Vec<What> = [vec![begins()], events].concat();
+    match verdict(&all) {
+        Verdict::Rejected(broken) => assert_eq!(broken.rule, rule, "{}", broken.words),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test_case(vec![asked("a"), proposed("p"), asked("b"), answered("b", 1), answered("a", 0)]; "a lookup in hand over a change")]
+#[test_case(vec![proposed("p"), settled("p", Open(None)), asked("a"), answered("a", 0), asked("b"), answered("b", 1)]; "an open one that came in force after all")]
+#[test_case(vec![proposed("p"), settled("p", Open(Some(1))), asked("a"), answered("a", 0)]; "an open one that did not")]
+#[test_case(vec![asked("a"), ended(), gone("a", false)]; "lost with its router")]
+#[test_case(vec![asked("a"), gone("a", true)]; "one that nobody had taken")]
+#[test_case(vec![drains("p", "s", 1), settled("p", InForce(1)), proposed("q"), asked("a"), part("s", "a"), answered("a", 2), settled("q", InForce(2))]; "a drain that may have been lifted")]
+#[test_case(vec![drains("p", "s", 1), asked("a"), settled("p", InForce(1)), part("s", "a"), answered("a", 0)]; "asked before the drain")]
+#[test_case(vec![asked("a"), answer("a", None, 0, false), says(0)]; "one that was turned away")]
+fn a_good_history_is_accepted(events: Vec<What>) {
+    let all: Vec<What> = [vec![begins()], events].concat();
+    assert!(matches!(verdict(&all), Verdict::Accepted(_)), "{:?}", verdict(&all));
+}
+
+#[test_case("{\"at\":5,\"what\":\"begins\",\"seen\":{}}\n{\"at\":6,\"wh"; "cut in a line")]
+#[test_case("not a history\n"; "no history")]
+fn what_cannot_be_read_is_neither_good_nor_bad(text: &str) {
+    assert!(matches!(check(text.as_bytes(), Bounds::default()), Verdict::Unreached(_)));
+}
+
+#[test]
+fn a_history_beyond_the_bounds_is_no_verdict() {
+    let all: Vec<What> = std::iter::once(begins()).chain((0..9).map(|n| asked(&n.to_string()))).collect();
+    let verdict = check(text(&all).as_bytes(), Bounds { lookups: 8, ..Bounds::default() });
+    assert!(matches!(verdict, Verdict::Unreached(_)), "{verdict:?}");
+}
+
+/// The register as a general tester knows it: a write names the version that it has made.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct Versions(u64);
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+enum Operation {
+    Write,
+    Read,
+}
+
+impl SequentialSpec for Versions {
+    type Op = Operation;
+    type Ret = u64;
+
+    fn invoke(&mut self, operation: &Operation) -> u64 {
+        self.0 += u64::from(*operation == Operation::Write);
+        self.0
+    }
+}
+
+/// A few operations that overlap as they like, each with what it came to: (begin, end, write, version).
+fn operations() -> impl Strategy<Value = Vec<(u64, u64, bool, u64)>> {
+    let one = (0u64..40, 1u64..12, any::<bool>(), 0u64..4);
+    proptest::collection::vec(one, 1..8).prop_map(|all| {
+        let mut writes = 0;
+        let of = |(begin, length, write, version): (u64, u64, bool, u64)| {
+            // Writes name their versions in some order; whether that fits their times is the question.
+            let write = write && writes < 3;
+            writes += u64::from(write);
+            (begin * 2, begin * 2 + length * 2 + 1, write, if write { writes } else { version })
+        };
+        all.into_iter().map(of).collect()
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 3000, failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn the_checker_rejects_what_no_register_can_have_done(all in operations()) {
+        let mut points: Vec<(u64, bool, usize)> = Vec::new();
+        for (at, (begin, end, ..)) in all.iter().enumerate() {
+            points.extend([(*begin, true, at), (*end, false, at)]);
+        }
+        points.sort_by_key(|(time, begins, at)| (*time, !*begins, *at));
+        let mut tester = LinearizabilityTester::new(Versions(0));
+        let mut events = vec![begins()];
+        for (_, is_begin, at) in points {
+            let (_, _, write, version) = all[at];
+            let name = at.to_string();
+            match (is_begin, write) {
+                (true, true) => {
+                    tester.on_invoke(at, Operation::Write).expect("a thread of its own");
+                    events.push(proposed(&name));
+                }
+                (true, false) => {
+                    tester.on_invoke(at, Operation::Read).expect("a thread of its own");
+                    events.push(asked(&name));
+                }
+                (false, true) => {
+                    tester.on_return(at, version).expect("it was begun");
+                    events.push(settled(&name, InForce(version)));
+                }
+                (false, false) => {
+                    tester.on_return(at, version).expect("it was begun");
+                    events.push(answered(&name, version));
+                }
+            }
+        }
+        let accepted = matches!(verdict(&events), Verdict::Accepted(_));
+        // Writes whose own numbers contradict their times are not the checker's matter: it never rejects a register.
+        if tester.is_consistent() {
+            prop_assert!(accepted, "{:?}", verdict(&events));
+        }
+        let reads_only = all.iter().all(|(_, _, write, _)| !write);
+        let in_order = {
+            let mut writes: Vec<_> = all.iter().filter(|(_, _, write, _)| *write).collect();
+            writes.sort_by_key(|(.., version)| *version);
+            writes.windows(2).all(|pair| pair[0].1 < pair[1].0)
+        };
+        // Where writes follow one another it is exact.
+        if reads_only || in_order {
+            prop_assert_eq!(tester.is_consistent(), accepted, "{:?}", verdict(&events));
+        }
+    }
+}
+
+/// A day that a register really lived through: lookups and changes one after the other, and overlapping by pairs.
+fn good_day(changes: u64, lookups: u64) -> Vec<What> {
+    let mut all = vec![begins()];
+    for change in 1..=changes {
+        let old = format!("over{change}");
+        all.push(asked(&old));
+        all.push(proposed(&change.to_string()));
+        for lookup in 0..lookups {
+            let name = format!("{change}.{lookup}");
+            all.extend([asked(&name), part("s", &name), answered(&name, change - 1)]);
+        }
+        all.push(settled(&change.to_string(), InForce(change)));
+        all.push(answered(&old, change - 1));
+        let name = format!("after{change}");
+        all.extend([asked(&name), part("s", &name), answered(&name, change), says(change)]);
+    }
+    all
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn a_good_day_with_one_thing_changed_is_rejected(changes in 1u64..5, lookups in 0u64..4, pick in any::<prop::sample::Index>(), kind in 0u8..5) {
+        let good = good_day(changes, lookups);
+        prop_assert!(matches!(verdict(&good), Verdict::Accepted(_)));
+        let mut bad = good.clone();
+        let of = |wanted: fn(&What) -> bool| -> Vec<usize> {
+            good.iter().enumerate().filter(|(_, what)| wanted(what)).map(|(at, _)| at).collect()
+        };
+        let answers = of(|what| matches!(what, What::Answered { .. }));
+        let at = answers[pick.index(answers.len())];
+        match kind {
+            0 => { bad.remove(at); }
+            1 => { let again = bad[at].clone(); bad.insert(at + 1, again); }
+            2 => if let What::Answered { version, .. } = &mut bad[at] { *version = version.map(|of| of + changes + 1); },
+            3 => if let What::Answered { parts, .. } = &mut bad[at] { *parts = 1; },
+            _ => {
+                // An answer after the last change is put under the version before it.
+                let last = *answers.last().expect("one after the last change");
+                if let What::Answered { version, .. } = &mut bad[last] { *version = version.map(|of| of - 1); }
+            }
+        }
+        prop_assert!(matches!(verdict(&bad), Verdict::Rejected(_)), "kind {kind} at {at}");
+    }
+}
