--- a/consensus/src/seat.rs
+++ b/consensus/src/seat.rs
@@ -1,6 +1,7 @@
 //! A seat: one voter, or one that learns to be. A thin border round raft-rs: time and chance go in, and nothing that rests
 //! on what is not yet kept comes out.
 
+use std::collections::VecDeque;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
 use nanorand::{Rng, WyRand};
@@ -34,6 +35,15 @@
     Spoilt(String),
 }
 
+/// What goes into the core.
+enum Input {
+    Tick,
+    Heard(Message),
+    Put(Vec<u8>),
+    Ask(u64),
+    Transfer(SeatNo),
+}
+
 /// Something to keep before [`Seat::kept`] says what follows from it.
 pub struct Work {
     /// The image to keep; none: nothing has changed in it.
@@ -83,6 +93,8 @@
     /// The state of the election that the present time-out was drawn for.
     drawn: (u64, u64, StateRole),
     ready: Option<Ready>,
+    /// What came while work was being kept: the core may not hear it before. Bounded; what is too much is lost.
+    meanwhile: VecDeque<Input>,
     /// Words beside the log's own, to go out with the next work.
     aside: Vec<(SeatNo, Word)>,
     changed: bool,
@@ -90,6 +102,9 @@
     played: u64,
 }
 
+/// Messages and ticks that wait while work is being kept.
+const MOST_MEANWHILE: usize = 256;
+
 fn config(no: SeatNo, applied: u64, terms: &Terms) -> Config {
     Config {
         id: no.0,
@@ -168,6 +183,7 @@
             ticks: 0,
             drawn: (u64::MAX, 0, StateRole::Follower),
             ready: None,
+            meanwhile: VecDeque::new(),
             aside: Vec::new(),
             changed: true,
             conf_changed: false,
@@ -202,6 +218,16 @@
         self.standing == Standing::TakesPart && self.raft.raft.state == StateRole::Leader
     }
 
+    /// Whether it leads, and all that was agreed before it did is known to be agreed.
+    pub fn leads_surely(&self) -> bool {
+        self.leads() && self.raft.raft.commit_to_current_term()
+    }
+
+    /// How far the entries that came out have gone.
+    pub fn played(&self) -> u64 {
+        self.played
+    }
+
     pub fn leader(&self) -> Option<SeatNo> {
         Some(SeatNo(self.raft.raft.leader_id)).filter(|seat| seat.0 != 0)
     }
@@ -292,10 +318,7 @@
                 }
             }
             Standing::TakesPart => {
-                self.guarded(|raft| {
-                    raft.tick();
-                    Ok(())
-                });
+                self.step(Input::Tick);
                 if self.leads() && self.ticks % self.terms.witness_ticks as u64 == 0 {
                     self.spread();
                 }
@@ -384,7 +407,29 @@
             let words = format!("it has answered for entry {}, its own end at {last}", message.commit);
             return self.spoil(format!("it is an older copy: {words}"));
         }
-        self.guarded(|raft| raft.step(message));
+        self.step(Input::Heard(message));
+    }
+
+    /// Something for the core; at once, or once the work that is being kept is: it bears nothing in between.
+    fn step(&mut self, input: Input) {
+        if self.ready.is_some() {
+            if self.meanwhile.len() < MOST_MEANWHILE {
+                self.meanwhile.push_back(input);
+            }
+            return;
+        }
+        self.guarded(|raft| {
+            match input {
+                Input::Tick => {
+                    raft.tick();
+                }
+                Input::Heard(message) => raft.step(message)?,
+                Input::Put(data) => raft.propose(vec![], data)?,
+                Input::Ask(number) => raft.read_index(number.to_le_bytes().to_vec()),
+                Input::Transfer(to) => raft.transfer_leader(to.0),
+            }
+            Ok(())
+        });
         self.draw();
     }
 
@@ -396,23 +441,21 @@
         if data.len() as u64 > self.terms.entry_bytes {
             return Err(Refused::TooLong { length: data.len() as u64, most: self.terms.entry_bytes });
         }
-        self.raft.propose(vec![], data).map_err(|error| Refused::NotNow(error.to_string()))
+        self.step(Input::Put(data));
+        Ok(())
     }
 
     /// Asks whether this seat leads still; see [`Done::answered`]. A question may stay without an answer.
     pub fn ask(&mut self, number: u64) {
         if self.leads() {
-            self.guarded(|raft| {
-                raft.read_index(number.to_le_bytes().to_vec());
-                Ok(())
-            });
+            self.step(Input::Ask(number));
         }
     }
 
     /// Brings voters and learners to what is wanted, jointly; one change at a time. Nothing where nothing differs.
     pub fn change(&mut self, voters: &[SeatNo], learners: &[SeatNo]) -> Result<bool, Refused> {
         let conf = &self.raft.store().conf;
-        if !self.leads() || !conf.get_voters_outgoing().is_empty() || voters.is_empty() {
+        if !self.leads() || self.ready.is_some() || !conf.get_voters_outgoing().is_empty() || voters.is_empty() {
             return Ok(false);
         }
         let (have_voters, have_learners) = (self.voters(), self.learners());
@@ -452,10 +495,7 @@
     /// Passes the lead on, if it can be.
     pub fn transfer(&mut self, to: SeatNo) {
         if self.leads() {
-            self.guarded(|raft| {
-                raft.transfer_leader(to.0);
-                Ok(())
-            });
+            self.step(Input::Transfer(to));
         }
     }
 
@@ -565,6 +605,9 @@
             done.messages.push((to, postcard::to_stdvec(&word).unwrap_or_default()));
         }
         self.draw();
+        for input in std::mem::take(&mut self.meanwhile) {
+            self.step(input);
+        }
         done
     }
 
--- a/consensus/tests/agreement.rs
+++ b/consensus/tests/agreement.rs
@@ -11,7 +11,7 @@
 /// Crashes, restarts, losses, doubles and one-way cuts, all the time.
 fn rough_day(voters: u64, seed: u64, steps: u64) -> World {
     let mut world = World::new(voters, seed);
-    world.loss = 0.05;
+    (world.loss, world.slow_disk) = (0.05, 0.4);
     let mut put = 0u64;
     for step in 0..steps {
         world.step();
@@ -42,7 +42,7 @@
     fn nothing_agreed_is_ever_agreed_otherwise(seed in any::<u64>(), five in any::<bool>()) {
         let voters = if five { 5 } else { 3 };
         let mut world = rough_day(voters, seed, 1500);
-        (world.loss, world.cut) = (0.0, Vec::new());
+        (world.loss, world.slow_disk, world.cut) = (0.0, 0.0, Vec::new());
         for no in (1..=voters).map(SeatNo) {
             if !world.up().contains(&no) {
                 world.start(no);
--- a/consensus/tests/common/mod.rs
+++ b/consensus/tests/common/mod.rs
@@ -18,6 +18,7 @@
     pub played: Vec<(u64, Vec<u8>)>,
     /// Work that was begun and is not kept yet.
     pub working: bool,
+    pub writing: Option<Vec<u8>>,
 }
 
 pub struct World {
@@ -27,6 +28,7 @@
     wire: Vec<(u64, SeatNo, SeatNo, Vec<u8>)>,
     pub now: u64,
     pub loss: f64,
+    pub slow_disk: f64,
     /// Pairs that hear nothing, one way each.
     pub cut: Vec<(SeatNo, SeatNo)>,
     pub terms: Terms,
@@ -47,6 +49,7 @@
             wire: Vec::new(),
             now: 0,
             loss: 0.0,
+            slow_disk: 0.0,
             cut: Vec::new(),
             terms: Terms { entries_kept: 24, ..Terms::default() },
             leaders: BTreeMap::new(),
@@ -54,7 +57,7 @@
         };
         for no in &voters {
             let image = Seat::founds(FLEET, *no, &voters, state_of(&[]));
-            let place = Place { seat: None, disk: vec![image], played: Vec::new(), working: false };
+            let place = Place { seat: None, disk: vec![image], played: Vec::new(), working: false, writing: None };
             world.places.insert(*no, place);
             world.start(*no);
         }
@@ -68,7 +71,7 @@
         let seat = Seat::open(image, FLEET, self.terms, no.0 * 1000 + self.boots).expect("a good state");
         let (_, state) = seat.begins_from().expect("a state");
         place.played = postcard::from_bytes(&state).expect("a state");
-        (place.seat, place.working) = (Some(seat), false);
+        (place.seat, place.working, place.writing) = (Some(seat), false, None);
     }
 
     pub fn crash(&mut self, no: SeatNo) {
@@ -117,11 +120,14 @@
             let Some(seat) = &mut place.seat else { return };
             if !place.working {
                 let Some(work) = seat.work() else { break };
-                if let Some(image) = work.image {
-                    place.disk.push(image);
-                }
+                place.writing = work.image;
+            }
+            // A slow disk: what comes meanwhile finds the work not kept yet.
+            place.working = self.chance.generate::<f64>() < self.slow_disk;
+            if place.working {
+                return;
             }
-            place.working = false;
+            place.disk.extend(place.writing.take());
             let done = seat.kept();
             if let Some((_, state)) = done.restored {
                 place.played = postcard::from_bytes(&state).expect("a state");
--- a/policy/src/ids.rs
+++ b/policy/src/ids.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use ternpick_consensus::SeatNo;
+
 macro_rules! number {
     ($($(#[$doc:meta])* $name:ident),* $(,)?) => {$(
         $(#[$doc])*
@@ -34,8 +36,6 @@
     Seq,
     /// An operator's command, by chance: said again, it is still one.
     Op,
-    /// A vote's holder in the agreement. One that is taken away is never given again.
-    SeatNo,
 }
 
 /// A router of the fleet, by its name.
--- a/policy/src/keeper.rs
+++ b/policy/src/keeper.rs
@@ -257,6 +257,7 @@
     /// Something was heard from the router that leads.
     pub fn told(&mut self, now: Micros, told: Told) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.answered = true;
         self.stranger = told.stranger;
         if let Some(members) = told.members {
             effects.push(Effect::Members(members));
@@ -268,7 +269,6 @@
             return effects;
         };
         let Some((_, sent)) = self.asked.iter().find(|(seq, _)| *seq == grant.seq) else { return effects };
-        self.answered |= grant.seq == self.last_seq;
         #[cfg(any(test, feature = "planted"))]
         let sent = if self.has(Planted::CountsFromGrant) { &now } else { sent };
         let until = *sent + Micros(self.terms.lease);
@@ -288,9 +288,14 @@
         effects
     }
 
-    /// The leader has answered, with nothing new.
-    pub fn heard(&mut self) {
-        self.answered = true;
+    /// Whether the last request has been without an answer for so long that whoever was asked may not lead.
+    pub fn is_unanswered(&self, now: Micros) -> bool {
+        !self.answered && self.asked.back().is_some_and(|(_, sent)| now >= *sent + ASK_AGAIN)
+    }
+
+    /// Another router is to be asked, and at once.
+    pub fn asks_anew(&mut self) {
+        self.eager = true;
     }
 
     fn take(&mut self, now: Micros, view: View, effects: &mut Vec<Effect>) {
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -9,6 +9,7 @@
 //! version, none ever again admits under an earlier one. `docs/design/policy.md` says why it holds.
 
 mod chair;
+mod figures;
 mod ids;
 mod keeper;
 mod record;
@@ -20,6 +21,7 @@
 mod model;
 
 pub use chair::{Chair, Order, Seen};
+pub use figures::{platform, put_in_force};
 pub use ids::{Epoch, Incarnation, Index, Member, Op, Round, SeatNo, Seq, Version};
 pub use keeper::{Admission, Effect, Keeper, Why};
 pub use record::{IndexTerms, Platform, PlatformIndex, Record, DEFINITIONS};
--- /dev/null
+++ b/router/src/fleet/commands.rs
@@ -0,0 +1,165 @@
+//! Operators' commands as routers pass them on, and the answers to their questions.
+
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use ternpick::types::Micros;
+use ternpick_policy::{Entry, Fate, Member, Op, Outcome, Paper, Record, Register, Version};
+
+use crate::fleet::council::{Council, Heard, Wish};
+use crate::fleet::Fleet;
+use crate::stages::Router;
+
+/// Rows of members in an answer; of more, those that matter most come first.
+const MOST_ROWS: usize = 200;
+/// The longest that a command waits here for its outcome.
+const LONGEST_WAIT: Micros = Micros(60_000_000);
+
+/// What an operator wants done.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Command {
+    Propose { base: Option<u64>, text: String, author: String, reason: String },
+    Confirm { number: u64, by: String },
+    Withdraw { number: u64, by: String, reason: String },
+    Add { member: String, address: String, zone: String },
+    Remove { member: String },
+    /// A new seat, for one that has none or has lost its own.
+    Seat { member: String },
+    Unseat { member: String },
+    Transfer { to: Member },
+}
+
+impl Command {
+    /// The entry that it asks for; a transfer needs none.
+    pub fn entry(self, op: Op, confirm: bool) -> Option<Entry> {
+        let member = |name: String| Member(name);
+        Some(match self {
+            Command::Propose { base, text, author, reason } => {
+                let paper = Paper { number: Version(0), text, author, reason };
+                Entry::Propose { op, base: base.map(Version), paper, confirm }
+            }
+            Command::Confirm { number, by } => Entry::Confirm { op, number: Version(number), by },
+            Command::Withdraw { number, by, reason } => {
+                Entry::Withdraw { op, number: Version(number), by, reason }
+            }
+            Command::Add { member: name, address, zone } => Entry::Enter { op, member: member(name), address, zone },
+            Command::Remove { member: name } => Entry::Leave { op, member: member(name) },
+            Command::Seat { member: name } => Entry::Seat { op, member: member(name) },
+            Command::Unseat { member: name } => Entry::Unseat { op, member: member(name) },
+            Command::Transfer { .. } => return None,
+        })
+    }
+}
+
+fn fate(of: &Fate) -> Value {
+    match of {
+        Fate::Open => json!({"fate": "open"}),
+        Fate::InForce => json!({"fate": "in_force"}),
+        Fate::Refused(member, words) => json!({"fate": "refused", "by": member, "why": words}),
+        Fate::Withdrawn(by, reason) => json!({"fate": "withdrawn", "by": by, "why": reason}),
+    }
+}
+
+fn paper(of: &Paper) -> Value {
+    json!({"number": of.number, "author": of.author, "reason": of.reason, "text": of.text})
+}
+
+fn policy(register: &Register) -> Value {
+    let past = |past: &ternpick_policy::Past| {
+        let mut row = json!({"number": past.number, "author": past.author, "reason": past.reason, "at": past.at});
+        if let (Value::Object(row), Value::Object(more)) = (&mut row, fate(&past.fate)) {
+            row.extend(more);
+        }
+        row
+    };
+    let next = register.next.as_ref().map(|next| {
+        let mut of = paper(&next.paper);
+        of["takes_hold"] = next.barrier.is_some().into();
+        of["round"] = next.round.0.into();
+        of["unconfirmed"] = next.unconfirmed.into();
+        of["fit"] = next.fits.len().into();
+        of
+    });
+    json!({"index": register.index, "epoch": register.epoch, "in_force": paper(&register.in_force), "next": next,
+        "newest": register.newest, "members": register.members.len(),
+        "history": register.history.iter().map(past).collect::<Vec<_>>()})
+}
+
+/// What the one that leads says to a question; none: this one does not lead.
+pub fn look(council: &Council, what: &str, now: Micros) -> Option<String> {
+    let (chair, register) = council.chair()?;
+    let mut answer = policy(register);
+    let mut seen = chair.members(now, register);
+    let is_silent = |of: &ternpick_policy::Seen| of.heard.is_none_or(|ago| ago.0 > 1_000_000);
+    let waits_for = |of: &ternpick_policy::Seen| of.fits == Some(false) || of.stopped == Some(false);
+    answer["silent"] = seen.iter().filter(|of| is_silent(of)).count().into();
+    answer["latest_ms"] = (chair.at_the_latest(now, register).0 / 1000).into();
+    answer["leader"] = json!(council.leader());
+    if what == "members" {
+        seen.sort_by_key(|of| (!waits_for(of), !is_silent(of)));
+        let rows = seen.iter().take(MOST_ROWS).map(|of| {
+            let seated = register.members.get(&of.member);
+            json!({"member": of.member, "heard_ms_ago": of.heard.map(|ago| ago.0 / 1000), "knows_up_to": of.knows,
+                "lease_over": of.lease_over, "fits": of.fits, "stopped": of.stopped,
+                "address": seated.map(|of| &of.address), "zone": seated.map(|of| &of.zone),
+                "seat": seated.and_then(|of| of.seat), "learns": seated.is_some_and(|of| of.learns)})
+        });
+        answer["rows"] = rows.collect();
+        answer["in_force"]["text"] = Value::Null;
+    }
+    Some(answer.to_string())
+}
+
+/// Answers the control socket: what an operator asks of this router's fleet.
+pub async fn answer(router: &Router, fleet: &Fleet, asked: &Value) -> Value {
+    let wait = Micros(asked["wait_ms"].as_u64().unwrap_or(5000).saturating_mul(1000)).min(LONGEST_WAIT);
+    let op = Op(asked["op"].as_u64().unwrap_or_else(crate::fleet::chance));
+    match asked["ask"].as_str() {
+        Some("status") => {
+            let (now, desk) = (router.clock.now(), router.desk.borrow());
+            json!({"done": true, "ok": true, "fleet": fleet.status(&desk.brain, now)})
+        }
+        Some("check") => {
+            let (name, text) = (asked["name"].as_str().unwrap_or("policy"), asked["text"].as_str().unwrap_or_default());
+            match Record::read_within(name, text, &fleet.platform()) {
+                Ok(record) => json!({"done": true, "ok": true, "figures": record.lines()}),
+                Err(words) => json!({"done": true, "ok": false, "line": words}),
+            }
+        }
+        Some("show") => {
+            let text = fleet.keeper.borrow().view().map(|view| (view.in_force.clone(), view.epoch));
+            match text {
+                Some((of, epoch)) => json!({"done": true, "ok": true, "in_force": paper(&of), "epoch": epoch}),
+                None => json!({"done": true, "ok": false, "line": "this router has yet to learn the policy in force"}),
+            }
+        }
+        Some("look") => {
+            let what = asked["what"].as_str().unwrap_or("policy").to_owned();
+            match fleet.ask(router, op, Wish::Look(what), wait).await {
+                Some(Heard::Seen(json)) => {
+                    json!({"done": true, "ok": true, "look": serde_json::from_str::<Value>(&json).ok()})
+                }
+                _ => unknown("nobody that leads is reached"),
+            }
+        }
+        Some("do") => {
+            let Ok(command) = serde_json::from_value::<Command>(asked["command"].clone()) else {
+                return json!({"done": true, "ok": false, "line": "this is no command of a fleet"});
+            };
+            match fleet.ask(router, op, Wish::Do(command), wait).await {
+                Some(Heard::Did(Outcome::Proposed(number))) => json!({"done": true, "ok": true, "number": number}),
+                Some(Heard::Did(Outcome::Seated(seat))) => json!({"done": true, "ok": true, "seat": seat}),
+                Some(Heard::Did(Outcome::Done)) => json!({"done": true, "ok": true}),
+                Some(Heard::Did(Outcome::Refused(words))) => json!({"done": true, "ok": false, "line": words}),
+                _ => unknown("no outcome was heard: it may be done yet, or have been done. Said again with the same \
+                    --op it is done once"),
+            }
+        }
+        _ => json!({"done": true, "ok": false, "line": "ask for status, show, check, look or do"}),
+    }
+}
+
+/// Nobody can tell: neither done nor refused.
+fn unknown(words: &str) -> Value {
+    json!({"done": true, "ok": false, "unknown": true, "line": words})
+}
--- /dev/null
+++ b/router/src/fleet/disk.rs
@@ -0,0 +1,42 @@
+//! The fleet's folder: one file, replaced whole, with all that this router's seat has promised.
+
+use std::path::{Path, PathBuf};
+
+use ternpick_consensus::{FleetId, Refused, Seat, Terms};
+
+/// The name of the file, and the kind of what is in it.
+const FILE: &str = "seat";
+const KIND: &str = "fleet-seat";
+
+/// What a folder holds at a start.
+pub enum Found {
+    Seat(Box<Seat>),
+    /// There is none: this router has no vote, or has lost it.
+    Nothing,
+    /// There is one that can't be used, in words. It is left as it is.
+    Unusable(String),
+}
+
+pub fn path(folder: &Path) -> PathBuf {
+    folder.join(FILE)
+}
+
+pub fn find(folder: &Path, fleet: FleetId, terms: Terms, seed: u64) -> Found {
+    let kept = match ternpick_store::get(&path(folder), KIND) {
+        Ok(kept) => kept,
+        Err(fault) if fault.is_missing() => return Found::Nothing,
+        Err(fault) => return Found::Unusable(fault.to_string()),
+    };
+    match Seat::open(&kept.bytes, fleet, terms, seed) {
+        Ok(seat) => Found::Seat(Box::new(seat)),
+        Err(Refused::Spoilt(words)) => Found::Unusable(format!("{}: {words}", path(folder).display())),
+        Err(refused) => Found::Unusable(format!("{}: {refused}", path(folder).display())),
+    }
+}
+
+/// Keeps an image; it lasts once this returns.
+pub fn keep(folder: &Path, version: u64, image: &[u8]) -> Result<(), String> {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+    let now = u64::try_from(since.as_micros()).unwrap_or(u64::MAX);
+    ternpick_store::put(&path(folder), KIND, version, now, image).map_err(|fault| fault.to_string())
+}
--- /dev/null
+++ b/router/src/fleet/mod.rs
@@ -0,0 +1,316 @@
+//! Talk between the routers of one fleet, where the settings ask for it: moves bytes, keeps files, passes time in. What is
+//! agreed, who may admit and which step comes next are decided by `ternpick-consensus` and `ternpick-policy`.
+//!
+//! One task ([`council::run`]) owns the seat, the register and the chair; the keeper of this router's lease is shared with
+//! the stage `admit`, which asks it in the turn in which a lookup is taken.
+
+pub mod cli;
+pub mod commands;
+pub mod council;
+pub mod disk;
+pub mod parcel;
+pub mod post;
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use event_listener::Event;
+use futures_lite::future;
+use ring::rand::{SecureRandom, SystemRandom};
+use ternpick::brain::Brain;
+use ternpick::types::{Listing, Micros, Phase, Tariff};
+use ternpick_consensus::FleetId;
+use ternpick_policy::{
+    Admission, Effect, Incarnation, Keeper, Member, Paper, Platform, Record, SeatNo, Seated, Terms, Verdict, Version,
+};
+
+use crate::lifecycle::settings::FleetTerms;
+use crate::memory::clients::Answer;
+use crate::stages::book::{retry_after, Office};
+use crate::stages::{admit, Router};
+use council::Council;
+use parcel::Parcel;
+
+/// Parcels that have come and wait for the next turn; the oldest go first, as on any network.
+const MOST_IN: usize = 1024;
+
+/// Under what a lookup was admitted, as its answer says it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mark {
+    pub version: Version,
+    /// Without a lease.
+    pub unguarded: bool,
+}
+
+impl Mark {
+    pub fn headers(self) -> String {
+        let guard = if self.unguarded { "Policy-Guard: none\r\n" } else { "" };
+        format!("Policy-Version: {}\r\n{guard}", self.version)
+    }
+}
+
+/// A router's part of a fleet.
+pub struct Fleet {
+    pub terms: Terms,
+    pub settings: FleetTerms,
+    pub me: Member,
+    pub id: FleetId,
+    pub folder: PathBuf,
+    pub keeper: RefCell<Keeper>,
+    /// Told when the keeper may say something else: lookups that wait at admission look again.
+    pub changed: Event,
+    pub council: RefCell<Council>,
+    inbox: RefCell<VecDeque<Parcel>>,
+    pub wake: Event,
+    /// The platform's own figures and names.
+    own: Tariff,
+    indexes: Vec<String>,
+    customers: Vec<String>,
+    /// What discovery last said of each node, by name; emptied by it.
+    listed: RefCell<BTreeMap<String, Listing>>,
+    drained: RefCell<BTreeSet<String>>,
+    /// Bytes and parcels that went out and came in.
+    pub traffic: Cell<(u64, u64, u64, u64)>,
+    /// This router's ways to the others, by name; one ends when its member is no longer one.
+    pub posts: RefCell<BTreeMap<Member, Rc<post::Post>>>,
+}
+
+/// A number by chance, for what has to differ between processes.
+pub fn chance() -> u64 {
+    let mut bytes = [0; 8];
+    // Without chance of the system's two processes might be taken for one; time and number tell them apart.
+    if SystemRandom::new().fill(&mut bytes).is_err() {
+        let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        return since.as_nanos() as u64 ^ u64::from(std::process::id()) << 32;
+    }
+    u64::from_le_bytes(bytes)
+}
+
+/// The fleet's number, from its name.
+pub fn number_of(name: &str) -> FleetId {
+    let digest = ring::digest::digest(&ring::digest::SHA256, name.as_bytes());
+    let first = digest.as_ref().first_chunk::<8>().copied().unwrap_or_default();
+    FleetId(u64::from_le_bytes(first))
+}
+
+pub fn spans(of: &FleetTerms) -> Terms {
+    Terms {
+        lease: of.lease,
+        renew: of.renew,
+        drift_ppm: of.drift_ppm,
+        hold: of.hold,
+        patience: of.patience,
+        serve_without: of.without_lease == "serve-and-mark",
+        confirm: of.confirm,
+    }
+}
+
+/// The members at the founding, each that votes with its seat.
+pub fn founders(of: &FleetTerms) -> BTreeMap<Member, Seated> {
+    let mut next = 0;
+    let member = |(name, terms): (&String, &crate::lifecycle::settings::MemberTerms)| {
+        next += u64::from(terms.vote);
+        let seat = terms.vote.then_some(SeatNo(next));
+        let seated = Seated { address: terms.address.clone(), zone: terms.zone.clone(), seat, learns: false };
+        (Member::from(name.as_str()), seated)
+    };
+    of.members.iter().map(member).collect()
+}
+
+impl Fleet {
+    pub fn new(
+        settings: FleetTerms, name: &str, tariff: &Tariff, indexes: &[String], customers: Vec<String>, inherits: bool,
+        now: Micros,
+    ) -> Rc<Fleet> {
+        let (terms, me) = (spans(&settings), Member::from(name));
+        let keeper = Keeper::starts(terms, me.clone(), Incarnation(chance()), inherits, now);
+        let council = Council::new(founders(&settings), now);
+        Rc::new(Fleet {
+            terms,
+            id: number_of(&settings.name),
+            folder: settings.folder.clone().into(),
+            settings,
+            me,
+            keeper: RefCell::new(keeper),
+            changed: Event::new(),
+            council: RefCell::new(council),
+            inbox: RefCell::default(),
+            wake: Event::new(),
+            own: tariff.clone(),
+            indexes: indexes.to_vec(),
+            customers,
+            listed: RefCell::default(),
+            drained: RefCell::default(),
+            traffic: Cell::new((0, 0, 0, 0)),
+            posts: RefCell::default(),
+        })
+    }
+
+    /// Where this router listens for the others.
+    pub fn address(&self) -> Option<SocketAddr> {
+        let known = self.council.borrow().members.get(&self.me).map(|seated| seated.address.clone());
+        let own = self.settings.members.get(&self.me.0).map(|member| member.address.clone());
+        own.or(known).and_then(|address| address.parse().ok())
+    }
+
+    pub fn platform(&self) -> Platform {
+        ternpick_policy::platform(&self.own, &self.indexes, &self.customers)
+    }
+
+    /// Waits while a change takes hold; what then may be said is for [`Fleet::admit`], in the same turn.
+    pub async fn settled(&self, router: &Router) {
+        loop {
+            let changed = self.changed.listen();
+            let Admission::Hold(until) = self.keeper.borrow().admission(router.clock.now()) else { return };
+            let held = async {
+                async_io::Timer::at(router.clock.instant(until)).await;
+            };
+            future::or(changed, held).await;
+        }
+    }
+
+    /// Whether a lookup may be taken now, and under what; else its answer.
+    pub fn admit(&self, now: Micros) -> Result<Mark, Answer> {
+        match self.keeper.borrow().admission(now) {
+            Admission::Under(version) => Ok(Mark { version, unguarded: false }),
+            Admission::Unguarded(version) => Ok(Mark { version, unguarded: true }),
+            Admission::Hold(until) => Err(Self::refusal("a change of policy takes hold", until.since(now))),
+            Admission::Refused { why, come_back } => Err(Self::refusal(why.words(), come_back)),
+        }
+    }
+
+    fn refusal(words: &str, come_back: Micros) -> Answer {
+        let (status, _, body) = admit::line(503, &format!("refused: {words}"));
+        (status, retry_after(come_back), body)
+    }
+
+    /// Something has come from another router.
+    pub fn has_come(&self, parcel: Parcel) {
+        let mut inbox = self.inbox.borrow_mut();
+        if inbox.len() >= MOST_IN {
+            inbox.pop_front();
+        }
+        inbox.push_back(parcel);
+        self.wake.notify(1);
+    }
+
+    pub fn next_parcel(&self) -> Option<Parcel> {
+        self.inbox.borrow_mut().pop_front()
+    }
+
+    pub fn counts(&self, out: (u64, u64), come: (u64, u64)) {
+        let (a, b, c, d) = self.traffic.get();
+        self.traffic.set((a + out.0, b + out.1, c + come.0, d + come.1));
+    }
+
+    /// Whether a proposal fits this router's own settings.
+    pub fn check(&self, paper: &Paper) -> Verdict {
+        let name = format!("proposal {}", paper.number);
+        match Record::read_within(&name, &paper.text, &self.platform()) {
+            Ok(_) => Verdict::Fits,
+            Err(words) => Verdict::Refused(words),
+        }
+    }
+
+    /// Carries out what the keeper says.
+    pub fn carry_out(&self, router: &Router, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Check(paper) => {
+                    let verdict = self.check(&paper);
+                    let word = match &verdict {
+                        Verdict::Fits => "it fits".to_owned(),
+                        Verdict::Refused(words) => format!("refused, {words}"),
+                    };
+                    tracing::info!("policy: proposal {} by '{}' is looked at: {word}", paper.number, paper.author);
+                    self.keeper.borrow_mut().checked(paper.number, verdict);
+                }
+                Effect::Use(paper) => self.put_in_force(router, &paper),
+                Effect::Members(members) => self.council.borrow_mut().members = members,
+                Effect::Say(line) => tracing::info!("{line}"),
+            }
+        }
+        self.changed.notify(usize::MAX);
+    }
+
+    fn put_in_force(&self, router: &Router, paper: &Paper) {
+        let name = format!("version {}", paper.number);
+        let record = match Record::read_within(&name, &paper.text, &self.platform()) {
+            Ok(record) => record,
+            Err(words) => {
+                tracing::error!("policy: {name} does not fit here, nothing is admitted: {words}");
+                self.keeper.borrow_mut().does_not_fit(paper.number);
+                return;
+            }
+        };
+        let mut desk = router.desk.borrow_mut();
+        let tariff = &mut desk.brain.tariff;
+        ternpick_policy::put_in_force(&record, &self.own, &self.indexes, &self.customers, tariff);
+        drop(desk);
+        let drained: BTreeSet<String> = record.drained.iter().cloned().collect();
+        let before = self.drained.replace(drained);
+        let changed: Vec<String> = before.symmetric_difference(&self.drained.borrow()).cloned().collect();
+        // Nodes that operators drain reach the module as the roster's word does.
+        router.play(|brain, now, out| {
+            let rows: Vec<Listing> = changed.iter().filter_map(|name| self.listing(name, out)).collect();
+            brain.drains(now, &rows, out);
+        });
+    }
+
+    fn listing(&self, name: &str, out: &Office) -> Option<Listing> {
+        let listing = *self.listed.borrow().get(name)?;
+        let node = out.nodes.number(name)?;
+        Some(Listing { node, phase: self.stricter(name, listing.phase), ..listing })
+    }
+
+    fn stricter(&self, name: &str, phase: Phase) -> Phase {
+        match phase {
+            Phase::Ready if self.drained.borrow().contains(name) => Phase::Draining,
+            phase => phase,
+        }
+    }
+
+    /// Discovery lists a node: of its word and the policy's, the stricter counts.
+    pub fn lists(&self, name: &str, listing: &mut Listing) {
+        match listing.phase {
+            Phase::Gone => self.listed.borrow_mut().remove(name),
+            _ => self.listed.borrow_mut().insert(name.to_owned(), *listing),
+        };
+        listing.phase = self.stricter(name, listing.phase);
+    }
+
+    /// Discovery's whole list is this: others are gone.
+    pub fn lists_only(&self, names: &BTreeSet<&str>) {
+        self.listed.borrow_mut().retain(|name, _| names.contains(name.as_str()));
+    }
+
+    /// How the fleet looks from here; for people.
+    pub fn status(&self, brain: &Brain, now: Micros) -> serde_json::Value {
+        let (keeper, council) = (self.keeper.borrow(), self.council.borrow());
+        let view = keeper.view();
+        let next = view.and_then(|view| view.next.as_ref());
+        let (out, out_bytes, come, come_bytes) = self.traffic.get();
+        let admission = match keeper.admission(now) {
+            Admission::Under(_) => "admits".to_owned(),
+            Admission::Unguarded(_) => "admits without a lease, and marks it: the rule is given up".to_owned(),
+            Admission::Hold(_) => "waits while a change takes hold".to_owned(),
+            Admission::Refused { why, .. } => format!("refuses: {}", why.words()),
+        };
+        let drained = brain.nodes.values().filter(|node| node.listing.phase == Phase::Draining).count();
+        serde_json::json!({
+            "fleet": self.settings.name, "member": self.me, "version": keeper.version(),
+            "author": view.map(|view| &view.in_force.author), "reason": view.map(|view| &view.in_force.reason),
+            "epoch": view.map(|view| view.epoch), "knows_up_to": view.map(|view| view.index),
+            "lease_left_ms": keeper.lease_left(now).map(|left| left.0 / 1000), "admission": admission,
+            "unfit": keeper.unfit(), "next": next.map(|next| serde_json::json!({
+                "number": next.paper.number, "author": next.paper.author, "takes_hold": next.barrier,
+                "round": next.round, "unconfirmed": next.unconfirmed})),
+            "leader": council.leader(), "leads": council.leads(), "seat": council.seat_status(),
+            "seat_words": council.seat_words, "draining": drained, "parcels_out": out, "bytes_out": out_bytes,
+            "parcels_in": come, "bytes_in": come_bytes,
+        })
+    }
+}
--- a/router/src/lifecycle/cli.rs
+++ b/router/src/lifecycle/cli.rs
@@ -6,6 +6,7 @@
 use clap::{Parser, Subcommand};
 use ternpick::types::Micros;
 
+use crate::fleet::cli as fleet;
 use crate::lifecycle::reload::Source;
 use crate::lifecycle::tls::Tls;
 use crate::lifecycle::{config, control, settings, start, takeover, tools};
@@ -25,7 +26,7 @@
         /// The configuration file
         #[arg(long, env = "ROUTER_CONFIG")]
         config: PathBuf,
-        /// The settings file: identity, TLS, the log. Without it none of these is on
+        /// The settings file: identity, TLS, the fleet, the log. Without it none of these is on
         #[arg(long, env = "ROUTER_SETTINGS")]
         settings: Option<PathBuf>,
         /// Takes the place of the process that started this one, over its standard input
@@ -51,6 +52,12 @@
     Revoke(tools::Revoke),
     #[command(flatten)]
     Control(control::Commands),
+    /// Shows, proposes and withdraws the fleet's policy
+    #[command(subcommand)]
+    Policy(fleet::Policy),
+    /// Tells and changes who belongs to the fleet, and who votes
+    #[command(subcommand)]
+    Fleet(fleet::FleetCommand),
     /// Tells what callers may do
     #[command(subcommand)]
     Rights(tools::RightsCommand),
@@ -98,6 +105,14 @@
             Ok(code) => return code,
             Err(what) => Err(what),
         },
+        Command::Policy(command) => match fleet::policy(command) {
+            Ok(code) => return code,
+            Err(what) => Err(what),
+        },
+        Command::Fleet(command) => match fleet::fleet(command) {
+            Ok(code) => return code,
+            Err(what) => Err(what),
+        },
         Command::Version => {
             println!("ternpick {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/router/src/lifecycle/control.rs
+++ b/router/src/lifecycle/control.rs
@@ -21,13 +21,14 @@
 use serde_json::{json, Value};
 use ternpick::types::Micros;
 
+use crate::fleet::commands;
 use crate::lifecycle::settings::ControlTerms;
 use crate::lifecycle::snapshot;
 use crate::lifecycle::upgrade::{self, Start, Upgrades};
 use crate::stages::Router;
 
 /// The longest question, and how long it may take to come.
-const ASK_BOUND: usize = 8 * 1024;
+const ASK_BOUND: usize = 32 * 1024;
 const ASK_WITHIN: Micros = Micros(2_000_000);
 /// The most that ask at a time.
 const MOST_ASKING: usize = 4;
@@ -130,6 +131,10 @@
     let Some(asked) = router.until(Some(late), question(&stream)).await.flatten() else { return };
     let last = match asked["do"].as_str() {
         Some("status") => json!({"done": true, "ok": true, "status": status(router, control)}),
+        Some("fleet") => match &router.fleet {
+            Some(fleet) => commands::answer(router, fleet, &asked).await,
+            None => json!({"done": true, "ok": false, "line": "this router belongs to no fleet: none is in its settings"}),
+        },
         Some("drain") => {
             router.told_to_stop.notify(1);
             json!({"done": true, "ok": true, "line": "this process answers what it has taken, and leaves"})
@@ -171,7 +176,7 @@
             }
             json!({"done": true, "ok": false, "line": done.err()})
         }
-        _ => json!({"done": true, "ok": false, "line": "ask for status, upgrade or drain"}),
+        _ => json!({"done": true, "ok": false, "line": "ask for status, fleet, upgrade or drain"}),
     };
     say(&stream, &last).await;
 }
@@ -210,6 +215,7 @@
         "descriptors_may": router.descriptors.total(), "memory_held": router.budget.used(),
         "roster_version": router.roster_version.get(), "nodes": nodes,
         "identity": router.gate.as_ref().map(|gate| gate.status(router)), "limits": limits,
+        "fleet": router.fleet.as_ref().map(|fleet| fleet.status(brain, now)),
     })
 }
 
@@ -217,10 +223,10 @@
 pub struct Socket {
     /// The control socket of the router, as its settings name it
     #[arg(long, env = "TERNPICK_SOCKET")]
-    socket: PathBuf,
+    pub socket: PathBuf,
     /// Prints JSON, for scripts
     #[arg(long)]
-    json: bool,
+    pub json: bool,
 }
 
 #[derive(Subcommand)]
@@ -255,7 +261,7 @@
     },
 }
 
-fn ask(socket: &Path, question: &Value, each: &mut dyn FnMut(&Value)) -> Result<Value, String> {
+pub fn ask(socket: &Path, question: &Value, each: &mut dyn FnMut(&Value)) -> Result<Value, String> {
     let words = |e: std::io::Error| format!("control socket {}: {e}", socket.display());
     let mut stream = UnixStream::connect(socket).map_err(words)?;
     stream.write_all(format!("{question}\n").as_bytes()).map_err(words)?;
--- a/router/src/lifecycle/settings.cue
+++ b/router/src/lifecycle/settings.cue
@@ -36,9 +36,44 @@
 	silence: duration & >=100ms & <=1min | *3s
 }
 
+// The routers of one fleet: the same on each of them.
+#Fleet: {
+	// Two fleets never mix.
+	name: string & =~"."
+	// The routers at the founding, by the names that their configurations give them. Later ones are added by command.
+	members: {[string]: #Member}
+	// This router's own folder; {name} stands for its name. It has to last: what is answered for is kept there.
+	folder: string | *"fleet/{name}"
+	// How long a router may admit on its own, from when it asked; and how often it asks.
+	lease: duration & >=200ms & <=1min | *2s
+	renew: duration & >=20ms & <=20s | *500ms
+	// How far clocks may run fast or slow, in millionths. Beyond it nothing is promised.
+	drift_ppm: int & >=0 & <=200000 | *10000
+	// How long lookups wait while a change takes hold, before they are refused.
+	hold: duration & >=0s & <=10s | *250ms
+	// How long a change that takes hold waits for all to have stopped.
+	patience: duration & >=10ms & <=10s | *150ms
+	// What a router does without a lease: it refuses new lookups, or it serves on under the last policy that it knows and
+	// marks its answers. Then a change may be in force at some routers and not at others.
+	without_lease: "refuse" | "serve-and-mark" | *"refuse"
+	// Whether a change needs a second person's word (ternpick policy confirm).
+	confirm: bool | *false
+	// Without a word of the one that leads for so long, and up to as much more by chance, another one is voted for.
+	election: duration & >=100ms & <=1min | *500ms
+}
+
+#Member: {
+	// Where the other routers reach it.
+	address: string & =~":[0-9]+$"
+	zone:    string | *""
+	// Whether it votes: three, five or seven do, in different zones.
+	vote: bool | *false
+}
+
 #Settings: {
 	log: #Log
 	control?: #Control
 	identity?: #Identity
 	tls?: #Tls
+	fleet?: #Fleet
 }
--- a/router/src/lifecycle/settings.rs
+++ b/router/src/lifecycle/settings.rs
@@ -1,5 +1,6 @@
 //! The router's own settings: typed records in a file beside what the platform hands over. None of it is on without.
 
+use std::collections::BTreeMap;
 use std::path::Path;
 
 use serde::Deserialize;
@@ -42,12 +43,53 @@
     pub silence: u64,
 }
 
+#[derive(Clone, Debug, Deserialize)]
+pub struct MemberTerms {
+    pub address: String,
+    pub zone: String,
+    pub vote: bool,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+pub struct FleetTerms {
+    pub name: String,
+    pub members: BTreeMap<String, MemberTerms>,
+    pub folder: String,
+    pub lease: u64,
+    pub renew: u64,
+    pub drift_ppm: u64,
+    pub hold: u64,
+    pub patience: u64,
+    pub without_lease: String,
+    pub confirm: bool,
+    pub election: u64,
+}
+
+impl FleetTerms {
+    /// What the types do not say.
+    fn check(&self) -> Result<(), String> {
+        for (name, member) in &self.members {
+            let address = member.address.parse::<std::net::SocketAddr>();
+            address.map_err(|_| format!("fleet.members.{name}.address is no address and port"))?;
+        }
+        let votes = self.members.values().filter(|member| member.vote).count();
+        if votes == 0 || votes > 9 {
+            return Err(format!("fleet.members: {votes} vote, there have to be 1 to 9, best 3, 5 or 7"));
+        }
+        if self.renew * 2 > self.lease {
+            return Err("fleet.renew is over half of fleet.lease: a lease would end between two requests".into());
+        }
+        Ok(())
+    }
+}
+
 #[derive(Debug, Deserialize)]
 struct Form {
     log: Log,
     control: Option<ControlTerms>,
     identity: Option<Value>,
     tls: Option<TlsTerms>,
+    fleet: Option<FleetTerms>,
 }
 
 /// Identity's terms, and the limits of its tenants by name.
@@ -62,6 +104,7 @@
     pub control: Option<ControlTerms>,
     pub identity: Option<IdentityTerms>,
     pub tls: Option<TlsTerms>,
+    pub fleet: Option<FleetTerms>,
     /// Every value used, a line each with its origin.
     pub used: Vec<String>,
 }
@@ -69,7 +112,7 @@
 impl Default for Settings {
     fn default() -> Self {
         let log = Log { form: "text".into(), level: "info".into() };
-        Settings { log, control: None, identity: None, tls: None, used: Vec::new() }
+        Settings { log, control: None, identity: None, tls: None, fleet: None, used: Vec::new() }
     }
 }
 
@@ -91,6 +134,21 @@
     Ok(IdentityTerms { terms, limits, whole })
 }
 
+impl Settings {
+    /// Paths that several routers of one machine may share a file for: `{name}` is this router's.
+    pub fn for_router(mut self, name: &str) -> Settings {
+        let own = |path: &mut String| *path = path.replace("{name}", name);
+        if let Some(control) = &mut self.control {
+            own(&mut control.socket);
+            control.pid_file.iter_mut().for_each(own);
+        }
+        if let Some(fleet) = &mut self.fleet {
+            own(&mut fleet.folder);
+        }
+        self
+    }
+}
+
 /// Reads a settings file; all that is wrong with it comes back, each mistake marked in the text.
 pub fn read(path: &Path) -> Result<Settings, String> {
     let Read { value: form, used } = SCHEMA.read_file::<Form>(path).map_err(|refused| refused.to_string())?;
@@ -99,6 +157,9 @@
     if let Some(tls) = &form.tls {
         tls.listen.parse::<std::net::SocketAddr>().map_err(|_| named("tls.listen is no address".into()))?;
     }
+    if let Some(fleet) = &form.fleet {
+        fleet.check().map_err(named)?;
+    }
     let used = used.iter().map(ToString::to_string).collect();
-    Ok(Settings { log: form.log, control: form.control, identity, tls: form.tls, used })
+    Ok(Settings { log: form.log, control: form.control, identity, tls: form.tls, fleet: form.fleet, used })
 }
--- a/router/src/lifecycle/start.rs
+++ b/router/src/lifecycle/start.rs
@@ -13,6 +13,7 @@
 use serde_json::Value;
 use ternpick::brain::Brain;
 
+use crate::fleet::{council, Fleet};
 use crate::lifecycle::clock::Clock;
 use crate::lifecycle::config::Opening;
 use crate::lifecycle::control::{self, Control};
@@ -73,6 +74,7 @@
 /// Serves until told to stop and nothing taken is left unanswered.
 pub fn serve(opening: Opening, settings: Settings, source: Source, from: From) -> Result<(), String> {
     logging::start(&settings.log);
+    let settings = settings.for_router(&opening.name);
     let signals = signals::listen()?;
     let digest = digest(&source);
     let Opening { name, listen, discovery, seed, sockets, memory, known, mut tariff, bounds, .. } = opening;
@@ -91,10 +93,19 @@
         }
         None => (None, None),
     };
+    let customers = match &gate {
+        Some(gate) => gate.customers(),
+        None => bounds.customer_names.clone(),
+    };
+    let inherits = matches!(from, From::Process(..));
+    let clock = Clock::start();
+    let fleet = settings.fleet.map(|terms| {
+        Fleet::new(terms, &name, &tariff, &bounds.index_names, customers, inherits, clock.now())
+    });
     let (bounds, asked) = (Rc::new(bounds), tariff.roster_on_request);
     let office = Office { bounds: Rc::clone(&bounds), limits, ..Office::default() };
     let router = Rc::new(Router {
-        clock: Clock::start(),
+        clock,
         bounds,
         descriptors: Descriptors::new(sockets),
         budget: Budget::new(memory),
@@ -102,6 +113,7 @@
         executor: Rc::new(LocalExecutor::new()),
         desk: RefCell::new(Desk { brain: Brain::new(tariff, seed), office }),
         gate,
+        fleet,
         turn: Event::new(),
         watch: Event::new(),
         discovery: Cell::new(discovery),
@@ -169,6 +181,9 @@
             router.desk.borrow().office.nodes.count()
         );
         sources::start(&router);
+        if let Some(fleet) = &router.fleet {
+            executor.spawn(council::run(Rc::clone(&router), Rc::clone(fleet))).detach();
+        }
         let control = match control {
             Some(terms) => Some(open_control(&router, &share, terms, &source, digest, &listeners, &name)?),
             None => None,
--- a/router/src/lifecycle/watch.rs
+++ b/router/src/lifecycle/watch.rs
@@ -29,6 +29,9 @@
         for entry in entries {
             match discovery::entry(entry, &out.bounds.zone_names) {
                 Ok((name, address, mut listing)) => {
+                    if let Some(fleet) = &router.fleet {
+                        fleet.lists(&name, &mut listing);
+                    }
                     let (node, news) = out.nodes.list(&name, address, listing.phase);
                     listing.node = node;
                     // The module's lines name nodes by these numbers.
@@ -43,6 +46,9 @@
         if full {
             let listed: Vec<_> = listings.iter().map(|listing| listing.node).collect();
             out.nodes.keep_only(&listed);
+            if let Some(fleet) = &router.fleet {
+                fleet.lists_only(&entries.iter().filter_map(|entry| entry["name"].as_str()).collect());
+            }
         }
         let gone = listings.iter().filter(|listing| listing.phase == Phase::Gone).count();
         tracing::debug!("roster: version {version}, {} entries, {gone} gone", listings.len());
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -1,5 +1,6 @@
 //! The ternpick query router: the decisions of the `ternpick` library on real sockets.
 
+mod fleet;
 mod lifecycle;
 mod memory;
 mod stages;
--- a/router/src/memory/ledger.rs
+++ b/router/src/memory/ledger.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
+use crate::fleet::Mark;
 use ternpick::types::{CallNo, CustomerNo, LookupId, Micros, NodeId, PartId, ShardNo};
 
 use crate::memory::clients::Reply;
@@ -25,13 +26,15 @@
     pub tenant: Option<CustomerNo>,
     pub at: Micros,
     pub soft: Micros,
+    /// The policy that it is decided under; none where the fleet agrees on none.
+    pub mark: Option<Mark>,
     /// Follows the lookup through the stages.
     pub span: tracing::Span,
 }
 
 impl Default for Taken {
     fn default() -> Self {
-        Taken { tenant: None, at: Micros(0), soft: Micros(u64::MAX), span: tracing::Span::none() }
+        Taken { tenant: None, at: Micros(0), soft: Micros(u64::MAX), mark: None, span: tracing::Span::none() }
     }
 }
 
--- a/router/src/stages/admit.rs
+++ b/router/src/stages/admit.rs
@@ -89,12 +89,14 @@
     if desk.office.is_full() {
         return Err(line(503, "too many lookups in hand"));
     }
+    // By the clock as it stands in this very turn: a process that was stopped finds its lease over.
+    let mark = router.fleet.as_ref().map(|fleet| fleet.admit(router.clock.now())).transpose()?;
     // From here on the place is the lookup's, and is given back where it closes.
     if let (Some(limits), Some(tenant)) = (&mut desk.office.limits, tenant) {
         gate::place(limits, now, tenant, repeat)?;
     }
     let span = tracing::debug_span!("lookup", id = name, index = segment);
-    let taken = Taken { tenant, at: now, soft, span };
+    let taken = Taken { tenant, at: now, soft, mark, span };
     let reply = Rc::new(Reply::default());
     let shards = parts.iter().map(|(shard, _, _)| *shard);
     let (id, ids) = desk.office.ledger.open(name, statement, key, shards, Rc::clone(&reply), taken);
--- a/router/src/stages/book.rs
+++ b/router/src/stages/book.rs
@@ -9,6 +9,7 @@
 use ternpick_limits::Limits;
 use ternpick_tariff::Bounds;
 
+use crate::fleet::Mark;
 use crate::memory::ledger::{CallKey, CallOut, Ledger, Place};
 use crate::memory::nodes::{ConnectionId, Nodes};
 use crate::stages::send;
@@ -137,7 +138,8 @@
             let unsent: Vec<CallKey> = out.map(|(key, _)| key).collect();
             unsent.into_iter().for_each(|key| self.end_call(key, Ending::Unsent));
         }
-        held.reply.set(status, headers, body);
+        let mark = held.taken.mark.map(Mark::headers).unwrap_or_default();
+        held.reply.set(status, headers + &mark, body);
     }
 
     /// Its client has left: no answer is due.
--- a/router/src/stages/gate.rs
+++ b/router/src/stages/gate.rs
@@ -97,6 +97,15 @@
         limits(&self.identity.borrow(), of).iter().map(|terms| terms.per_second).collect()
     }
 
+    /// The tenants' names, in the order of their quotas.
+    pub fn customers(&self) -> Vec<String> {
+        let identity = self.identity.borrow();
+        let mut all: Vec<(u16, String)> =
+            identity.rights.tenants().map(|(name, number)| (number.0, name.0.to_string())).collect();
+        all.sort();
+        all.into_iter().map(|(_, name)| name).collect()
+    }
+
     /// What time it is, for keys and tokens.
     pub fn now(&self, router: &Router) -> Micros {
         let machine = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/router/src/stages/mod.rs
+++ b/router/src/stages/mod.rs
@@ -23,6 +23,7 @@
 use ternpick::types::Micros;
 use ternpick_tariff::Bounds;
 
+use crate::fleet::Fleet;
 use crate::lifecycle::clock::Clock;
 use crate::memory::budget::Budget;
 use crate::memory::clients::Clients;
@@ -47,6 +48,8 @@
     pub desk: RefCell<Desk>,
     /// Who may ask; none: everybody.
     pub gate: Option<Gate>,
+    /// The fleet that this router agrees with on its policy; none: it goes by its own settings alone.
+    pub fleet: Option<Rc<Fleet>>,
     /// An input has been played, so orders may wait to be carried out.
     pub turn: Event,
     /// The module wants the roster watched.
--- a/router/src/stages/take_in.rs
+++ b/router/src/stages/take_in.rs
@@ -183,6 +183,9 @@
             (admit::line(status, what), true)
         }
         Ok(()) => {
+            if let Some(fleet) = &router.fleet {
+                fleet.settled(router).await;
+            }
             let (closes, admitted) =
                 (request.closes(), admit::admit(router, request, began, line.stream.certificate()));
             line.holds(request.body().len());
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -190,10 +190,10 @@
         self.take();
         let row = &mut self.tariff.indexes[index.at()];
         row.seen = true;
-        let (soft, end) = (now + row.soft.min(left), now + left);
-        let lookup =
-            Lookup { id, query, repeat, index, customer, soft, end, left, expected, ..Lookup::default() };
-        self.lookups.insert(id, lookup);
+        let (soft, end, row) = (now + row.soft.min(left), now + left, row.clone());
+        let partly = row.partly_at.map_or(soft, |at| soft.min(now + at));
+        let of = Lookup { id, query, repeat, index, row, customer, expected, ..Lookup::default() };
+        self.lookups.insert(id, Lookup { soft, partly, end, left, ..of });
         self.settle(out);
     }
 
@@ -277,6 +277,16 @@
         self.settle(out);
     }
 
+    /// Operators drain nodes, or no longer: of theirs and discovery's word the stricter is listed.
+    pub fn drains(&mut self, now: Micros, list: &[Listing], out: &mut dyn Actions) {
+        self.now = now;
+        for listing in list {
+            self.nodes.entry(listing.node).and_modify(|n| n.listing.phase = listing.phase);
+        }
+        self.stale = true;
+        self.settle(out);
+    }
+
     /// What the figures of beliefs rest on.
     fn terms(&self) -> String {
         let (rows, of) = (self.tariff.indexes.iter().map(|row| (row.soft, row.repeat)), &self.tariff);
@@ -379,13 +389,9 @@
         self.lookups.values().find(|lk| wanted(lk)).map(|lk| Case { lookup: lk.id, ..Case::default() })
     }
 
-    fn row(&self, lookup: &Lookup) -> &IndexRow {
-        &self.tariff.indexes[lookup.index.at()]
-    }
-
     /// The weight that makes the present step whole, and the least that may be answered.
     fn bars(&self, lookup: &Lookup) -> (f64, f64) {
-        let row = self.row(lookup);
+        let row = &lookup.row;
         let least = row.least.min(row.need);
         match lookup.second {
             true => (1.0, if row.least < row.need { least } else { 1.0 }),
@@ -402,9 +408,9 @@
     /// When a step is answered with what is in: its gain is about to fall. A first step leaves the second
     /// its time.
     fn cut_at(&self, lookup: &Lookup) -> Micros {
-        let second = !lookup.second && self.row(lookup).second_step > 0;
+        let second = !lookup.second && lookup.row.second_step > 0;
         let needed = self.survey.middle.filter(|_| second).map_or(Micros(0), |m| Micros((m * SECOND) as u64));
-        Micros(lookup.soft.0 - needed.0.min(lookup.soft.since(self.now).0))
+        Micros(lookup.partly.0 - needed.0.min(lookup.partly.since(self.now).0))
     }
 
     /// An answer is due when it is whole; one in part when its gain is about to fall, or no more can come.
@@ -422,7 +428,7 @@
         let whole = self.lookups.get(&id).is_some_and(|lk| self.whole(lk) && (!lk.second || lk.first_whole));
         out.answer(id, whole);
         let Some(lookup) = self.lookups.get_mut(&id) else { return };
-        let second_step = self.tariff.indexes[lookup.index.at()].second_step;
+        let second_step = lookup.row.second_step;
         if lookup.second || second_step == 0 {
             return self.close(id, out);
         }
@@ -486,7 +492,7 @@
     /// A nack where a repeat is harmless, else an abort.
     fn refuse(&mut self, id: LookupId, come_back: Micros, out: &mut dyn Actions) {
         let Some(lookup) = self.lookups.get(&id) else { return };
-        let harmless = self.row(lookup).repeat == Repeat::Idempotent
+        let harmless = lookup.row.repeat == Repeat::Idempotent
             || !lookup.second && lookup.parts.iter().all(|p| !p.calls.iter().any(Call::may_have_run));
         if harmless {
             out.nack(id, self.tariff.longest_advice.map_or(Micros(0), |longest| come_back.min(longest)));
@@ -555,8 +561,8 @@
         let seen = self.tariff.indexes.iter().filter(|row| row.seen);
         let best = seen.map(|row| row.gain).fold(0.0, f64::max);
         let share = if within_share { 1.0 } else { self.tariff.over_share_gain };
-        let rank = if best > 0.0 { share * self.row(lookup).gain / best } else { 1.0 };
-        let rank = if lookup.left < self.row(lookup).soft { 1.0 } else { rank };
+        let rank = if best > 0.0 { share * lookup.row.gain / best } else { 1.0 };
+        let rank = if lookup.left < lookup.row.soft { 1.0 } else { rank };
         let spare = self.tariff.vain.map_or(SPARE_TIME, |vain| SPARE_TIME.max(1.0 - DEAR * vain));
         spare + (1.0 - spare) * rank
     }
@@ -722,7 +728,7 @@
         let calls = planned.len().max(1) as f64;
         let latest = sum / plan.places.len().max(1) as f64 * (LATEST.0 + LATEST.1 * calls.ln()).max(1.0);
         // Not where some may be missing; and a client that gives less than the aim is no sign of load.
-        let holds = self.bars(lookup).1 >= 1.0 && lookup.left >= self.row(lookup).soft;
+        let holds = self.bars(lookup).1 >= 1.0 && lookup.left >= lookup.row.soft;
         if holds && latest > left {
             (plan.slowest, plan.in_time) = (plan.slowest.max(latest), 0.0);
         }
@@ -770,24 +776,26 @@
     fn may_call(&self, lookup: &Lookup, part: &Part) -> bool {
         let calls = &part.calls;
         let (dial, first_run) = (self.tariff.dial, calls.iter().find(|c| c.may_have_run()).map(|c| c.sent));
-        let harmless = match self.row(lookup).repeat {
+        let harmless = match lookup.row.repeat {
             Repeat::Idempotent => true,
             // A dial and two beats are kept back: the window is the nodes', the call has yet to reach one.
             Repeat::Fingerprinted(window) => first_run.is_none_or(|s| !self.soon(s + window.since(dial))),
             Repeat::OnceOnly => first_run.is_none(),
         };
-        let tries_left = self.tariff.most_calls.is_none_or(|most| calls.len() < most) && calls.len() < 255;
-        let alone = self.tariff.second_copies || part.calls_out() == 0;
-        let budget = calls.is_empty() || self.within_budget();
+        let most = lookup.row.calls.or(self.tariff.most_calls).unwrap_or(255).min(255);
+        let (tries_left, copies) = (calls.len() < most, self.tariff.second_copies && !lookup.row.no_copies);
+        let alone = copies || part.calls_out() == 0;
+        let budget = calls.is_empty() || self.within_budget(lookup);
         !part.satisfied && harmless && tries_left && alone && budget && !self.soon(lookup.end)
     }
 
-    fn within_budget(&self) -> bool {
+    fn within_budget(&self, lookup: &Lookup) -> bool {
         let Some(window) = self.tariff.extra_window else { return true };
         // At the very edge of the window a call made may still count, a request taken may not.
         let made = self.extras.iter().filter(|at| self.now.since(**at) <= window).count() as f64;
         let taken = self.taken.iter().filter(|at| self.now.since(**at) < window).count() as f64;
-        made + 1.0 <= self.tariff.extra_spare + self.tariff.extra_ratio * taken
+        let fits = |(spare, ratio): (f64, f64)| made + 1.0 <= spare + ratio * taken;
+        fits((self.tariff.extra_spare, self.tariff.extra_ratio)) && lookup.row.further.is_none_or(fits)
     }
 
     /// Connections that rest may be dropped on the way, and neither end is told: what is sent on one is lost.
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -295,7 +295,7 @@
     let mut brain = router(tariff(), 1);
     brain.tariff.indexes[0].least = least;
     let mut held = lookup(&brain, weights, &[OK]);
-    held.soft = brain.now;
+    (held.soft, held.partly) = (brain.now, brain.now);
     for part in held.parts.iter_mut().skip((least * weights.len() as f64) as usize) {
         (part.satisfied, part.calls[0].ending) = (false, None);
     }
@@ -325,7 +325,7 @@
     let budget = Tariff { extra_spare, extra_ratio, extra_window: Some(ms(1000)), ..tariff() };
     let mut brain = router(budget, 2);
     (brain.taken, brain.extras) = (vec![brain.now; 2].into(), vec![brain.now; made].into());
-    assert_eq!(brain.within_budget(), may);
+    assert_eq!(brain.within_budget(&lookup(&brain, &[1.0], &[])), may);
 }
 
 /// Parts whose scout failed are planned together, each within the budget as it stands before any is called.
@@ -731,3 +731,45 @@
     assert_eq!(close.is_some(), closed);
     assert_eq!(node(&mut brain, 1).rested_call.is_some(), !closed, "a new connection has not rested");
 }
+
+// A policy of the fleet: stricter than the platform, never looser, and for lookups that are admitted under it.
+#[test_case(IndexRow { calls: Some(1), ..IndexRow::default() }, false; "no call beyond the first")]
+#[test_case(IndexRow { further: Some((0.0, 0.0)), ..IndexRow::default() }, false; "no further calls at all")]
+#[test_case(IndexRow { further: Some((1.0, 0.0)), ..IndexRow::default() }, true; "a spare one")]
+#[test_case(IndexRow::default(), true; "says nothing")]
+fn a_policy_binds_further_calls(row: IndexRow, may: bool) {
+    let budget = Tariff { extra_spare: 5.0, extra_window: Some(ms(1000)), ..tariff() };
+    let brain = router(budget, 2);
+    let row = IndexRow { soft: ms(1000), need: 1.0, least: 1.0, ..row };
+    let held = Lookup { row, ..lookup(&brain, &[1.0], &[NEVER]) };
+    assert_eq!(brain.may_call(&held, &held.parts[0]), may);
+}
+
+#[test_case(true, false; "no copies")]
+#[test_case(false, true; "copies")]
+fn a_policy_may_forgo_copies(no_copies: bool, may: bool) {
+    let brain = router(tariff(), 2);
+    let mut held = lookup(&brain, &[1.0], &[OUT]);
+    held.row.no_copies = no_copies;
+    assert_eq!(brain.may_call(&held, &held.parts[0]), may);
+}
+
+#[test_case(None, 950, false; "as ever at the soft deadline")]
+#[test_case(Some(400), 350, false; "before its time")]
+#[test_case(Some(400), 400, true; "at its time")]
+#[test_case(Some(9000), 950, false; "never after the soft deadline")]
+fn an_answer_in_part_goes_when_the_policy_says(at: Option<u64>, later: u64, due: bool) {
+    let mut brain = router(tariff(), 2);
+    (brain.tariff.indexes[0].least, brain.tariff.indexes[0].partly_at) = (0.5, at.map(ms));
+    brain.tariff.indexes[0].soft = ms(1000);
+    let (now, mut tape) = (brain.now, Tape::default());
+    brain.lookup(now, LookupId(1), QueryNo(1), IndexNo(0), CustomerNo(0), 2, ms(3000), false, &mut tape);
+    // Whatever is in force by now, it keeps what it was admitted under.
+    brain.tariff.indexes[0].partly_at = Some(ms(1));
+    let held = lookup(&brain, &[0.5, 0.5], &[OUT]);
+    let own = brain.lookups.get_mut(&LookupId(1)).expect("in hand");
+    (own.parts, own.placed) = (held.parts, true);
+    own.parts[0].satisfied = true;
+    brain.now = now + ms(later);
+    assert_eq!(brain.answer_is_due().is_some(), due);
+}
--- a/src/brain/tests/helpers.rs
+++ b/src/brain/tests/helpers.rs
@@ -105,6 +105,8 @@
     };
     Lookup {
         id: LookupId(1),
+        row: brain.tariff.indexes[0].clone(),
+        partly: brain.now + ms(1000),
         soft: brain.now + ms(1000),
         end: brain.now + ms(3000),
         left: ms(3000),
--- a/src/types.rs
+++ b/src/types.rs
@@ -143,6 +143,15 @@
     pub second_step: usize,
     /// Lookups of it have come to this router.
     pub seen: bool,
+    /// What a policy of the fleet says beyond the rest, never more than that allows; a `None` says nothing. From a
+    /// lookup's coming on: when to answer with what is in.
+    pub partly_at: Option<Micros>,
+    /// Calls for a part.
+    pub calls: Option<usize>,
+    /// A late part has no second call beside the first.
+    pub no_copies: bool,
+    /// Further calls within the budget's window: so many, and a share of what was taken.
+    pub further: Option<(f64, f64)>,
 }
 
 /// The terms of service that a router reads at its start. A `None` is a limit that is not set.
@@ -283,6 +292,10 @@
     /// A client's repeat of an earlier lookup, as far as clients say so.
     pub repeat: bool,
     pub index: IndexNo,
+    /// Its index's row as it was when it was admitted: a change of policy finds it under the old one to its end.
+    pub row: IndexRow,
+    /// When it is answered with what is in.
+    pub partly: Micros,
     pub customer: CustomerNo,
     /// When its gain falls, and when its client leaves.
     pub soft: Micros,
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -94,6 +94,24 @@
     sum.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
+/// A folder that is one process's own while this lives: another that wants it is told so.
+#[derive(Debug)]
+pub struct Held(#[allow(dead_code)] fs::File);
+
+/// Takes a folder for this process, or says that another one has it (`None`). The folder is made if it is missing; one
+/// that cannot be written can still be held.
+pub fn hold(folder: &Path) -> Result<Option<Held>, Fault> {
+    if !folder.exists() {
+        fs::create_dir_all(folder).map_err(fault("make", folder))?;
+    }
+    let file = fs::File::open(folder).map_err(fault("open", folder))?;
+    match file.try_lock() {
+        Ok(()) => Ok(Some(Held(file))),
+        Err(fs::TryLockError::WouldBlock) => Ok(None),
+        Err(fs::TryLockError::Error(error)) => Err(fault("hold", folder)(error)),
+    }
+}
+
 /// Reads what is kept as `kind`.
 pub fn get(path: &Path, kind: &str) -> Result<Kept, Fault> {
     let name = || path.display().to_string();
@@ -156,6 +174,16 @@
         assert_eq!(parse(&whole, "list").map(|kept| kept.version), Ok(7));
     }
 
+    #[test]
+    fn a_folder_is_held_by_one_at_a_time() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("new");
+        let held = hold(&path).expect("made").expect("free");
+        assert!(hold(&path).expect("there").is_none());
+        drop(held);
+        assert!(hold(&path).expect("there").is_some());
+    }
+
     #[test]
     fn only_its_owner_may_read_it_and_nothing_is_left_beside_it() {
         let (folder, path) = kept(b"x");
--- a/tariff/src/lib.rs
+++ b/tariff/src/lib.rs
@@ -12,6 +12,8 @@
 pub struct Bounds {
     pub index_names: Vec<String>,
     pub zone_names: Vec<String>,
+    /// In the order of the quotas.
+    pub customer_names: Vec<String>,
     /// The figures of a load report, in the module's order.
     pub columns: Vec<String>,
     pub shards: Option<u32>,
@@ -58,6 +60,7 @@
     Bounds {
         index_names: texts(rows(all, "classes"), |row| &row["name"]),
         zone_names: texts(rows(all, "areas"), |name| name),
+        customer_names: texts(rows(all, "projects"), |row| &row["name"]),
         columns: texts(rows(&all["report"], "columns"), |name| name),
         shards: num(extra, "shards").map(|n| n as u32),
         most_held: count(limits, "mostHeld"),
@@ -168,6 +171,7 @@
         least: of_extra("minShare").unwrap_or(need),
         seen: false,
         second_step: of_extra("secondStep").map_or(0, |n| n as usize),
+        ..IndexRow::default()
     }
 }
 
