--- a/router/src/fleet/cli.rs
+++ b/router/src/fleet/cli.rs
@@ -454,7 +454,7 @@
     let voters: Vec<_> = members.values().filter_map(|of| of.seat).collect();
     let state = postcard::to_stdvec(&Register::begins(members)).map_err(|e| e.to_string())?;
     let image = Seat::founds(number_of(&terms.name), seat, &voters, state);
-    disk::keep(&folder, 0, &image)?;
+    disk::keep(&folder, &mut None, 0, &image)?;
     println!("{me} has seat {seat} of {} in fleet {}, kept in {}", voters.len(), terms.name, folder.display());
     Ok(ExitCode::SUCCESS)
 }
--- a/router/src/fleet/council.rs
+++ b/router/src/fleet/council.rs
@@ -74,6 +74,8 @@
     keeping: bool,
     kept: Option<Result<(), String>>,
     image: Vec<u8>,
+    /// Where it is kept; with who writes while something is being kept.
+    journal: Option<ternpick_store::Journal>,
     keep_again: Option<Micros>,
     images: u64,
     /// Said within this router.
@@ -98,6 +100,7 @@
             keeping: false,
             kept: None,
             image: Vec::new(),
+            journal: None,
             keep_again: None,
             images: 0,
             home: VecDeque::new(),
@@ -174,9 +177,9 @@
     /// Takes the seat that the folder holds.
     fn take_seat(&self) {
         let mut council = self.council.borrow_mut();
-        let found = disk::find(&self.folder, self.id, self.seat_terms(), chance());
+        let (found, journal) = disk::find(&self.folder, self.id, self.seat_terms(), chance());
         let votes = council.members.get(&self.me).is_some_and(|seated| seated.seat.is_some());
-        council.register = None;
+        (council.register, council.journal) = (None, journal);
         (council.seat, council.seat_words) = match found {
             Found::Seat(seat) => {
                 council.register = seat.begins_from().and_then(|(_, state)| postcard::from_bytes(&state).ok());
@@ -457,9 +460,13 @@
         council.keeping = true;
         council.images += 1;
         let (folder, version, me) = (self.folder.clone(), council.images, Rc::clone(me));
+        let mut journal = council.journal.take();
         let task = async move {
-            let kept = blocking::unblock(move || disk::keep(Path::new(&folder), version, &image)).await;
-            me.council.borrow_mut().kept = Some(kept);
+            let write = move || (disk::keep(Path::new(&folder), &mut journal, version, &image), journal);
+            let (kept, journal) = blocking::unblock(write).await;
+            let mut council = me.council.borrow_mut();
+            (council.kept, council.journal) = (Some(kept), journal);
+            drop(council);
             me.wake.notify(1);
         };
         router.executor.spawn(task).detach();
--- a/router/src/fleet/disk.rs
+++ b/router/src/fleet/disk.rs
@@ -2,7 +2,8 @@
 
 use std::path::{Path, PathBuf};
 
-use ternpick_consensus::{FleetId, Refused, Seat, Terms};
+use ternpick_consensus::{FleetId, Seat, Terms};
+use ternpick_store::Journal;
 
 /// The name of the file, and the kind of what is in it.
 const FILE: &str = "seat";
@@ -21,22 +22,22 @@
     folder.join(FILE)
 }
 
-pub fn find(folder: &Path, fleet: FleetId, terms: Terms, seed: u64) -> Found {
-    let kept = match ternpick_store::get(&path(folder), KIND) {
-        Ok(kept) => kept,
-        Err(fault) if fault.is_missing() => return Found::Nothing,
-        Err(fault) => return Found::Unusable(fault.to_string()),
+pub fn find(folder: &Path, fleet: FleetId, terms: Terms, seed: u64) -> (Found, Option<Journal>) {
+    let (journal, kept) = match Journal::open(&path(folder), KIND) {
+        Ok((journal, Some(kept))) => (journal, kept),
+        Ok((journal, None)) => return (Found::Nothing, Some(journal)),
+        Err(fault) => return (Found::Unusable(fault.to_string()), None),
     };
     match Seat::open(&kept.bytes, fleet, terms, seed) {
-        Ok(seat) => Found::Seat(Box::new(seat)),
-        Err(Refused::Spoilt(words)) => Found::Unusable(format!("{}: {words}", path(folder).display())),
-        Err(refused) => Found::Unusable(format!("{}: {refused}", path(folder).display())),
+        Ok(seat) => (Found::Seat(Box::new(seat)), Some(journal)),
+        Err(refused) => (Found::Unusable(format!("{}: {refused}", path(folder).display())), None),
     }
 }
 
-/// Keeps an image; it lasts once this returns.
-pub fn keep(folder: &Path, version: u64, image: &[u8]) -> Result<(), String> {
+/// Keeps an image; it lasts once this returns. A journal that failed is begun anew, and what is there is replaced whole.
+pub fn keep(folder: &Path, journal: &mut Option<Journal>, version: u64, image: &[u8]) -> Result<(), String> {
     let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
     let now = u64::try_from(since.as_micros()).unwrap_or(u64::MAX);
-    ternpick_store::put(&path(folder), KIND, version, now, image).map_err(|fault| fault.to_string())
+    let of = journal.get_or_insert_with(|| Journal::anew(&path(folder), KIND));
+    of.keep(version, now, image).map_err(|fault| fault.to_string())
 }
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -10,9 +10,9 @@
 //! ```
 
 use std::fs;
-use std::io::{Read, Write};
+use std::io::{Read, Seek, SeekFrom, Write};
 use std::os::unix::fs::PermissionsExt;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use sha2::{Digest, Sha256};
 
@@ -82,11 +82,15 @@
 
 /// Keeps `bytes` as `kind` in its `version`, saved at `now` (microseconds of Unix time).
 pub fn put(path: &Path, kind: &str, version: u64, now: u64, bytes: &[u8]) -> Result<(), Fault> {
+    replace(path, &record(kind, version, now, bytes))
+}
+
+fn record(kind: &str, version: u64, now: u64, bytes: &[u8]) -> Vec<u8> {
     let line = format!("{MARK} {kind} {version} {now} {}", bytes.len());
     let sum = checksum(&line, bytes);
     let mut whole = format!("{line} {sum}\n").into_bytes();
     whole.extend_from_slice(bytes);
-    replace(path, &whole)
+    whole
 }
 
 fn checksum(line: &str, bytes: &[u8]) -> String {
@@ -114,18 +118,103 @@
 
 /// Reads what is kept as `kind`.
 pub fn get(path: &Path, kind: &str) -> Result<Kept, Fault> {
-    let name = || path.display().to_string();
+    parse(&read(path)?, kind).map_err(|wrong| wrong.at(path, kind))
+}
+
+fn read(path: &Path) -> Result<Vec<u8>, Fault> {
     let file = fs::File::open(path).map_err(fault("read", path))?;
     let mut whole = Vec::new();
     file.take(LONGEST + 1).read_to_end(&mut whole).map_err(fault("read", path))?;
     if whole.len() as u64 > LONGEST {
-        return Err(Fault::TooLong { path: name() });
+        return Err(Fault::TooLong { path: path.display().to_string() });
     }
-    parse(&whole, kind).map_err(|wrong| match wrong {
-        Wrong::Foreign => Fault::Foreign { path: name() },
-        Wrong::Other(found) => Fault::Other { path: name(), found, wanted: kind.into() },
-        Wrong::Spoilt => Fault::Spoilt { path: name() },
-    })
+    Ok(whole)
+}
+
+/// One file that is kept anew often: each time at its end, which costs a hundredth of replacing it. The last whole one
+/// counts. One that was cut as it was written was not answered for, and is passed over; one that is spoilt before a whole
+/// one is refused.
+///
+/// ```
+/// let folder = tempfile::tempdir().expect("a folder");
+/// let path = folder.path().join("seat");
+/// let (mut journal, kept) = ternpick_store::Journal::open(&path, "seat").expect("none yet");
+/// assert!(kept.is_none());
+/// journal.keep(1, 1_700_000_000_000_000, b"first").expect("kept");
+/// journal.keep(2, 1_700_000_000_000_001, b"second").expect("kept");
+/// let (_, kept) = ternpick_store::Journal::open(&path, "seat").expect("whole");
+/// assert_eq!(kept.map(|kept| kept.bytes), Some(b"second".to_vec()));
+/// ```
+#[derive(Debug)]
+pub struct Journal {
+    path: PathBuf,
+    kind: String,
+    /// None until something is kept, and after a failure: then the file is replaced whole.
+    file: Option<fs::File>,
+    size: u64,
+}
+
+/// From this size on a journal is replaced by its last part, in bytes.
+const REPLACED_FROM: u64 = 1 << 20;
+
+impl Journal {
+    /// What was kept last, and the journal to go on with.
+    pub fn open(path: &Path, kind: &str) -> Result<(Journal, Option<Kept>), Fault> {
+        let mut journal = Journal::anew(path, kind);
+        let whole = match read(path) {
+            Ok(whole) => whole,
+            Err(fault) if fault.is_missing() => return Ok((journal, None)),
+            Err(fault) => return Err(fault),
+        };
+        let (mut at, mut last) = (0, None);
+        while at < whole.len() {
+            match parse_one(&whole[at..], kind) {
+                Ok((kept, length)) => (last, at) = (Some(kept), at + length),
+                Err(wrong) => {
+                    let later = later_marks(&whole, at + 1).any(|from| parse_one(&whole[from..], kind).is_ok());
+                    if last.is_none() || later {
+                        return Err(wrong.at(path, kind));
+                    }
+                    break;
+                }
+            }
+        }
+        // What was cut is written over; until then it stays as it is.
+        let file = fs::OpenOptions::new().write(true).open(path);
+        if let Ok(mut file) = file {
+            if file.seek(SeekFrom::Start(at as u64)).is_ok() {
+                (journal.file, journal.size) = (Some(file), at as u64);
+            }
+        }
+        Ok((journal, last))
+    }
+
+    /// One that replaces whatever is there, with the first that it keeps.
+    pub fn anew(path: &Path, kind: &str) -> Journal {
+        Journal { path: path.to_owned(), kind: kind.to_owned(), file: None, size: 0 }
+    }
+
+    /// Keeps `bytes`: they last once this returns.
+    pub fn keep(&mut self, version: u64, now: u64, bytes: &[u8]) -> Result<(), Fault> {
+        let whole = record(&self.kind, version, now, bytes);
+        let grown = self.size + whole.len() as u64;
+        if let Some(mut file) = self.file.take().filter(|_| grown <= REPLACED_FROM) {
+            // Nothing of what was cut here may stand behind what is whole.
+            let cut = file.set_len(self.size);
+            let written = cut.and_then(|()| file.write_all(&whole)).and_then(|()| file.sync_all());
+            written.map_err(fault("write", &self.path))?;
+            (self.file, self.size) = (Some(file), grown);
+            return Ok(());
+        }
+        replace(&self.path, &whole)?;
+        let file = fs::OpenOptions::new().append(true).open(&self.path).map_err(fault("open", &self.path))?;
+        (self.file, self.size) = (Some(file), whole.len() as u64);
+        Ok(())
+    }
+}
+
+fn later_marks(whole: &[u8], from: usize) -> impl Iterator<Item = usize> + '_ {
+    (from..whole.len()).filter(|at| whole[*at..].starts_with(MARK.as_bytes()))
 }
 
 #[derive(Debug, PartialEq)]
@@ -135,21 +224,43 @@
     Spoilt,
 }
 
+impl Wrong {
+    fn at(self, path: &Path, kind: &str) -> Fault {
+        let path = path.display().to_string();
+        match self {
+            Wrong::Foreign => Fault::Foreign { path },
+            Wrong::Other(found) => Fault::Other { path, found, wanted: kind.into() },
+            Wrong::Spoilt => Fault::Spoilt { path },
+        }
+    }
+}
+
 fn parse(whole: &[u8], kind: &str) -> Result<Kept, Wrong> {
+    match parse_one(whole, kind)? {
+        (kept, length) if length == whole.len() => Ok(kept),
+        _ => Err(Wrong::Spoilt),
+    }
+}
+
+/// What stands first, and how long it is.
+fn parse_one(whole: &[u8], kind: &str) -> Result<(Kept, usize), Wrong> {
     let end = whole.iter().take(HEAD_BOUND).position(|byte| *byte == b'\n').ok_or(Wrong::Foreign)?;
-    let (head, bytes) = (&whole[..end], &whole[end + 1..]);
+    let (head, rest) = (&whole[..end], &whole[end + 1..]);
     let head = std::str::from_utf8(head).map_err(|_| Wrong::Foreign)?;
     let words: Vec<&str> = head.split(' ').collect();
     let [MARK, found, version, saved, length, sum] = words.as_slice() else { return Err(Wrong::Foreign) };
     let line = head.len() - sum.len() - 1;
-    if checksum(&head[..line], bytes) != *sum || length.parse() != Ok(bytes.len()) {
+    let length: usize = length.parse().map_err(|_| Wrong::Foreign)?;
+    let bytes = rest.get(..length).ok_or(Wrong::Spoilt)?;
+    if checksum(&head[..line], bytes) != *sum {
         return Err(Wrong::Spoilt);
     }
     if *found != kind {
         return Err(Wrong::Other((*found).to_owned()));
     }
     let number = |word: &str| word.parse::<u64>().map_err(|_| Wrong::Foreign);
-    Ok(Kept { version: number(version)?, saved: number(saved)?, bytes: bytes.to_vec() })
+    let kept = Kept { version: number(version)?, saved: number(saved)?, bytes: bytes.to_vec() };
+    Ok((kept, end + 1 + length))
 }
 
 #[cfg(test)]
@@ -174,6 +285,49 @@
         assert_eq!(parse(&whole, "list").map(|kept| kept.version), Ok(7));
     }
 
+    #[test]
+    fn a_journal_cut_at_any_length_holds_what_was_whole_before() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("kept");
+        let (mut journal, _) = Journal::open(&path, "list").expect("none yet");
+        let mut ends = vec![0];
+        for version in 1..=3u64 {
+            journal.keep(version, 9, format!("number {version}").as_bytes()).expect("kept");
+            ends.push(fs::metadata(&path).expect("there").len() as usize);
+        }
+        let whole = fs::read(&path).expect("read");
+        for length in 1..whole.len() {
+            fs::write(&path, &whole[..length]).expect("cut");
+            let wanted = ends.iter().rposition(|end| *end <= length).unwrap_or(0) as u64;
+            match Journal::open(&path, "list") {
+                Ok((mut journal, kept)) => {
+                    assert_eq!(kept.map(|kept| kept.version), Some(wanted), "cut at {length}");
+                    journal.keep(9, 9, b"next").expect("kept");
+                    let (_, kept) = Journal::open(&path, "list").expect("whole");
+                    assert_eq!(kept.map(|kept| kept.version), Some(9), "cut at {length}");
+                }
+                Err(_) => assert_eq!(wanted, 0, "cut at {length}"),
+            }
+        }
+    }
+
+    #[test]
+    fn a_journal_spoilt_before_what_is_whole_is_refused_and_a_long_one_is_replaced() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let path = folder.path().join("kept");
+        let (mut journal, _) = Journal::open(&path, "list").expect("none yet");
+        let long = vec![7; 300_000];
+        for version in 1..=9u64 {
+            journal.keep(version, 9, &long).expect("kept");
+            assert!(fs::metadata(&path).expect("there").len() <= REPLACED_FROM);
+        }
+        let mut whole = fs::read(&path).expect("read");
+        whole[200] ^= 1;
+        fs::write(&path, &whole).expect("spoilt");
+        assert!(matches!(Journal::open(&path, "list"), Err(Fault::Spoilt { .. })));
+        assert!(matches!(Journal::open(&path, "keys"), Err(Fault::Spoilt { .. } | Fault::Other { .. })));
+    }
+
     #[test]
     fn a_folder_is_held_by_one_at_a_time() {
         let folder = tempfile::tempdir().expect("a folder");
