ternpick-lab fleet: real processes broken between, histories judged from outside; a stop closes its listener

Checked: in the history the lost ones were asked 0.2 s after the listener should have gone; by the log nothing taken was lost. Cause: the control socket keeps a second descriptor of the listener to pass on, so the system went on taking connections into a queue that nobody empties, and reset them at the process's end; a long drain (a slow part in hand, a busy machine) loses as many as come in that time. Lines: start.rs open_control, take_in.rs accept. Ruled out: kills, upgrades, clients' kept connections (each lookup has its own here). Change: the listener is shut at the end of accept, unless another process accepts on it.

--- a/history/src/check.rs
+++ b/history/src/check.rs
@@ -139,6 +139,7 @@
     shown: BTreeMap<u64, u64>,
     says: BTreeMap<String, u64>,
     ends: BTreeMap<String, u64>,
+    /// Routers that are ended or stand still just now.
     standing: BTreeSet<String>,
     /// Drains that are surely in force, since when, and by which version.
     drains: BTreeMap<String, u64>,
@@ -195,6 +196,7 @@
             }
             What::Ended { router } => {
                 self.counts.ended += 1;
+                self.standing.insert(router.clone());
                 *self.ends.entry(router).or_default() += 1;
                 Ok(())
             }
@@ -208,7 +210,10 @@
                 self.standing.remove(&router);
                 Ok(())
             }
-            What::Started { .. } => Ok(()),
+            What::Started { router } => {
+                self.standing.remove(&router);
+                Ok(())
+            }
         }
     }
 
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -7,12 +7,14 @@
 pub mod check;
 pub mod compare;
 pub mod experiment;
+pub mod fleet;
 pub mod hunt;
 pub mod load;
 pub mod measure;
 pub mod node;
 pub mod plan;
 pub mod policy;
+pub mod process;
 pub mod report;
 pub mod sim;
 pub mod standins;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,6 +8,7 @@
 use ternpick_lab::check::Rule;
 use ternpick_lab::compare::{compare, Row};
 use ternpick_lab::experiment::{self, Run};
+use ternpick_lab::fleet;
 use ternpick_lab::hunt::{hunt, look, shrink, Find};
 use ternpick_lab::load::{self, Load, Outcome};
 use ternpick_lab::plan::{Kind, Plan, Who};
@@ -100,6 +101,130 @@
         #[arg(long)]
         parts: Option<usize>,
     },
+    /// Breaks a fleet of real processes on loopback, and judges by what was seen from outside
+    #[command(subcommand)]
+    Fleet(FleetCommand),
+}
+
+#[derive(Subcommand)]
+enum FleetCommand {
+    /// Plays a plan under one seed after the other, or a schedule again
+    Run {
+        /// A plan (.cue), or a schedule (.json) as a run wrote it down
+        plan: PathBuf,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// So many seeds, from the first on
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// Keeps the routers' files on the disk, not in memory
+        #[arg(long)]
+        disk: bool,
+        /// Runs side by side
+        #[arg(long, default_value_t = 1)]
+        beside: usize,
+        /// The folder for histories, schedules and outcomes
+        #[arg(long)]
+        out: PathBuf,
+        /// The program; the one beside this if left out
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
+    /// Reads histories again, and tells whether they keep the rules
+    Check { histories: Vec<PathBuf> },
+    /// Cuts a schedule down to the least that still shows a bad outcome
+    Shrink {
+        schedule: PathBuf,
+        #[arg(long)]
+        to: PathBuf,
+        /// Runs that may be played
+        #[arg(long, default_value_t = 40)]
+        most: usize,
+        #[arg(long)]
+        program: Option<PathBuf>,
+    },
+    /// Sums up the outcomes of a folder
+    Report { out: PathBuf },
+}
+
+fn program(given: Option<&Path>) -> Result<PathBuf, String> {
+    let own = given.map(Path::to_path_buf).or_else(load::beside);
+    own.ok_or_else(|| "the program is not beside this one: build it, or name it with --program".into())
+}
+
+/// What a run played under, by number: each from its own schedule.
+fn schedules(path: &Path, seed: u64, seeds: u64) -> Result<Vec<fleet::Schedule>, Box<dyn std::error::Error>> {
+    if path.extension().is_some_and(|of| of == "json") {
+        return Ok(vec![serde_json::from_slice(&std::fs::read(path)?)?]);
+    }
+    let plan = fleet::FleetPlan::read(path)?;
+    Ok((seed..seed + seeds).map(|seed| plan.draw(seed)).collect())
+}
+
+fn fleet(command: &FleetCommand, json: bool) -> Done {
+    match command {
+        FleetCommand::Run { plan, seed, seeds, disk, beside, out, program: given } => {
+            let (program, schedules) = (program(given.as_deref())?, schedules(plan, *seed, *seeds)?);
+            let next = std::sync::atomic::AtomicUsize::new(0);
+            let bad = std::sync::atomic::AtomicUsize::new(0);
+            std::thread::scope(|scope| {
+                for _ in 0..(*beside).max(1) {
+                    let (next, bad, schedules, program) = (&next, &bad, &schedules, &program);
+                    scope.spawn(move || {
+                        use std::sync::atomic::Ordering::Relaxed;
+                        while let Some(schedule) = schedules.get(next.fetch_add(1, Relaxed)) {
+                            let folder = out.join(format!("{}-{}", schedule.plan.name, schedule.seed));
+                            let line = match fleet::play(schedule, program, &folder, *disk) {
+                                Ok(outcome) if json => serde_json::to_string(&outcome).unwrap_or_default(),
+                                Ok(outcome) => {
+                                    bad.fetch_add(usize::from(!outcome.is_good()), Relaxed);
+                                    fleet::report::line(&outcome)
+                                }
+                                Err(error) => {
+                                    bad.fetch_add(1, Relaxed);
+                                    format!("seed {}: {error}", schedule.seed)
+                                }
+                            };
+                            println!("{line}");
+                        }
+                    });
+                }
+            });
+            Ok(if bad.into_inner() > 0 { ExitCode::from(2) } else { ExitCode::SUCCESS })
+        }
+        FleetCommand::Check { histories } => {
+            let mut code = ExitCode::SUCCESS;
+            for path in histories {
+                let lines = std::io::BufReader::new(std::fs::File::open(path)?);
+                let verdict = ternpick_history::check(lines, ternpick_history::Bounds::default());
+                if !matches!(verdict, ternpick_history::Verdict::Accepted(_)) {
+                    code = ExitCode::from(2);
+                }
+                match json {
+                    true => println!("{}", serde_json::to_string(&verdict)?),
+                    false => println!("{}: {}", path.display(), fleet::report::words(&verdict)),
+                }
+            }
+            Ok(code)
+        }
+        FleetCommand::Shrink { schedule, to, most, program: given } => {
+            let of: fleet::Schedule = serde_json::from_slice(&std::fs::read(schedule)?)?;
+            let folder = tempfile::tempdir()?;
+            let program = program(given.as_deref())?;
+            let least = fleet::shrink(&of, &program, folder.path(), *most, &mut |line| eprintln!("{line}"))?;
+            ternpick_store::replace(to, &serde_json::to_vec_pretty(&least)?)?;
+            println!("{} of {} steps are left", least.steps.len(), of.steps.len());
+            Ok(ExitCode::SUCCESS)
+        }
+        FleetCommand::Report { out } => {
+            let outcomes = fleet::report::read(out)?;
+            match json {
+                true => println!("{}", serde_json::to_string(&fleet::report::sum(&outcomes))?),
+                false => println!("{}", fleet::report::table(&outcomes)),
+            }
+            Ok(if outcomes.iter().all(fleet::Outcome::is_good) { ExitCode::SUCCESS } else { ExitCode::from(2) })
+        }
+    }
 }
 
 type Done = Result<ExitCode, Box<dyn std::error::Error>>;
@@ -123,6 +248,7 @@
 
 fn run(cli: &Cli) -> Done {
     match &cli.command {
+        Command::Fleet(command) => fleet(command, cli.json),
         Command::Check { plan } => check(&Plan::read(plan)?, cli.json),
         Command::Run { plan, out } => {
             let plan = Plan::read(plan)?;
--- a/lab/src/plan.rs
+++ b/lab/src/plan.rs
@@ -288,6 +288,7 @@
             least: of.least,
             second_step: 0,
             seen: false,
+            ..IndexRow::default()
         };
         let gauge = |of: &String| match of.as_str() {
             "latency" => Gauge::LatencyMs,
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -153,7 +153,7 @@
     pub fn address(&self) -> Option<SocketAddr> {
         let known = self.council.borrow().members.get(&self.me).map(|seated| seated.address.clone());
         let own = self.settings.members.get(&self.me.0).map(|member| member.address.clone());
-        own.or(known).and_then(|address| address.parse().ok())
+        self.settings.listen.clone().or(own).or(known).and_then(|address| address.parse().ok())
     }
 
     pub fn platform(&self) -> Platform {
--- a/router/src/fleet/post.rs
+++ b/router/src/fleet/post.rs
@@ -104,7 +104,7 @@
             Timer::at(router.clock.instant(router.clock.now() + AGAIN)).await;
             continue;
         };
-        let called = router.until(Some(router.clock.now() + CALL_WITHIN), call(&router, &mut kept, address, &body));
+        let called = router.until(Some(router.clock.now() + CALL_WITHIN), call(&router, &fleet, &mut kept, address, &body));
         match called.await {
             Some(Ok(())) => fleet.counts((1, body.len() as u64), (0, 0)),
             failed => {
@@ -118,7 +118,8 @@
 }
 
 async fn call(
-    router: &Router, kept: &mut Option<(Async<TcpStream>, SocketAddr)>, address: SocketAddr, body: &[u8],
+    router: &Router, fleet: &Fleet, kept: &mut Option<(Async<TcpStream>, SocketAddr)>, address: SocketAddr,
+    body: &[u8],
 ) -> Result<(), String> {
     let stream = match kept.take() {
         Some((stream, _)) => stream,
@@ -128,7 +129,10 @@
             stream
         }
     };
-    let head = format!("POST {PATH} HTTP/1.1\r\nHost: {address}\r\nContent-Length: {}\r\n\r\n", body.len());
+    let (from, length) = (&fleet.me, body.len());
+    let head = format!(
+        "POST {PATH} HTTP/1.1\r\nHost: {address}\r\nFleet-From: {from}\r\nContent-Length: {length}\r\n\r\n"
+    );
     let answer = fetch::exchange(&stream, &[head.as_bytes(), body].concat(), HEAD_BOUND).await?;
     if !answer.closes() {
         *kept = Some((stream, address));
--- a/router/src/lifecycle/control.rs
+++ b/router/src/lifecycle/control.rs
@@ -30,8 +30,8 @@
 /// The longest question, and how long it may take to come.
 const ASK_BOUND: usize = 32 * 1024;
 const ASK_WITHIN: Micros = Micros(2_000_000);
-/// The most that ask at a time.
-const MOST_ASKING: usize = 4;
+/// The most that ask at a time: commands of a fleet wait for their outcome.
+const MOST_ASKING: usize = 32;
 
 pub struct Control {
     pub terms: ControlTerms,
--- a/router/src/lifecycle/settings.cue
+++ b/router/src/lifecycle/settings.cue
@@ -42,6 +42,8 @@
 	name: string & =~"."
 	// The routers at the founding, by the names that their configurations give them. Later ones are added by command.
 	members: {[string]: #Member}
+	// Where this router listens, if others reach it at another address than it has (a relay, a translated address).
+	listen?: string & =~":[0-9]+$"
 	// This router's own folder; {name} stands for its name. It has to last: what is answered for is kept there.
 	folder: string | *"fleet/{name}"
 	// How long a router may admit on its own, from when it asked; and how often it asks.
--- a/router/src/lifecycle/settings.rs
+++ b/router/src/lifecycle/settings.rs
@@ -54,6 +54,7 @@
 pub struct FleetTerms {
     pub name: String,
     pub members: BTreeMap<String, MemberTerms>,
+    pub listen: Option<String>,
     pub folder: String,
     pub lease: u64,
     pub renew: u64,
@@ -72,6 +73,9 @@
             let address = member.address.parse::<std::net::SocketAddr>();
             address.map_err(|_| format!("fleet.members.{name}.address is no address and port"))?;
         }
+        if self.listen.as_ref().is_some_and(|of| of.parse::<std::net::SocketAddr>().is_err()) {
+            return Err("fleet.listen is no address and port".into());
+        }
         let votes = self.members.values().filter(|member| member.vote).count();
         if votes == 0 || votes > 9 {
             return Err(format!("fleet.members: {votes} vote, there have to be 1 to 9, best 3, 5 or 7"));
--- a/router/src/stages/take_in.rs
+++ b/router/src/stages/take_in.rs
@@ -75,6 +75,13 @@
             Err(e) => tracing::warn!("cannot accept: {e}"),
         }
     }
+    // The control socket holds the listener too, to pass it on: while this process answers what it has taken, the system
+    // would go on taking connections that nobody serves. Where another process accepts, the listener is that one's.
+    if router.accepts.get() {
+        if let Err(e) = rustix::net::shutdown(listener.get_ref(), rustix::net::Shutdown::Both) {
+            tracing::debug!("the listener cannot be shut, {e}");
+        }
+    }
 }
 
 /// Waits for a descriptor for a client; the connection idle longest makes room, else the request that is longest in
