--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -374,7 +374,7 @@
         if let Some((at, name)) = unseated {
             self.routers.all[at].replaced = Some(Instant::now());
             // Where nobody leads just now it is said again.
-            self.operator.replace(at, &name);
+            self.operator.replace(at, &name)?;
         }
         for (router, votes) in self.routers.all.iter_mut().zip(seated) {
             router.unseated &= !votes;
--- a/router/src/fleet/cli.rs
+++ b/router/src/fleet/cli.rs
@@ -17,7 +17,7 @@
 
 const OPEN: u8 = 3;
 /// How often a command that waits looks again.
-const LOOK: Duration = Duration::from_millis(20);
+const LOOK: Duration = Duration::from_millis(50);
 
 #[derive(Args)]
 pub struct Wait {
