--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 pub mod relay;
 pub mod report;
 mod routers;
+pub mod virt;
 
 use std::fs::File;
 use std::io::{BufReader, BufWriter};
--- /dev/null
+++ b/policy/src/council.rs
@@ -0,0 +1,692 @@
+//! One router's whole part in the fleet, without I/O: its lease, its seat among the voters if it has one, the register as
+//! it has played it, and, while it leads, the chair. A driver says what has come and what time it is, and carries out what
+//! comes back, in order. The router and the lab's fleets in virtual time drive the same.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use ternpick::types::Micros;
+use ternpick_consensus::{Done, Seat, SeatNo, Standing, Status, Terms as SeatTerms};
+
+use crate::chair::{Chair, Order};
+use crate::ids::{Index, Member, Op};
+use crate::keeper::{Effect, Keeper};
+use crate::register::{Entry, Outcome, Register, Seated, Verdict};
+use crate::say::{Command, Said, Told};
+use crate::{FleetId, Terms, Version};
+
+/// One tick of the agreement.
+pub const TICK: Micros = Micros(50_000);
+/// After a failure to keep something the next try waits so long.
+const KEEP_AGAIN: Micros = Micros(200_000);
+/// Who votes is compared with what the register says so often.
+const SEATS_EVERY: Micros = Micros(100_000);
+/// A command that waits for its outcome is said again so often.
+const SAY_AGAIN: Micros = Micros(200_000);
+/// Commands of others whose outcome is still to be told; the oldest go first.
+const MOST_DOING: usize = 64;
+/// Turns of news within this router before it looks at time again.
+const MOST_ROUNDS: usize = 32;
+
+/// What an operator of this router wants of the fleet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Wish {
+    Do(Command),
+    Look(String),
+}
+
+/// What was heard of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Heard {
+    Did(Outcome),
+    Seen(String),
+}
+
+/// What a driver is to do, in order.
+#[derive(Debug)]
+pub enum Act {
+    Say(Member, Said),
+    /// Keep this whole, then say so with [`Council::kept`]. One at a time.
+    Keep(Vec<u8>),
+    /// Of this router's lease and policy.
+    Do(Effect),
+    /// Somebody asks what the fleet looks like: answer with [`Said::Seen`].
+    Look(Member, Op, String),
+    /// Something was heard of a wish.
+    Heard(Op, Heard),
+    Log(Level, String),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    Error,
+    Info,
+    Debug,
+}
+
+/// What a router's folder held at its start.
+pub enum Found {
+    Seat(Box<Seat>),
+    Nothing,
+    /// In words; it is left as it is.
+    Unusable(String),
+}
+
+struct Own {
+    wish: Wish,
+    said: Option<Micros>,
+    heard: bool,
+}
+
+pub struct Council {
+    pub me: Member,
+    fleet: FleetId,
+    terms: Terms,
+    seat_terms: SeatTerms,
+    pub keeper: Keeper,
+    pub members: BTreeMap<Member, Seated>,
+    seat: Option<Seat>,
+    /// Why there is no seat, where there should be one.
+    pub seat_words: Option<String>,
+    register: Option<Register>,
+    chair: Option<(u64, Chair)>,
+    /// Who leads, as far as is known, and whom to ask next otherwise.
+    leads: Option<Member>,
+    next_ask: usize,
+    /// Answers to the chair's questions that wait until what they rest on is played.
+    reads: Vec<(u64, u64)>,
+    /// Commands of others, by whom; taken off when their outcome is told.
+    doing: VecDeque<(Op, Member)>,
+    /// Wishes of this router's own operators; each is taken off by who asked.
+    own: BTreeMap<Op, Own>,
+    next_tick: Micros,
+    next_seats: Micros,
+    /// Something is being kept.
+    keeping: bool,
+    /// Keeping has failed, and is tried again at this time with this.
+    failed: Option<(Micros, Vec<u8>)>,
+    image: Vec<u8>,
+    /// Said within this router.
+    home: VecDeque<Said>,
+    acts: Vec<Act>,
+    seeds: u64,
+}
+
+impl Council {
+    pub fn new(
+        fleet: FleetId, terms: Terms, seat_terms: SeatTerms, keeper: Keeper, members: BTreeMap<Member, Seated>,
+        seed: u64, now: Micros,
+    ) -> Council {
+        Council {
+            me: keeper.me().clone(),
+            fleet,
+            terms,
+            seat_terms,
+            keeper,
+            members,
+            seat: None,
+            seat_words: None,
+            register: None,
+            chair: None,
+            leads: None,
+            next_ask: 0,
+            reads: Vec::new(),
+            doing: VecDeque::new(),
+            own: BTreeMap::new(),
+            next_tick: now,
+            next_seats: now,
+            keeping: false,
+            failed: None,
+            image: Vec::new(),
+            home: VecDeque::new(),
+            acts: Vec::new(),
+            seeds: seed,
+        }
+    }
+
+    /// Takes the seat that the folder holds.
+    pub fn begins(&mut self, found: Found) {
+        let votes = self.members.get(&self.me).is_some_and(|seated| seated.seat.is_some());
+        match found {
+            Found::Seat(seat) => {
+                self.register = seat.begins_from().and_then(|(_, state)| postcard::from_bytes(&state).ok());
+                self.log(Level::Info, format!("fleet: {} has seat {}", self.me, seat.no()));
+                self.seat = Some(*seat);
+            }
+            Found::Nothing if votes => {
+                let words = "its state is not there: it takes part without a vote until it is replaced (ternpick fleet \
+                             replace)";
+                self.log(Level::Error, format!("fleet: {} has a vote, and {words}", self.me));
+                self.seat_words = Some(words.to_owned());
+            }
+            Found::Nothing => {}
+            Found::Unusable(words) => {
+                self.log(Level::Error, format!("fleet: {} takes part without its vote, {words}", self.me));
+                self.seat_words = Some(words);
+            }
+        }
+        if let Some(register) = &self.register {
+            self.members.clone_from(&register.members);
+        }
+    }
+
+    pub fn leader(&self) -> Option<&Member> {
+        self.leads.as_ref()
+    }
+
+    pub fn leads(&self) -> bool {
+        self.chair.is_some()
+    }
+
+    pub fn seat_status(&self) -> Option<Status> {
+        self.seat.as_ref().map(Seat::status)
+    }
+
+    /// While this router leads.
+    pub fn chair(&self) -> Option<(&Chair, &Register)> {
+        Some((&self.chair.as_ref()?.1, self.register.as_ref()?))
+    }
+
+    fn log(&mut self, level: Level, line: String) {
+        self.acts.push(Act::Log(level, line));
+    }
+
+    fn say(&mut self, to: &Member, said: Said) {
+        match *to == self.me {
+            true => self.home.push_back(said),
+            false => self.acts.push(Act::Say(to.clone(), said)),
+        }
+    }
+
+    /// Whom to ask: the one that leads as far as is known, else one that votes after the other.
+    fn whom(&mut self) -> Option<Member> {
+        let known = self.leads.clone().filter(|member| self.members.contains_key(member));
+        if known.is_some() {
+            return known;
+        }
+        let voters: Vec<&Member> =
+            self.members.iter().filter(|(_, of)| of.seat.is_some()).map(|(member, _)| member).collect();
+        self.next_ask += 1;
+        voters.get(self.next_ask % voters.len().max(1)).map(|member| (*member).clone())
+    }
+
+    /// Something has come from another router.
+    pub fn hear(&mut self, now: Micros, from: &Member, said: Said) {
+        match said {
+            Said::Seat { from: seat, to, word } => {
+                // While something cannot be kept, nothing is heard: it could not be answered for.
+                if self.failed.is_none() {
+                    if let Some(own) = self.seat.as_mut().filter(|own| own.no() == to) {
+                        own.hear(seat, &word);
+                    }
+                }
+            }
+            Said::Renew(renew) => match (&mut self.chair, &self.register) {
+                (Some((_, chair)), Some(register)) => {
+                    let orders = chair.hear(now, register, renew);
+                    self.order(orders);
+                }
+                _ => {
+                    let leads = self.leads.clone().filter(|member| *member != self.me && member != from);
+                    self.say(from, Said::Elsewhere(leads));
+                }
+            },
+            Said::Told(told) => {
+                if *from != self.me {
+                    self.leads = Some(from.clone());
+                }
+                self.told(now, told);
+            }
+            Said::Elsewhere(leads) => {
+                let news = leads.is_some() && leads != self.leads;
+                self.leads = leads.filter(|member| member != from && *member != self.me);
+                if news {
+                    self.keeper.asks_anew();
+                }
+            }
+            Said::Do { op, command } => self.do_for(from, op, command),
+            Said::Did { op, outcome } => self.heard(op, Heard::Did(outcome)),
+            Said::Look { op, what } => match self.chair {
+                Some(_) => self.acts.push(Act::Look(from.clone(), op, what)),
+                None => {
+                    let leads = self.leads.clone().filter(|member| *member != self.me && member != from);
+                    self.say(from, Said::Elsewhere(leads));
+                }
+            },
+            Said::Seen { op, json } => self.heard(op, Heard::Seen(json)),
+        }
+    }
+
+    /// The answer to [`Act::Look`].
+    pub fn seen(&mut self, to: &Member, op: Op, json: String) {
+        self.say(to, Said::Seen { op, json });
+    }
+
+    fn told(&mut self, now: Micros, told: Told) {
+        for effect in self.keeper.told(now, told) {
+            match effect {
+                Effect::Members(members) => self.members = members,
+                effect => self.acts.push(Act::Do(effect)),
+            }
+        }
+    }
+
+    /// The answer to [`Effect::Check`].
+    pub fn checked(&mut self, number: Version, verdict: Verdict) {
+        self.keeper.checked(number, verdict);
+    }
+
+    fn heard(&mut self, op: Op, heard: Heard) {
+        if let Some(own) = self.own.get_mut(&op) {
+            own.heard = true;
+            self.acts.push(Act::Heard(op, heard));
+        }
+    }
+
+    /// An operator of this router wants something; it is said until something is heard of it, or it is given up.
+    pub fn wish(&mut self, op: Op, wish: Wish) {
+        self.own.insert(op, Own { wish, said: None, heard: false });
+    }
+
+    pub fn give_up(&mut self, op: Op) {
+        self.own.remove(&op);
+    }
+
+    /// A command, put into the log once however often it is said; its outcome is told when it is known.
+    fn do_for(&mut self, from: &Member, op: Op, command: Command) {
+        let (Some(_), Some(register), Some(seat)) = (&self.chair, &self.register, &mut self.seat) else {
+            let leads = self.leads.clone().filter(|member| *member != self.me);
+            return self.say(from, Said::Elsewhere(leads));
+        };
+        if let Some(outcome) = register.outcome(op).cloned() {
+            return self.say(from, Said::Did { op, outcome });
+        }
+        if let Command::Transfer { to } = &command {
+            let outcome = match register.members.get(to).and_then(|seated| seated.seat) {
+                Some(no) => {
+                    seat.transfer(no);
+                    Outcome::Done
+                }
+                None => Outcome::Refused(format!("{to} has no vote")),
+            };
+            return self.say(from, Said::Did { op, outcome });
+        }
+        if self.doing.iter().any(|(of, _)| *of == op) {
+            return;
+        }
+        let Some(entry) = command.entry(op, self.terms.confirm) else { return };
+        match seat.put(postcard::to_stdvec(&entry).unwrap_or_default()) {
+            Ok(()) => {
+                self.doing.push_back((op, from.clone()));
+                while self.doing.len() > MOST_DOING {
+                    self.doing.pop_front();
+                }
+            }
+            // It may still be put: whoever asks says it again.
+            Err(refused) => self.log(Level::Info, format!("fleet: a command is not put into the log, {refused}")),
+        }
+    }
+
+    fn order(&mut self, orders: Vec<Order>) {
+        for order in orders {
+            match order {
+                Order::Put(entry) => {
+                    let bytes = postcard::to_stdvec(&entry).unwrap_or_default();
+                    if let Some(Err(refused)) = self.seat.as_mut().map(|seat| seat.put(bytes)) {
+                        self.log(Level::Debug, format!("fleet: an entry is not put, {refused}"));
+                    }
+                }
+                Order::Ask(number) => {
+                    let term = self.chair.as_ref().map_or(0, |(term, _)| *term);
+                    if let Some(seat) = &mut self.seat {
+                        seat.ask(term << 32 | number);
+                    }
+                }
+                Order::Tell(to, told) => self.say(&to, Said::Told(told)),
+                Order::Say(line) => self.log(Level::Info, line),
+            }
+        }
+    }
+
+    /// Takes or leaves the chair as the seat leads or not.
+    fn follow_lead(&mut self, now: Micros) {
+        let Some(seat) = &self.seat else {
+            self.chair = None;
+            return;
+        };
+        let (term, leader, no) = (seat.term(), seat.leader(), seat.no());
+        match &self.register {
+            Some(register) if seat.leads_surely() && !matches!(seat.standing(), Standing::Spoilt(_)) => {
+                if self.chair.as_ref().is_none_or(|(of, _)| *of != term) {
+                    // The votes that made it the leader had come by now: leases that others gave began before.
+                    let line = format!("fleet: {} leads in term {term}, entry {}", self.me, register.index);
+                    self.chair = Some((term, Chair::takes(self.terms, now, register)));
+                    self.leads = Some(self.me.clone());
+                    self.reads.clear();
+                    self.doing.clear();
+                    self.log(Level::Info, line);
+                }
+            }
+            _ => {
+                if self.chair.take().is_some() {
+                    self.leads = None;
+                    self.log(Level::Info, format!("fleet: {} leads no longer, term {term}", self.me));
+                }
+                if let Some(leader) = leader.filter(|leader| *leader != no) {
+                    let holder = self.members.iter().find(|(_, of)| of.seat == Some(leader));
+                    if let Some((member, _)) = holder {
+                        self.leads = Some(member.clone());
+                    }
+                }
+            }
+        }
+    }
+
+    /// What was to be kept is kept, or could not be.
+    pub fn kept(&mut self, now: Micros, kept: Result<(), String>) {
+        self.keeping = false;
+        match kept {
+            Ok(()) => {
+                if self.failed.take().is_some() {
+                    self.log(Level::Info, "fleet: the state can be kept again".into());
+                }
+                let done = self.seat.as_mut().map(Seat::kept).unwrap_or_default();
+                self.follow_up(now, done);
+            }
+            Err(words) => {
+                if self.failed.is_none() {
+                    let line = format!("fleet: the state cannot be kept, nothing is answered until it can: {words}");
+                    self.log(Level::Error, line);
+                }
+                self.failed = Some((now + KEEP_AGAIN, std::mem::take(&mut self.image)));
+            }
+        }
+    }
+
+    /// Keeps what is to be kept, and carries out what follows from what is.
+    fn work(&mut self, now: Micros) {
+        for _ in 0..MOST_ROUNDS {
+            if self.keeping {
+                return;
+            }
+            if let Some((at, image)) = &self.failed {
+                if now >= *at {
+                    self.image.clone_from(image);
+                    self.keeping = true;
+                    self.acts.push(Act::Keep(self.image.clone()));
+                }
+                return;
+            }
+            let Some(work) = self.seat.as_mut().and_then(Seat::work) else { return };
+            match work.image {
+                Some(image) => {
+                    self.image.clone_from(&image);
+                    self.keeping = true;
+                    return self.acts.push(Act::Keep(image));
+                }
+                None => {
+                    let done = self.seat.as_mut().map(Seat::kept).unwrap_or_default();
+                    self.follow_up(now, done);
+                }
+            }
+        }
+    }
+
+    fn follow_up(&mut self, now: Micros, done: Done) {
+        self.play(&done);
+        self.reads.extend(&done.answered);
+        let Some(seat) = &mut self.seat else { return };
+        let own = seat.no();
+        if let Some(register) = self.register.as_ref().filter(|_| seat.is_long()) {
+            seat.compact(postcard::to_stdvec(register).unwrap_or_default());
+        }
+        for (to, word) in done.messages {
+            let holder = self.members.iter().find(|(_, of)| of.seat == Some(to));
+            if let Some(member) = holder.map(|(member, _)| member.clone()) {
+                self.say(&member, Said::Seat { from: own, to, word });
+            }
+        }
+        self.follow_lead(now);
+        self.tell_outcomes();
+    }
+
+    fn play(&mut self, done: &Done) {
+        if let Some((_, state)) = &done.restored {
+            match postcard::from_bytes(state) {
+                Ok(register) => self.register = Some(register),
+                Err(e) => self.log(Level::Error, format!("fleet: the agreed state cannot be read, {e}")),
+            }
+        }
+        let Some(mut register) = self.register.take() else { return };
+        for (index, bytes) in &done.entries {
+            match postcard::from_bytes::<Entry>(bytes) {
+                Ok(entry) => self.play_one(&mut register, Index(*index), entry),
+                Err(e) => self.log(Level::Error, format!("fleet: entry {index} cannot be read, {e}")),
+            }
+        }
+        if done.restored.is_some() || !done.entries.is_empty() {
+            self.members.clone_from(&register.members);
+        }
+        self.register = Some(register);
+    }
+
+    /// Plays an entry; what it changed is told in one line.
+    fn play_one(&mut self, register: &mut Register, index: Index, entry: Entry) {
+        let of = |register: &Register| register.next.as_ref().map(|next| next.paper.number);
+        let (next, force) = (of(register), register.in_force.number);
+        register.play(index, entry);
+        let now = of(register);
+        if let Some(number) = now.filter(|_| now != next) {
+            let author = register.next.as_ref().map_or("", |next| next.paper.author.as_str());
+            self.log(Level::Info, format!("policy: proposal {number} by '{author}' is on its way, entry {index}"));
+        }
+        if register.in_force.number != force {
+            let number = register.in_force.number;
+            self.log(Level::Info, format!("policy: version {number} is agreed to be in force, entry {index}"));
+        } else if let Some(gone) = next.filter(|_| now.is_none()) {
+            let fate = register.history.iter().find(|past| past.number == gone).map(|past| past.fate.clone());
+            self.log(Level::Info, format!("policy: proposal {gone} is nowhere, {fate:?}, entry {index}"));
+        }
+    }
+
+    fn tell_outcomes(&mut self) {
+        let Some(register) = &self.register else { return };
+        let mut known = Vec::new();
+        self.doing.retain(|(op, member)| match register.outcome(*op) {
+            Some(outcome) => {
+                known.push((member.clone(), Said::Did { op: *op, outcome: outcome.clone() }));
+                false
+            }
+            None => true,
+        });
+        for (member, said) in known {
+            self.say(&member, said);
+        }
+    }
+
+    /// The chair looks what is due, and gets the answers to its questions.
+    fn beat(&mut self, now: Micros) {
+        let (Some(seat), Some(register), Some((term, chair))) = (&self.seat, &self.register, &mut self.chair) else {
+            return;
+        };
+        let played = seat.played();
+        let (ready, rest): (Vec<_>, Vec<_>) = self.reads.drain(..).partition(|(_, index)| *index <= played);
+        self.reads = rest;
+        let mut orders = Vec::new();
+        for (number, _) in ready {
+            if number >> 32 == *term & 0xffff_ffff {
+                orders.extend(chair.confirmed(now, register, number & 0xffff_ffff));
+            }
+        }
+        orders.extend(chair.beat(now, register));
+        self.order(orders);
+    }
+
+    /// Brings who votes to what the register says, one change at a time.
+    fn reconcile(&mut self, now: Micros) {
+        if now < self.next_seats {
+            return;
+        }
+        self.next_seats = now + SEATS_EVERY;
+        let (Some(seat), Some(register), Some(_)) = (&mut self.seat, &self.register, &self.chair) else { return };
+        let (voters, learners) = register.seats();
+        let mut lines = Vec::new();
+        match seat.change(&voters, &learners) {
+            Ok(true) => lines.push((Level::Info, format!("fleet: who votes changes to {voters:?}, learning {learners:?}"))),
+            Ok(false) => {}
+            Err(refused) => lines.push((Level::Debug, format!("fleet: who votes cannot change now, {refused}"))),
+        }
+        for no in learners {
+            if seat.learners().contains(&no) && seat.has_learnt(no) {
+                let entry = postcard::to_stdvec(&Entry::Learnt { seat: no }).unwrap_or_default();
+                if seat.put(entry).is_ok() {
+                    lines.push((Level::Info, format!("fleet: seat {no} has learnt what was agreed, and is to vote")));
+                }
+            }
+        }
+        lines.into_iter().for_each(|(level, line)| self.log(level, line));
+    }
+
+    /// A seat that was just given to this router begins with nothing, as it has promised nothing. Only on the word of one
+    /// that surely leads, which a lease in this member's hands shows.
+    fn take_new_seat(&mut self, now: Micros) {
+        if self.keeping || self.keeper.lease_left(now).is_none() {
+            return;
+        }
+        let given = self.members.get(&self.me).and_then(|of| Some((of.seat?, of.learns)));
+        let own = self.seat.as_ref().map(Seat::no);
+        match given {
+            Some((no, true)) if own != Some(no) => {
+                self.seeds = self.seeds.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(1);
+                match Seat::fresh(self.fleet, no, self.seat_terms, self.seeds) {
+                    Ok(seat) => {
+                        (self.seat, self.seat_words, self.register) = (Some(seat), None, None);
+                        (self.chair, self.failed) = (None, None);
+                        self.log(Level::Info, format!("fleet: {} begins in the new seat {no}, and learns", self.me));
+                    }
+                    Err(refused) => {
+                        self.log(Level::Error, format!("fleet: the new seat {no} cannot be taken, {refused}"));
+                    }
+                }
+            }
+            // Its seat is another's word now, or nobody's: it must not speak from it.
+            Some((no, _)) if own.is_some() && own != Some(no) => {
+                let words = format!("its state is of seat {}, the fleet has given it seat {no}", own.unwrap_or_default());
+                self.log(Level::Error, format!("fleet: {} takes part without its vote, {words}", self.me));
+                (self.seat, self.seat_words, self.chair) = (None, Some(words), None);
+            }
+            None if own.is_some() => {
+                self.log(Level::Info, format!("fleet: {} has no vote any more", self.me));
+                (self.seat, self.register, self.chair) = (None, None, None);
+            }
+            _ => {}
+        }
+    }
+
+    /// This router's lease: what time has brought, and the next request.
+    fn keep_lease(&mut self, now: Micros) {
+        if let Some(effect) = self.keeper.elapsed(now) {
+            self.acts.push(Act::Do(effect));
+        }
+        if self.keeper.is_unanswered(now) && self.chair.is_none() {
+            self.leads = None;
+        }
+        if let Some(renew) = self.keeper.renew(now) {
+            if let Some(to) = self.whom() {
+                self.say(&to, Said::Renew(renew));
+            }
+        }
+    }
+
+    fn say_own(&mut self, now: Micros) {
+        let mut due = Vec::new();
+        for (op, own) in &mut self.own {
+            if !own.heard && own.said.is_none_or(|at| now >= at + SAY_AGAIN) {
+                own.said = Some(now);
+                due.push(match &own.wish {
+                    Wish::Do(command) => Said::Do { op: *op, command: command.clone() },
+                    Wish::Look(what) => Said::Look { op: *op, what: what.clone() },
+                });
+            }
+        }
+        for said in due {
+            if let Some(to) = self.whom() {
+                self.say(&to, said);
+            }
+        }
+    }
+
+    /// One turn, after whatever has come: what is due is done. To be called again when anything comes, and when
+    /// [`Council::next_due`] says.
+    pub fn turn(&mut self, now: Micros) -> Vec<Act> {
+        // After a stop of any length time goes on with one tick: nobody is voted out for what was not heard meanwhile.
+        if now >= self.next_tick {
+            if let Some(seat) = self.seat.as_mut().filter(|_| self.failed.is_none()) {
+                seat.tick();
+            }
+            self.next_tick = (self.next_tick + TICK).max(now);
+        }
+        self.take_new_seat(now);
+        for _ in 0..MOST_ROUNDS {
+            self.work(now);
+            self.follow_lead(now);
+            self.beat(now);
+            self.reconcile(now);
+            self.keep_lease(now);
+            self.say_own(now);
+            if self.home.is_empty() {
+                break;
+            }
+            let me = self.me.clone();
+            for said in std::mem::take(&mut self.home) {
+                self.hear(now, &me, said);
+            }
+        }
+        std::mem::take(&mut self.acts)
+    }
+
+    /// It speaks for its member no more, in this process. What it has of a lease runs on; of the rest nothing stays.
+    pub fn rests(&mut self, now: Micros, seed: u64) {
+        let (mut keeper, members) = (self.keeper.clone(), self.members.clone());
+        keeper.shares(now);
+        *self = Council::new(self.fleet, self.terms, self.seat_terms, keeper, members, seed, now);
+    }
+
+    /// Something is being kept just now.
+    pub fn is_keeping(&self) -> bool {
+        self.keeping
+    }
+
+    /// When time alone brings something.
+    pub fn next_due(&self, now: Micros) -> Micros {
+        let mut due = self.keeper.next_due(now);
+        if self.seat.is_some() {
+            due = due.min(self.next_tick.max(now));
+        }
+        if let Some((chair, register)) = self.chair() {
+            due = due.min(chair.next_due(now, register));
+        }
+        if let Some((at, _)) = self.failed.as_ref().filter(|_| !self.keeping) {
+            due = due.min(*at);
+        }
+        if self.own.values().any(|own| !own.heard) {
+            due = due.min(now + SAY_AGAIN);
+        }
+        due
+    }
+
+    /// The seat's number, for a driver that keeps what it has promised.
+    pub fn seat_no(&self) -> Option<SeatNo> {
+        self.seat.as_ref().map(Seat::no)
+    }
+}
+
+/// The agreement's spans for an election that begins after `election` microseconds of silence.
+pub fn seat_terms(election: u64) -> SeatTerms {
+    let election_ticks = usize::try_from(election / TICK.0).unwrap_or(10).max(4);
+    SeatTerms {
+        election_ticks,
+        heartbeat_ticks: (election_ticks / 5).max(1),
+        witness_ticks: election_ticks * 2,
+        ..SeatTerms::default()
+    }
+}
--- a/policy/src/keeper.rs
+++ b/policy/src/keeper.rs
@@ -142,6 +142,10 @@
         self.planted == Some(fault)
     }
 
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
     pub fn view(&self) -> Option<&View> {
         self.view.as_ref()
     }
@@ -293,6 +297,11 @@
         !self.answered && self.asked.back().is_some_and(|(_, sent)| now >= *sent + ASK_AGAIN)
     }
 
+    /// Another process of this member may have a lease from now on, or have had one until now.
+    pub fn shares(&mut self, now: Micros) {
+        self.alone_from = now + self.terms.surely_over();
+    }
+
     /// Another router is to be asked, and at once.
     pub fn asks_anew(&mut self) {
         self.eager = true;
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -3,12 +3,14 @@
 //!
 //! [`Register`] is what was agreed, replayed from the log alone. [`Keeper`] is a router's own part: the policy it knows and
 //! its lease; it alone says whether a lookup may be admitted ([`Keeper::admission`]). [`Chair`] is kept by the router that
-//! leads: it gives leases and takes a proposal from step to step. A [`Record`] is a policy's text, read and checked.
+//! leads: it gives leases and takes a proposal from step to step. [`Council`] is one router's whole part, with its seat
+//! in the agreement: the one way in for a driver. A [`Record`] is a policy's text, read and checked.
 //!
 //! The rule: a lookup is decided under the policy in force when it was admitted; once one router has admitted under a
 //! version, none ever again admits under an earlier one. `docs/design/policy.md` says why it holds.
 
 mod chair;
+mod council;
 mod figures;
 mod ids;
 mod keeper;
@@ -21,6 +23,7 @@
 mod model;
 
 pub use chair::{Chair, Order, Seen};
+pub use council::{seat_terms, Act, Council, Found, Heard, Level, Wish, TICK};
 pub use figures::{platform, put_in_force};
 pub use ids::{Epoch, Incarnation, Index, Member, Op, Round, SeatNo, Seq, Version};
 pub use keeper::{Admission, Effect, Keeper, Why};
@@ -28,7 +31,8 @@
 pub use register::{
     Entry, Fate, Outcome, Paper, Past, Pending, Register, Seated, Verdict, LONGEST_TEXT, LONGEST_WORDS, MOST_MEMBERS,
 };
-pub use say::{Grant, NextView, Renew, Told, View};
+pub use say::{Command, Grant, NextView, Renew, Said, Told, View};
+pub use ternpick_consensus::FleetId;
 pub use terms::Terms;
 
 /// Faults that tests plant and must find; never in a build that serves.
--- a/policy/src/say.rs
+++ b/policy/src/say.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{Epoch, Incarnation, Index, Member, Round, Seq, Version};
-use crate::register::{Paper, Register, Seated, Verdict};
+use crate::ids::{Epoch, Incarnation, Index, Member, Op, Round, SeatNo, Seq, Version};
+use crate::register::{Entry, Outcome, Paper, Register, Seated, Verdict};
 
 /// A router asks for its lease, and says where it stands. All that it says is its state, so that a later one makes an
 /// earlier one needless, and one that comes twice says nothing new.
@@ -84,3 +84,57 @@
     /// Who asked is no member of the fleet.
     pub stranger: bool,
 }
+
+/// What routers of a fleet say to each other.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Said {
+    /// Between seats of the agreement.
+    Seat { from: SeatNo, to: SeatNo, word: Vec<u8> },
+    Renew(Renew),
+    Told(Told),
+    /// Whoever is asked does not lead; perhaps this one does.
+    Elsewhere(Option<Member>),
+    /// An operator's command, for whoever leads; said again until its outcome is heard.
+    Do { op: Op, command: Command },
+    Did { op: Op, outcome: Outcome },
+    /// A question of an operator's, and its answer (JSON).
+    Look { op: Op, what: String },
+    Seen { op: Op, json: String },
+}
+
+/// What an operator wants done.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Command {
+    Propose { base: Option<u64>, text: String, author: String, reason: String },
+    Confirm { number: u64, by: String },
+    Withdraw { number: u64, by: String, reason: String },
+    Add { member: String, address: String, zone: String },
+    Remove { member: String },
+    /// A new seat, for one that has none or has lost its own.
+    Seat { member: String },
+    Unseat { member: String },
+    Transfer { to: Member },
+}
+
+impl Command {
+    /// The entry that it asks for; a transfer needs none.
+    pub fn entry(self, op: Op, confirm: bool) -> Option<Entry> {
+        let member = |name: String| Member(name);
+        Some(match self {
+            Command::Propose { base, text, author, reason } => {
+                let paper = Paper { number: Version(0), text, author, reason };
+                Entry::Propose { op, base: base.map(Version), paper, confirm }
+            }
+            Command::Confirm { number, by } => Entry::Confirm { op, number: Version(number), by },
+            Command::Withdraw { number, by, reason } => {
+                Entry::Withdraw { op, number: Version(number), by, reason }
+            }
+            Command::Add { member: name, address, zone } => Entry::Enter { op, member: member(name), address, zone },
+            Command::Remove { member: name } => Entry::Leave { op, member: member(name) },
+            Command::Seat { member: name } => Entry::Seat { op, member: member(name) },
+            Command::Unseat { member: name } => Entry::Unseat { op, member: member(name) },
+            Command::Transfer { .. } => return None,
+        })
+    }
+}
--- a/router/src/fleet/commands.rs
+++ b/router/src/fleet/commands.rs
@@ -1,11 +1,9 @@
 //! Operators' commands as routers pass them on, and the answers to their questions.
 
-use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use ternpick::types::Micros;
-use ternpick_policy::{Entry, Fate, Member, Op, Outcome, Paper, Record, Register, Version};
+use ternpick_policy::{Command, Council, Fate, Heard, Op, Outcome, Paper, Record, Register, Wish};
 
-use crate::fleet::council::{Council, Heard, Wish};
 use crate::fleet::Fleet;
 use crate::stages::Router;
 
@@ -14,43 +12,6 @@
 /// The longest that a command waits here for its outcome.
 const LONGEST_WAIT: Micros = Micros(60_000_000);
 
-/// What an operator wants done.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Command {
-    Propose { base: Option<u64>, text: String, author: String, reason: String },
-    Confirm { number: u64, by: String },
-    Withdraw { number: u64, by: String, reason: String },
-    Add { member: String, address: String, zone: String },
-    Remove { member: String },
-    /// A new seat, for one that has none or has lost its own.
-    Seat { member: String },
-    Unseat { member: String },
-    Transfer { to: Member },
-}
-
-impl Command {
-    /// The entry that it asks for; a transfer needs none.
-    pub fn entry(self, op: Op, confirm: bool) -> Option<Entry> {
-        let member = |name: String| Member(name);
-        Some(match self {
-            Command::Propose { base, text, author, reason } => {
-                let paper = Paper { number: Version(0), text, author, reason };
-                Entry::Propose { op, base: base.map(Version), paper, confirm }
-            }
-            Command::Confirm { number, by } => Entry::Confirm { op, number: Version(number), by },
-            Command::Withdraw { number, by, reason } => {
-                Entry::Withdraw { op, number: Version(number), by, reason }
-            }
-            Command::Add { member: name, address, zone } => Entry::Enter { op, member: member(name), address, zone },
-            Command::Remove { member: name } => Entry::Leave { op, member: member(name) },
-            Command::Seat { member: name } => Entry::Seat { op, member: member(name) },
-            Command::Unseat { member: name } => Entry::Unseat { op, member: member(name) },
-            Command::Transfer { .. } => return None,
-        })
-    }
-}
-
 fn fate(of: &Fate) -> Value {
     match of {
         Fate::Open => json!({"fate": "open"}),
@@ -127,7 +88,7 @@
             }
         }
         Some("show") => {
-            let text = fleet.keeper.borrow().view().map(|view| (view.in_force.clone(), view.epoch));
+            let text = fleet.council.borrow().keeper.view().map(|view| (view.in_force.clone(), view.epoch));
             match text {
                 Some((of, epoch)) => json!({"done": true, "ok": true, "in_force": paper(&of), "epoch": epoch}),
                 None => json!({"done": true, "ok": false, "line": "this router has yet to learn the policy in force"}),
--- a/router/src/fleet/disk.rs
+++ b/router/src/fleet/disk.rs
@@ -3,21 +3,13 @@
 use std::path::{Path, PathBuf};
 
 use ternpick_consensus::{FleetId, Seat, Terms};
+use ternpick_policy::Found;
 use ternpick_store::Journal;
 
 /// The name of the file, and the kind of what is in it.
 const FILE: &str = "seat";
 const KIND: &str = "fleet-seat";
 
-/// What a folder holds at a start.
-pub enum Found {
-    Seat(Box<Seat>),
-    /// There is none: this router has no vote, or has lost it.
-    Nothing,
-    /// There is one that can't be used, in words. It is left as it is.
-    Unusable(String),
-}
-
 pub fn path(folder: &Path) -> PathBuf {
     folder.join(FILE)
 }
--- /dev/null
+++ b/router/src/fleet/drive.rs
@@ -0,0 +1,218 @@
+//! Drives this router's [`Council`]: hands it what has come and what time it is, keeps files, and carries out what comes
+//! back. In turns, on one task.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::rc::Rc;
+
+use async_io::Timer;
+use event_listener::Event;
+use futures_lite::future;
+use ternpick::types::Micros;
+use ternpick_policy::{Act, Effect, Heard, Level, Member, Op, Said, Verdict, Wish};
+
+use crate::fleet::post::{self, Post};
+use crate::fleet::{chance, commands, disk, Fleet};
+use crate::stages::Router;
+
+/// A router that waits for its folder, or its listener, looks again so often.
+const LOOK_AGAIN: Micros = Micros(20_000);
+/// Turns at a time without looking at anything else.
+const MOST_TURNS: usize = 16;
+
+/// What an operator of this router waits for; taken off by who asked.
+#[derive(Default)]
+pub struct Waits(BTreeMap<Op, (Option<Heard>, Rc<Event>)>);
+
+impl Fleet {
+    fn say(&self, router: &Rc<Router>, me: &Rc<Fleet>, to: &Member, said: Said) {
+        let address = self.council.borrow().members.get(to).and_then(|seated| seated.address.parse().ok());
+        let Some(address) = address else { return };
+        let mut posts = self.posts.borrow_mut();
+        let post = posts.entry(to.clone()).or_insert_with(|| Post::open(router, me, to.clone(), address));
+        post.address.set(address);
+        post.say(said);
+    }
+
+    /// Ways to those that are members no longer end.
+    fn close_posts(&self) {
+        let council = self.council.borrow();
+        self.posts.borrow_mut().retain(|member, post| {
+            let stays = council.members.contains_key(member);
+            if !stays {
+                post.end();
+            }
+            stays
+        });
+    }
+
+    fn carry_out(&self, router: &Rc<Router>, me: &Rc<Fleet>, act: Act, now: Micros) {
+        match act {
+            Act::Say(to, said) => self.say(router, me, &to, said),
+            Act::Keep(image) => self.keep(router, me, image),
+            Act::Do(effect) => self.obey(router, effect),
+            Act::Look(to, op, what) => {
+                let json = commands::look(&self.council.borrow(), &what, now);
+                if let Some(json) = json {
+                    self.council.borrow_mut().seen(&to, op, json);
+                }
+            }
+            Act::Heard(op, heard) => {
+                if let Some((outcome, told)) = self.waits.borrow_mut().0.get_mut(&op) {
+                    *outcome = Some(heard);
+                    told.notify(usize::MAX);
+                }
+            }
+            Act::Log(Level::Error, line) => tracing::error!("{line}"),
+            Act::Log(Level::Info, line) => tracing::info!("{line}"),
+            Act::Log(Level::Debug, line) => tracing::debug!("{line}"),
+        }
+    }
+
+    /// What the lease and the policy ask of this router.
+    fn obey(&self, router: &Router, effect: Effect) {
+        match effect {
+            Effect::Check(paper) => {
+                let verdict = self.check(&paper);
+                let word = match &verdict {
+                    Verdict::Fits => "it fits".to_owned(),
+                    Verdict::Refused(words) => format!("refused, {words}"),
+                };
+                tracing::info!("policy: proposal {} by '{}' is looked at: {word}", paper.number, paper.author);
+                self.council.borrow_mut().checked(paper.number, verdict);
+            }
+            Effect::Use(paper) => self.put_in_force(router, &paper),
+            Effect::Members(_) => {}
+            Effect::Say(line) => tracing::info!("{line}"),
+        }
+    }
+
+    /// Writing waits for the disk, and the router does not wait for it.
+    fn keep(&self, router: &Rc<Router>, me: &Rc<Fleet>, image: Vec<u8>) {
+        self.images.set(self.images.get() + 1);
+        let (folder, version, me) = (self.folder.clone(), self.images.get(), Rc::clone(me));
+        let (mut journal, clock) = (self.journal.borrow_mut().take(), router.clock);
+        let task = async move {
+            let write = move || (disk::keep(Path::new(&folder), &mut journal, version, &image), journal);
+            let (kept, journal) = blocking::unblock(write).await;
+            *me.journal.borrow_mut() = journal;
+            me.council.borrow_mut().kept(clock.now(), kept);
+            me.wake.notify(1);
+        };
+        router.executor.spawn(task).detach();
+    }
+
+    /// What has come, and what time has brought; when the next turn is due comes back.
+    fn turn(&self, router: &Rc<Router>, me: &Rc<Fleet>) -> Micros {
+        for _ in 0..MOST_TURNS {
+            let now = router.clock.now();
+            while let Some(parcel) = self.next_parcel() {
+                for said in parcel.said {
+                    self.council.borrow_mut().hear(now, &parcel.from, said);
+                }
+            }
+            let acts = self.council.borrow_mut().turn(now);
+            if acts.is_empty() {
+                break;
+            }
+            for act in acts {
+                self.carry_out(router, me, act, now);
+            }
+            self.changed.notify(usize::MAX);
+        }
+        self.close_posts();
+        self.council.borrow().next_due(router.clock.now())
+    }
+
+    /// An operator's wish, until something is heard of it or its time is up.
+    pub async fn ask(&self, router: &Router, op: Op, wish: Wish, wait: Micros) -> Option<Heard> {
+        let told = Rc::new(Event::new());
+        let until = router.clock.now() + wait;
+        self.waits.borrow_mut().0.insert(op, (None, Rc::clone(&told)));
+        self.council.borrow_mut().wish(op, wish);
+        self.wake.notify(1);
+        let heard = async {
+            loop {
+                let more = told.listen();
+                if let Some(outcome) = self.waits.borrow().0.get(&op).and_then(|(outcome, _)| outcome.clone()) {
+                    return outcome;
+                }
+                more.await;
+            }
+        };
+        let heard = router.until(Some(until), heard).await;
+        self.waits.borrow_mut().0.remove(&op);
+        self.council.borrow_mut().give_up(op);
+        heard
+    }
+}
+
+/// Takes part for as long as this process accepts clients: one that has handed over speaks for its member no more, and
+/// takes the folder, the seat and the listener again if it has to take over.
+pub async fn run(router: Rc<Router>, fleet: Rc<Fleet>) {
+    loop {
+        while !router.accepts.get() {
+            let changed = router.accepts_changed.listen();
+            if !router.accepts.get() {
+                changed.await;
+            }
+        }
+        let Some(held) = hold(&router, &fleet).await else { continue };
+        let Some(address) = fleet.address() else {
+            tracing::error!("fleet: {} is no member by its settings, and has no address", fleet.me);
+            return;
+        };
+        let (found, journal) = disk::find(&fleet.folder, fleet.id, fleet.seat_terms(), chance());
+        *fleet.journal.borrow_mut() = journal;
+        fleet.council.borrow_mut().begins(found);
+        let listener = post::bind(&router, address).await;
+        tracing::info!("fleet: {} speaks on {address} in fleet {}", fleet.me, fleet.settings.name);
+        let listening = router.executor.spawn(post::listen(Rc::clone(&router), Rc::clone(&fleet), listener));
+        while router.accepts.get() {
+            let (wake, changed) = (fleet.wake.listen(), router.accepts_changed.listen());
+            let due = fleet.turn(&router, &fleet);
+            let time = async {
+                Timer::at(router.clock.instant(due)).await;
+            };
+            future::or(future::or(wake, changed), time).await;
+        }
+        drop(listening);
+        leave(&router, &fleet).await;
+        drop(held);
+        tracing::info!("fleet: {} speaks no more in this process", fleet.me);
+    }
+}
+
+/// Waits for the folder; none: this process no longer accepts.
+async fn hold(router: &Router, fleet: &Fleet) -> Option<ternpick_store::Held> {
+    let mut said = false;
+    while router.accepts.get() {
+        match ternpick_store::hold(&fleet.folder) {
+            Ok(Some(held)) => return Some(held),
+            Ok(None) if said => {}
+            Ok(None) => {
+                said = true;
+                tracing::info!("fleet: waits for another process to leave {}", fleet.folder.display());
+            }
+            Err(fault) => {
+                if !std::mem::replace(&mut said, true) {
+                    tracing::error!("fleet: {fault}");
+                }
+            }
+        }
+        Timer::at(router.clock.instant(router.clock.now() + LOOK_AGAIN)).await;
+    }
+    None
+}
+
+/// Ends what speaks for the member here; what is being written is waited for. The lease runs on until it is over: this
+/// process may have connections whose requests it still takes.
+async fn leave(router: &Router, fleet: &Fleet) {
+    for (_, post) in std::mem::take(&mut *fleet.posts.borrow_mut()) {
+        post.end();
+    }
+    while fleet.council.borrow().is_keeping() {
+        Timer::at(router.clock.instant(router.clock.now() + LOOK_AGAIN)).await;
+    }
+    fleet.council.borrow_mut().rests(router.clock.now(), chance());
+}
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -1,13 +1,13 @@
 //! Talk between the routers of one fleet, where the settings ask for it: moves bytes, keeps files, passes time in. What is
 //! agreed, who may admit and which step comes next are decided by `ternpick-consensus` and `ternpick-policy`.
 //!
-//! One task ([`council::run`]) owns the seat, the register and the chair; the keeper of this router's lease is shared with
-//! the stage `admit`, which asks it in the turn in which a lookup is taken.
+//! One task ([`drive::run`]) drives this router's council; the keeper of its lease is asked by
+//! the stage `admit` in the turn in which a lookup is taken.
 
 pub mod cli;
 pub mod commands;
-pub mod council;
 pub mod disk;
+pub mod drive;
 pub mod parcel;
 pub mod post;
 
@@ -24,14 +24,15 @@
 use ternpick::types::{Listing, Micros, Phase, Tariff};
 use ternpick_consensus::FleetId;
 use ternpick_policy::{
-    Admission, Effect, Incarnation, Keeper, Member, Paper, Platform, Record, SeatNo, Seated, Terms, Verdict, Version,
+    Admission, Council, Incarnation, Keeper, Member, Paper, Platform, Record, SeatNo, Seated, Terms, Verdict, Version,
 };
+use ternpick_store::Journal;
 
 use crate::lifecycle::settings::FleetTerms;
 use crate::memory::clients::Answer;
 use crate::stages::book::{retry_after, Office};
 use crate::stages::{admit, Router};
-use council::Council;
+use drive::Waits;
 use parcel::Parcel;
 
 /// Parcels that have come and wait for the next turn; the oldest go first, as on any network.
@@ -54,15 +55,17 @@
 
 /// A router's part of a fleet.
 pub struct Fleet {
-    pub terms: Terms,
     pub settings: FleetTerms,
     pub me: Member,
     pub id: FleetId,
     pub folder: PathBuf,
-    pub keeper: RefCell<Keeper>,
     /// Told when the keeper may say something else: lookups that wait at admission look again.
     pub changed: Event,
     pub council: RefCell<Council>,
+    waits: RefCell<Waits>,
+    /// Where the seat's state is kept; with who writes while something is being kept.
+    journal: RefCell<Option<Journal>>,
+    images: Cell<u64>,
     inbox: RefCell<VecDeque<Parcel>>,
     pub wake: Event,
     /// The platform's own figures and names.
@@ -127,16 +130,19 @@
     ) -> Rc<Fleet> {
         let (terms, me) = (spans(&settings), Member::from(name));
         let keeper = Keeper::starts(terms, me.clone(), Incarnation(chance()), inherits, now);
-        let council = Council::new(founders(&settings), now);
+        let seat_terms = ternpick_policy::seat_terms(settings.election);
+        let id = number_of(&settings.name);
+        let council = Council::new(id, terms, seat_terms, keeper, founders(&settings), chance(), now);
         Rc::new(Fleet {
-            terms,
-            id: number_of(&settings.name),
+            id,
             folder: settings.folder.clone().into(),
             settings,
             me,
-            keeper: RefCell::new(keeper),
             changed: Event::new(),
             council: RefCell::new(council),
+            waits: RefCell::default(),
+            journal: RefCell::default(),
+            images: Cell::new(0),
             inbox: RefCell::default(),
             wake: Event::new(),
             own: tariff.clone(),
@@ -156,6 +162,10 @@
         self.settings.listen.clone().or(own).or(known).and_then(|address| address.parse().ok())
     }
 
+    fn seat_terms(&self) -> ternpick_consensus::Terms {
+        ternpick_policy::seat_terms(self.settings.election)
+    }
+
     pub fn platform(&self) -> Platform {
         ternpick_policy::platform(&self.own, &self.indexes, &self.customers)
     }
@@ -164,7 +174,7 @@
     pub async fn settled(&self, router: &Router) {
         loop {
             let changed = self.changed.listen();
-            let Admission::Hold(until) = self.keeper.borrow().admission(router.clock.now()) else { return };
+            let Admission::Hold(until) = self.council.borrow().keeper.admission(router.clock.now()) else { return };
             let held = async {
                 async_io::Timer::at(router.clock.instant(until)).await;
             };
@@ -174,7 +184,7 @@
 
     /// Whether a lookup may be taken now, and under what; else its answer.
     pub fn admit(&self, now: Micros) -> Result<Mark, Answer> {
-        match self.keeper.borrow().admission(now) {
+        match self.council.borrow().keeper.admission(now) {
             Admission::Under(version) => Ok(Mark { version, unguarded: false }),
             Admission::Unguarded(version) => Ok(Mark { version, unguarded: true }),
             Admission::Hold(until) => Err(Self::refusal("a change of policy takes hold", until.since(now))),
@@ -215,34 +225,13 @@
         }
     }
 
-    /// Carries out what the keeper says.
-    pub fn carry_out(&self, router: &Router, effects: Vec<Effect>) {
-        for effect in effects {
-            match effect {
-                Effect::Check(paper) => {
-                    let verdict = self.check(&paper);
-                    let word = match &verdict {
-                        Verdict::Fits => "it fits".to_owned(),
-                        Verdict::Refused(words) => format!("refused, {words}"),
-                    };
-                    tracing::info!("policy: proposal {} by '{}' is looked at: {word}", paper.number, paper.author);
-                    self.keeper.borrow_mut().checked(paper.number, verdict);
-                }
-                Effect::Use(paper) => self.put_in_force(router, &paper),
-                Effect::Members(members) => self.council.borrow_mut().members = members,
-                Effect::Say(line) => tracing::info!("{line}"),
-            }
-        }
-        self.changed.notify(usize::MAX);
-    }
-
     fn put_in_force(&self, router: &Router, paper: &Paper) {
         let name = format!("version {}", paper.number);
         let record = match Record::read_within(&name, &paper.text, &self.platform()) {
             Ok(record) => record,
             Err(words) => {
                 tracing::error!("policy: {name} does not fit here, nothing is admitted: {words}");
-                self.keeper.borrow_mut().does_not_fit(paper.number);
+                self.council.borrow_mut().keeper.does_not_fit(paper.number);
                 return;
             }
         };
@@ -289,7 +278,8 @@
 
     /// How the fleet looks from here; for people.
     pub fn status(&self, brain: &Brain, now: Micros) -> serde_json::Value {
-        let (keeper, council) = (self.keeper.borrow(), self.council.borrow());
+        let council = self.council.borrow();
+        let keeper = &council.keeper;
         let view = keeper.view();
         let next = view.and_then(|view| view.next.as_ref());
         let (out, out_bytes, come, come_bytes) = self.traffic.get();
--- a/router/src/fleet/parcel.rs
+++ b/router/src/fleet/parcel.rs
@@ -2,31 +2,13 @@
 
 use serde::{Deserialize, Serialize};
 use ternpick_consensus::FleetId;
-use ternpick_policy::{Member, Op, Outcome, Renew, SeatNo, Told};
-
-use crate::fleet::commands::Command;
+use ternpick_policy::{Member, Said};
 
 /// The path that fleets speak on, and the form of what is said there.
 pub const PATH: &str = "/_fleet/1";
 /// The longest parcel that is sent; a request's body may be a little longer.
 pub const PARCEL_BYTES: usize = 60 * 1024;
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub enum Said {
-    /// Between seats of the agreement.
-    Seat { from: SeatNo, to: SeatNo, word: Vec<u8> },
-    Renew(Renew),
-    Told(Told),
-    /// Whoever is asked does not lead; perhaps this one does.
-    Elsewhere(Option<Member>),
-    /// An operator's command, for whoever leads; said again until its outcome is heard.
-    Do { op: Op, command: Command },
-    Did { op: Op, outcome: Outcome },
-    /// A question of an operator's, and its answer (JSON).
-    Look { op: Op, what: String },
-    Seen { op: Op, json: String },
-}
-
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Parcel {
     pub fleet: FleetId,
--- a/router/src/fleet/post.rs
+++ b/router/src/fleet/post.rs
@@ -10,11 +10,11 @@
 use event_listener::Event;
 use futures_lite::future;
 use ternpick::types::Micros;
-use ternpick_policy::Member;
+use ternpick_policy::{Member, Said};
 use ternpick_wire::http::{self, Reader, HEAD_BOUND};
 use ternpick_wire::ring::Ring;
 
-use crate::fleet::parcel::{Parcel, Said, PARCEL_BYTES, PATH};
+use crate::fleet::parcel::{Parcel, PARCEL_BYTES, PATH};
 use crate::fleet::Fleet;
 use crate::lifecycle::fetch;
 use crate::memory::descriptors::Peer;
--- a/router/src/lifecycle/start.rs
+++ b/router/src/lifecycle/start.rs
@@ -13,7 +13,7 @@
 use serde_json::Value;
 use ternpick::brain::Brain;
 
-use crate::fleet::{council, Fleet};
+use crate::fleet::{drive, Fleet};
 use crate::lifecycle::clock::Clock;
 use crate::lifecycle::config::Opening;
 use crate::lifecycle::control::{self, Control};
@@ -182,7 +182,7 @@
         );
         sources::start(&router);
         if let Some(fleet) = &router.fleet {
-            executor.spawn(council::run(Rc::clone(&router), Rc::clone(fleet))).detach();
+            executor.spawn(drive::run(Rc::clone(&router), Rc::clone(fleet))).detach();
         }
         let control = match control {
             Some(terms) => Some(open_control(&router, &share, terms, &source, digest, &listeners, &name)?),
