--- a/lab/src/fleet/fleet.cue
+++ b/lab/src/fleet/fleet.cue
@@ -2,7 +2,7 @@
 
 #Kind: "kill" | "restart" | "upgrade" | "power" | "stop" | "long-stop" | "cut" | "isolate" | "split" | "delay" |
 	"reorder" | "double" | "drop" | "full-disk" | "last-write" | "older-state" | "lost-state" | "node-stall" |
-	"node-cut" | "discovery-down"
+	"node-cut" | "discovery-down" | "lead-kill" | "lead-stop" | "lead-disk" | "lead-deaf"
 
 #FleetPlan: {
 	name: string & =~"^[a-z0-9][a-z0-9-]{0,63}$"
@@ -21,5 +21,7 @@
 	// What may go wrong; each as often as the others, or as it stands here more than once.
 	faults: [...#Kind] | *["kill", "kill", "restart", "stop", "long-stop", "cut", "isolate", "split", "delay", "reorder",
 		"double", "drop", "full-disk", "last-write", "older-state", "lost-state", "node-stall", "node-cut",
-		"discovery-down", "upgrade", "power"]
+		"discovery-down", "upgrade", "power", "lead-kill", "lead-stop", "lead-disk", "lead-deaf"]
+	// A router whose own platform allows two calls for a part, where the others' allows four.
+	stricter?: int & >=0 & <=14
 }
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -254,7 +254,19 @@
     }
 
     fn begins(&mut self, step: &Step) -> Result<(), Failed> {
-        let (whom, count) = (step.whom, self.routers.all.len());
+        let count = self.routers.all.len();
+        let mut step = step.clone();
+        if let Some(kind) = of_leader(step.kind) {
+            // Where nobody leads just now it befalls whom the schedule names.
+            step.whom = self.routers.leader().unwrap_or(step.whom);
+            step.kind = kind;
+            if kind == Kind::Cut {
+                let whom = step.whom;
+                self.others(whom).into_iter().for_each(|other| self.routers.relay.cut(other, whom, true));
+                step.kind = Kind::LeadDeaf;
+            }
+        }
+        let (step, whom) = (&step, step.whom);
         let name = self.routers.all[whom].name.clone();
         self.routers.history.note(What::Fault { kind: step.kind.to_string(), whom: name });
         match step.kind {
@@ -276,6 +288,7 @@
             Kind::Upgrade => return Ok(()),
             Kind::Stop | Kind::LongStop => self.routers.stop(whom, true),
             Kind::Cut => self.routers.relay.cut(step.other % count, whom, true),
+            Kind::LeadDeaf | Kind::LeadKill | Kind::LeadStop | Kind::LeadDisk => {}
             Kind::Isolate => self.isolate(whom, true),
             Kind::Split => self.split(step, true),
             Kind::Delay | Kind::Reorder | Kind::Double | Kind::Drop => self.routers.relay.set(weather(step.kind)),
@@ -333,6 +346,10 @@
             }
             Kind::Stop | Kind::LongStop => self.routers.stop(whom, false),
             Kind::Cut => self.routers.relay.cut(step.other % count, whom, false),
+            Kind::LeadDeaf => {
+                self.others(whom).into_iter().for_each(|other| self.routers.relay.cut(other, whom, false));
+            }
+            Kind::LeadKill | Kind::LeadStop | Kind::LeadDisk => {}
             Kind::Isolate => self.isolate(whom, false),
             Kind::Split => self.split(step, false),
             Kind::Delay | Kind::Reorder | Kind::Double | Kind::Drop => self.routers.relay.set(Weather::default()),
@@ -411,6 +428,17 @@
     }
 }
 
+/// What befalls whoever leads.
+fn of_leader(kind: Kind) -> Option<Kind> {
+    match kind {
+        Kind::LeadKill => Some(Kind::Kill),
+        Kind::LeadStop => Some(Kind::LongStop),
+        Kind::LeadDisk => Some(Kind::FullDisk),
+        Kind::LeadDeaf => Some(Kind::Cut),
+        _ => None,
+    }
+}
+
 fn weather(kind: Kind) -> Weather {
     let ms = Duration::from_millis;
     match kind {
--- a/lab/src/fleet/plan.rs
+++ b/lab/src/fleet/plan.rs
@@ -46,6 +46,12 @@
     OlderState,
     /// It is ended, and its disk has nothing.
     LostState,
+    /// Of whoever leads at that moment: ended; standing still for longer than a lease; its disk full; heard by all others
+    /// and hearing none of them.
+    LeadKill,
+    LeadStop,
+    LeadDisk,
+    LeadDeaf,
     NodeStall,
     /// One router no longer reaches one node.
     NodeCut,
@@ -67,6 +73,8 @@
     pub change_every: u64,
     pub fault_every: u64,
     pub faults: Vec<Kind>,
+    /// A router whose own platform allows two calls for a part, where the others' allows four.
+    pub stricter: Option<usize>,
 }
 
 /// One thing that goes wrong, and when; milliseconds from the beginning.
@@ -123,9 +131,9 @@
             let Some(kind) = self.faults.choose(&mut chance).copied().filter(|_| at < end) else { break };
             let lease = self.lease / 1000;
             let lasts = match kind {
-                Kind::LongStop => chance.random_range(lease..lease * 3),
+                Kind::LongStop | Kind::LeadStop => chance.random_range(lease..lease * 3),
                 Kind::Stop => chance.random_range(20..lease),
-                Kind::Kill | Kind::Power => chance.random_range(10..lease),
+                Kind::Kill | Kind::LeadKill | Kind::Power => chance.random_range(10..lease),
                 _ => chance.random_range(100..lease * 2),
             };
             let loses = matches!(kind, Kind::OlderState | Kind::LostState);
--- a/lab/src/fleet/routers.rs
+++ b/lab/src/fleet/routers.rs
@@ -79,14 +79,15 @@
             "classes":[{{"name":"half","semantics":"idempotent","onTime":600000,"deadline":1500000}},
                        {{"name":"whole","semantics":"idempotent","onTime":600000,"deadline":1500000}},
                        {{"name":"once","semantics":"at_most_once","onTime":600000,"deadline":1500000}}],
-            "ceilings":{{"attemptsCap":4,"cancel":true,"dialTimeout":250000,"idleClose":9000000,"mostHeld":2000,
+            "ceilings":{{"attemptsCap":{},"cancel":true,"dialTimeout":250000,"idleClose":9000000,"mostHeld":2000,
                 "secondCopies":true,"streamsPerConn":64}},
             "extra":{{"bundleMax":8,"classNeed":[1,1,1],"minShare":[0.5,1,1],"positions":1,"reach":1,"shards":4}},
             "report":{{"via":"inline","columns":["depth"]}},"rules":{{"askWithin":60000000}}}}}}"#,
         router.name,
         router.address,
         0x70 + router.address.port(),
-        plan.routers
+        plan.routers,
+        if plan.stricter.is_some_and(|at| router.name == format!("n{at}")) { 2 } else { 4 }
     )
 }
 
@@ -206,6 +207,12 @@
         self.history.note(What::Ended { router: self.all[at].name.clone() });
     }
 
+    /// Whoever leads, as it says itself.
+    pub fn leader(&self) -> Option<usize> {
+        let leads = |router: &Router| router.up && !router.stopped && router.status().is_some_and(|of| of["leads"] == true);
+        self.all.iter().position(leads)
+    }
+
     /// Ends a router at once.
     pub fn kill(&mut self, at: usize) {
         if !self.all[at].up {
--- a/policy/src/council.rs
+++ b/policy/src/council.rs
@@ -109,6 +109,9 @@
     home: VecDeque<Said>,
     acts: Vec<Act>,
     seeds: u64,
+    /// A fault in every chair that it takes.
+    #[cfg(any(test, feature = "planted"))]
+    pub planted: Option<crate::chair::Planted>,
 }
 
 impl Council {
@@ -140,6 +143,8 @@
             home: VecDeque::new(),
             acts: Vec::new(),
             seeds: seed,
+            #[cfg(any(test, feature = "planted"))]
+            planted: None,
         }
     }
 
@@ -359,7 +364,13 @@
                 if self.chair.as_ref().is_none_or(|(of, _)| *of != term) {
                     // The votes that made it the leader had come by now: leases that others gave began before.
                     let line = format!("fleet: {} leads in term {term}, entry {}", self.me, register.index);
-                    self.chair = Some((term, Chair::takes(self.terms, now, register)));
+                    #[allow(unused_mut)]
+                    let mut chair = Chair::takes(self.terms, now, register);
+                    #[cfg(any(test, feature = "planted"))]
+                    {
+                        chair.planted = self.planted;
+                    }
+                    self.chair = Some((term, chair));
                     self.leads = Some(self.me.clone());
                     self.reads.clear();
                     self.doing.clear();
@@ -648,7 +659,13 @@
     pub fn rests(&mut self, now: Micros, seed: u64) {
         let (mut keeper, members) = (self.keeper.clone(), self.members.clone());
         keeper.shares(now);
+        #[cfg(any(test, feature = "planted"))]
+        let planted = self.planted;
         *self = Council::new(self.fleet, self.terms, self.seat_terms, keeper, members, seed, now);
+        #[cfg(any(test, feature = "planted"))]
+        {
+            self.planted = planted;
+        }
     }
 
     /// Something is being kept just now.
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -92,6 +92,22 @@
     u64::from_le_bytes(bytes)
 }
 
+/// Plants the fault that the environment names.
+#[cfg(feature = "planted")]
+fn plant(council: &mut Council) {
+    use ternpick_policy::planted::{InChair, InKeeper};
+    let word = std::env::var("TERNPICK_PLANTED").unwrap_or_default();
+    match word.as_str() {
+        "no-wait" => council.planted = Some(InChair::NoWait),
+        "no-asking" => council.planted = Some(InChair::NoAsking),
+        "forgets-others" => council.planted = Some(InChair::ForgetsOthers),
+        "counts-from-grant" => council.keeper.planted = Some(InKeeper::CountsFromGrant),
+        "used-beyond-end" => council.keeper.planted = Some(InKeeper::UsedBeyondEnd),
+        "goes-on-in-barrier" => council.keeper.planted = Some(InKeeper::GoesOnInBarrier),
+        _ => {}
+    }
+}
+
 /// The fleet's number, from its name.
 pub fn number_of(name: &str) -> FleetId {
     let digest = ring::digest::digest(&ring::digest::SHA256, name.as_bytes());
@@ -132,7 +148,10 @@
         let keeper = Keeper::starts(terms, me.clone(), Incarnation(chance()), inherits, now);
         let seat_terms = ternpick_policy::seat_terms(settings.election);
         let id = number_of(&settings.name);
-        let council = Council::new(id, terms, seat_terms, keeper, founders(&settings), chance(), now);
+        #[allow(unused_mut)]
+        let mut council = Council::new(id, terms, seat_terms, keeper, founders(&settings), chance(), now);
+        #[cfg(feature = "planted")]
+        plant(&mut council);
         Rc::new(Fleet {
             id,
             folder: settings.folder.clone().into(),
--- /dev/null
+++ b/router/tests/fleet.rs
@@ -0,0 +1,189 @@
+//! Fleets of real processes on loopback, broken between, and judged afterwards by what was seen from outside. Each hard
+//! case is a schedule of its own; a few seeds of a rough one stand for all that nobody thought of.
+
+mod common;
+
+use std::path::{Path, PathBuf};
+use std::sync::{Mutex, PoisonError};
+
+use ternpick_history::{Counts, Verdict};
+use ternpick_lab::fleet::{play, Change, FleetPlan, Kind, Outcome, Schedule, Step};
+use test_case::test_case;
+
+/// So many fleets at a time: each has processes and clients enough for its cores.
+static TURNS: [Mutex<()>; 2] = [Mutex::new(()), Mutex::new(())];
+
+fn turn() -> std::sync::MutexGuard<'static, ()> {
+    static NEXT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+    let at = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed) % TURNS.len();
+    TURNS[at].lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn program() -> PathBuf {
+    env!("CARGO_BIN_EXE_ternpick").into()
+}
+
+const SMALL: &str = "name: \"hard\"\nrouters: 3\nvoters: 3\nnodes: 3\nrate: 60\nclients: 48\nseconds: 4\nlease: 1s\n\
+                     renew: 250ms\nfaults: []\n";
+
+fn plan(more: &str) -> FleetPlan {
+    FleetPlan::parse("hard.cue", &format!("{SMALL}{more}\n")).expect("a plan")
+}
+
+fn change(at: u64, through: usize) -> Change {
+    Change { at, through, calls: 2, drained: None, withdrawn: None }
+}
+
+fn step(at: u64, lasts: u64, kind: Kind, whom: usize) -> Step {
+    Step { at, lasts, kind, whom, other: whom + 1 }
+}
+
+/// Plays a schedule; its history has to keep all rules, and the fleet has to be well again.
+fn played(plan: FleetPlan, steps: Vec<Step>, changes: Vec<Change>) -> (Outcome, Counts) {
+    let _turn = turn();
+    let folder = tempfile::tempdir().expect("a folder");
+    let schedule = Schedule { plan, seed: 1, steps, changes };
+    judged(&schedule, folder.path())
+}
+
+fn judged(schedule: &Schedule, folder: &Path) -> (Outcome, Counts) {
+    let outcome = play(schedule, &program(), folder, false).expect("the rig runs");
+    let Verdict::Accepted(counts) = outcome.verdict.clone() else {
+        let logs = std::env::temp_dir().join(format!("ternpick-fleet-{}", std::process::id()));
+        let kept = std::fs::rename(folder, &logs);
+        panic!("{:?}; kept in {} ({kept:?})", outcome.verdict, logs.display());
+    };
+    assert!(outcome.well_after_ms.is_some(), "not well again: {outcome:?}");
+    (outcome, counts)
+}
+
+/// A seed that fails is played again from its schedule.
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn whatever_breaks_a_history_keeps_the_rules(seed: u64) {
+    let _turn = turn();
+    let plan = FleetPlan::parse("fleet-test.cue", include_str!("../../lab/plans/fleet-test.cue")).expect("a plan");
+    let folder = tempfile::tempdir().expect("a folder");
+    let (_, counts) = judged(&plan.draw(seed), folder.path());
+    assert!(counts.decided > 100, "{counts:?}");
+}
+
+#[test]
+fn changes_take_hold_everywhere_and_nobody_is_refused_while_nothing_is_broken() {
+    let changes = (0..6).map(|at| change(300 + at * 500, at as usize % 3)).collect();
+    let (outcome, counts) = played(plan(""), vec![], changes);
+    assert_eq!((counts.in_force, counts.open), (6, 0), "{counts:?}");
+    assert_eq!(counts.statuses.keys().collect::<Vec<_>>(), [&200], "{counts:?}");
+    assert_eq!(counts.answered, counts.lookups, "{counts:?}");
+    assert!(outcome.took.iter().all(|took| took.micros < 900_000), "{:?}", outcome.took);
+}
+
+/// The router that an operator speaks to is ended at each moment of the change; the same command, said again elsewhere,
+/// is still one.
+#[test_case(0)]
+#[test_case(5)]
+#[test_case(15)]
+#[test_case(30)]
+#[test_case(60)]
+fn the_proposer_goes_in_the_middle(after: u64) {
+    let steps = vec![step(1000 + after, 500, Kind::Kill, 1)];
+    let (_, counts) = played(plan(""), steps, vec![change(1000, 1)]);
+    assert_eq!((counts.proposals, counts.in_force), (1, 1), "{counts:?}");
+}
+
+#[test_case(Kind::LeadKill, 0; "ended as it is proposed")]
+#[test_case(Kind::LeadKill, 10; "ended as it is agreed")]
+#[test_case(Kind::LeadKill, 25; "ended as it takes hold")]
+#[test_case(Kind::LeadKill, 50; "ended as it is in force")]
+#[test_case(Kind::LeadStop, 15; "standing still for more than a lease")]
+#[test_case(Kind::LeadDisk, 0; "its disk full")]
+#[test_case(Kind::LeadDeaf, 0; "heard by all and hearing nobody")]
+fn whoever_leads_fails_during_a_change(kind: Kind, after: u64) {
+    let steps = vec![step(1000 + after, 1500, kind, 0)];
+    let (_, counts) = played(plan("seconds: 5"), steps, vec![change(1000, 0), change(1600, 1), change(3500, 2)]);
+    assert!(counts.in_force >= 1, "{counts:?}");
+}
+
+#[test]
+fn of_two_proposals_at_once_one_is_refused_and_none_is_lost() {
+    let changes = (0..3).flat_map(|at| [change(500 + at * 800, 0), change(500 + at * 800, 1)]).collect();
+    let (_, counts) = played(plan(""), vec![], changes);
+    assert_eq!((counts.in_force + counts.nowhere, counts.open), (6, 0), "{counts:?}");
+    assert!(counts.in_force >= 3, "{counts:?}");
+}
+
+#[test_case(Kind::Kill; "with its state")]
+#[test_case(Kind::LastWrite; "without what it wrote last")]
+#[test_case(Kind::OlderState; "with an older state")]
+#[test_case(Kind::LostState; "without any")]
+fn one_that_was_down_during_a_change_comes_back(kind: Kind) {
+    let steps = vec![step(700, 2500, kind, 2)];
+    let (outcome, counts) = played(plan("seconds: 6"), steps, vec![change(1200, 0), change(5200, 1)]);
+    // The first waits for the lease of the one that is down, and not for itself.
+    assert_eq!((counts.in_force, counts.open), (2, 0), "{counts:?}");
+    assert!(outcome.took.iter().all(|took| took.micros < 3_000_000), "{:?}", outcome.took);
+}
+
+#[test]
+fn one_that_was_down_comes_back_in_a_minority_and_admits_nothing_there() {
+    // It starts cut off from both others, while they are under the new version.
+    let cut = Step { at: 600, lasts: 4000, kind: Kind::Isolate, whom: 2, other: 0 };
+    let steps = vec![step(500, 2000, Kind::Kill, 2), cut];
+    let (_, counts) = played(plan("seconds: 6"), steps, vec![change(1000, 0)]);
+    assert_eq!(counts.in_force, 1, "{counts:?}");
+    assert!(counts.statuses.contains_key(&503), "it refused while it was cut off: {counts:?}");
+}
+
+#[test]
+fn a_router_stopped_for_ten_leases_in_mid_admission_decides_nothing_under_what_was_left() {
+    let more = "seconds: 6\nlease: 300ms\nrenew: 100ms\nrate: 200";
+    let steps = vec![step(800, 3000, Kind::LongStop, 1), step(4300, 300, Kind::Stop, 0)];
+    let changes = vec![change(1000, 0), change(2500, 2), change(4400, 2)];
+    let (_, counts) = played(plan(more), steps, changes);
+    assert!(counts.in_force >= 2, "{counts:?}");
+}
+
+#[test]
+fn all_start_at_once() {
+    let steps = vec![step(1500, 200, Kind::Power, 0)];
+    let (_, counts) = played(plan("seconds: 5"), steps, vec![change(1480, 0), change(3800, 1)]);
+    assert!(counts.in_force >= 1, "{counts:?}");
+}
+
+#[test]
+fn a_policy_that_one_routers_own_platform_forbids_is_nowhere() {
+    let beyond = Change { calls: 3, ..change(800, 0) };
+    let (_, counts) = played(plan("stricter: 2"), vec![], vec![beyond, change(2000, 0)]);
+    assert_eq!((counts.in_force, counts.nowhere), (1, 1), "{counts:?}");
+}
+
+#[test_case(0; "at once")]
+#[test_case(60; "as the new process starts")]
+#[test_case(150; "as it takes over")]
+fn a_change_while_an_upgrade_hands_over(after: u64) {
+    let steps = (0..3).map(|at| step(800 + at * 1300, 0, Kind::Upgrade, at as usize)).collect();
+    let changes = (0..3).map(|at| change(800 + after + at * 1300, (at as usize + 1) % 3)).collect();
+    let (_, counts) = played(plan("seconds: 6"), steps, changes);
+    assert_eq!((counts.in_force, counts.lost, counts.refused), (3, 0, 0), "{counts:?}");
+}
+
+#[test]
+fn lookups_in_hand_over_three_changes_keep_what_they_were_admitted_under() {
+    // Nodes stand still, so that lookups wait while versions come and go.
+    let steps = vec![step(800, 900, Kind::NodeStall, 0), step(800, 900, Kind::NodeStall, 1)];
+    let changes = (0..3).map(|at| Change { calls: 3 - at, ..change(850 + at * 200, at as usize) }).collect();
+    let (_, counts) = played(plan(""), steps, changes);
+    assert_eq!(counts.in_force, 3, "{counts:?}");
+}
+
+/// Told to stop at each moment of a change; nothing that was taken is lost.
+#[test_case(0)]
+#[test_case(10)]
+#[test_case(25)]
+#[test_case(60)]
+fn a_router_is_told_to_stop_in_each_state(after: u64) {
+    let steps = vec![step(1000 + after, 0, Kind::Restart, 1)];
+    let (_, counts) = played(plan("seconds: 5"), steps, vec![change(1000, 0)]);
+    assert_eq!((counts.in_force, counts.lost, counts.ended), (1, 0, 0), "{counts:?}");
+}
