A process that leaves passes the lead on and closes what others send on; witness only of its own term

Seen: once in 33 fleet tests a fleet did not come back after three upgrades during changes (test a_change_while_an_upgrade_hands_over, debug build beside five other fleets; 18 further tries did not show it again). Checked in code, not proven to be the cause: connections of other routers stayed open to the old process, which took what was said on them and did nothing with it for as long as it lived; a late answer of an earlier term could be read as a promise about another entry and make a sound seat count as an older copy. Also: the lead is passed on before a stop or a hand-over, so that the fleet does not find out by silence.

--- a/consensus/src/seat.rs
+++ b/consensus/src/seat.rs
@@ -396,8 +396,10 @@
         if raft::raw_node::is_local_msg(kind) || kind == MessageType::MsgPropose {
             return;
         }
-        let store = self.raft.store();
-        self.witness.heard(from, &message, |index| store.term_at(index));
+        // An answer to this very term's leader tells which entry it means; to an earlier one's it may mean another.
+        let (store, term) = (self.raft.store(), self.term());
+        let leads = self.raft.raft.state == StateRole::Leader && message.term == term;
+        self.witness.heard(from, &message, |index| store.term_at(index).filter(|_| leads));
         if self.standing != Standing::TakesPart {
             return;
         }
--- a/policy/src/council.rs
+++ b/policy/src/council.rs
@@ -655,6 +655,22 @@
         std::mem::take(&mut self.acts)
     }
 
+    /// This process is to leave: another voter that is there is to lead.
+    pub fn passes_lead(&mut self, now: Micros) {
+        let Some((_, chair)) = &self.chair else { return };
+        let register = self.register.as_ref();
+        let seen = register.map(|register| chair.members(now, register)).unwrap_or_default();
+        let heard = |of: &crate::Seen| of.heard.unwrap_or(Micros(u64::MAX));
+        let others = seen.iter().filter(|of| of.member != self.me);
+        let votes = others.filter_map(|of| {
+            let seated = register?.members.get(&of.member)?;
+            Some((heard(of), seated.seat.filter(|_| !seated.learns)?))
+        });
+        if let (Some((_, to)), Some(seat)) = (votes.min(), &mut self.seat) {
+            seat.transfer(to);
+        }
+    }
+
     /// It speaks for its member no more, in this process. What it has of a lease runs on; of the rest nothing stays.
     pub fn rests(&mut self, now: Micros, seed: u64) {
         let (mut keeper, members) = (self.keeper.clone(), self.members.clone());
--- a/router/src/fleet/drive.rs
+++ b/router/src/fleet/drive.rs
@@ -168,7 +168,11 @@
         let listener = post::bind(&router, address).await;
         tracing::info!("fleet: {} speaks on {address} in fleet {}", fleet.me, fleet.settings.name);
         let listening = router.executor.spawn(post::listen(Rc::clone(&router), Rc::clone(&fleet), listener));
+        let mut passed = false;
         while router.accepts.get() {
+            if router.is_stopping() && !std::mem::replace(&mut passed, true) {
+                fleet.council.borrow_mut().passes_lead(router.clock.now());
+            }
             let (wake, changed) = (fleet.wake.listen(), router.accepts_changed.listen());
             let due = fleet.turn(&router, &fleet);
             let time = async {
@@ -176,7 +180,10 @@
             };
             future::or(future::or(wake, changed), time).await;
         }
+        pass_lead(&router, &fleet).await;
+        // What others send on connections that they have here is the next process's.
         drop(listening);
+        fleet.leaves.notify(usize::MAX);
         leave(&router, &fleet).await;
         drop(held);
         tracing::info!("fleet: {} speaks no more in this process", fleet.me);
@@ -205,6 +212,23 @@
     None
 }
 
+/// How long the lead may take to pass to another voter, before this process lets go of its seat.
+const PASSES_WITHIN: Micros = Micros(150_000);
+
+/// Passes the lead on, if it is here, and waits for that a little: the fleet need not find out by silence.
+async fn pass_lead(router: &Rc<Router>, fleet: &Rc<Fleet>) {
+    let until = router.clock.now() + PASSES_WITHIN;
+    fleet.council.borrow_mut().passes_lead(router.clock.now());
+    while fleet.council.borrow().leads() && router.clock.now() < until {
+        let wake = fleet.wake.listen();
+        let due = fleet.turn(router, fleet).min(until);
+        let time = async {
+            Timer::at(router.clock.instant(due)).await;
+        };
+        future::or(wake, time).await;
+    }
+}
+
 /// Ends what speaks for the member here; what is being written is waited for. The lease runs on until it is over: this
 /// process may have connections whose requests it still takes.
 async fn leave(router: &Router, fleet: &Fleet) {
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -68,6 +68,8 @@
     images: Cell<u64>,
     inbox: RefCell<VecDeque<Parcel>>,
     pub wake: Event,
+    /// Told when this process speaks for its member no more.
+    pub leaves: Event,
     /// The platform's own figures and names.
     own: Tariff,
     indexes: Vec<String>,
@@ -164,6 +166,7 @@
             images: Cell::new(0),
             inbox: RefCell::default(),
             wake: Event::new(),
+            leaves: Event::new(),
             own: tariff.clone(),
             indexes: indexes.to_vec(),
             customers,
--- a/router/src/fleet/post.rs
+++ b/router/src/fleet/post.rs
@@ -151,7 +151,8 @@
                 open.set(open.get() + 1);
                 let (of, fleet, open) = (Rc::clone(&router), Rc::clone(&fleet), Rc::clone(&open));
                 let task = async move {
-                    hear(&of, &fleet, stream).await;
+                    let leaves = fleet.leaves.listen();
+                    future::or(hear(&of, &fleet, stream), leaves).await;
                     open.set(open.get() - 1);
                     drop(permit);
                 };
