Lab: fleets of any size in virtual time, time to the first part; the founding is the register's first place

Seen: the leader of 500 routers sent 5.0 MB a second at rest (simulated). Cause: before the first change a router that knows the founding looked like one that knows nothing (place 0), and got view and members with each answer. Change: the founding is place 1.

--- a/lab/src/fleet/fleet.cue
+++ b/lab/src/fleet/fleet.cue
@@ -22,6 +22,8 @@
 	faults: [...#Kind] | *["kill", "kill", "restart", "stop", "long-stop", "cut", "isolate", "split", "delay", "reorder",
 		"double", "drop", "full-disk", "last-write", "older-state", "lost-state", "node-stall", "node-cut",
 		"discovery-down", "upgrade", "power", "lead-kill", "lead-stop", "lead-disk", "lead-deaf"]
+	// The same routers without a fleet: each by its own settings, as a measure of what the fleet costs.
+	off: bool | *false
 	// A router whose own platform allows two calls for a part, where the others' allows four.
 	stricter?: int & >=0 & <=14
 }
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -77,6 +77,10 @@
     pub carried: u64,
     pub cpu: Vec<u64>,
     pub seconds: f64,
+    /// From when a lookup was asked to its first part at a node; microseconds.
+    pub first_part: report::Spread,
+    /// Lookups that were refused though their router was neither ended, stopped nor cut off; by status.
+    pub refused_whole: u64,
 }
 
 impl Outcome {
@@ -103,7 +107,9 @@
     let addresses: Vec<_> = nodes.iter().map(|node| node.address).collect();
     let work = if on_disk { tempfile::tempdir()? } else { in_memory()? };
     let mut routers = Routers::start(plan, program, work.path(), &addresses, &history, schedule.seed)?;
-    routers.admit()?;
+    if !plan.off {
+        routers.admit()?;
+    }
     let (stop, began) = (AtomicBool::new(false), Instant::now());
     let took = Mutex::new(Vec::new());
     let played: Result<Option<u64>, Failed> = std::thread::scope(|scope| {
@@ -141,7 +147,7 @@
         }
         let mut player = Player { routers: &mut routers, nodes: &nodes, open: Vec::new(), operator: operator(work.path()) };
         let broke = player.play(schedule, began);
-        let well = player.heal();
+        let well = if plan.off { Ok(Some(0)) } else { player.heal() };
         // A little more, with nothing broken.
         if broke.is_ok() && well.is_ok() {
             std::thread::sleep(Duration::from_millis(500));
@@ -162,6 +168,7 @@
     let history = Arc::into_inner(history).ok_or_else(|| std::io::Error::other("the history is still written to"))?;
     history.finish()?;
     let verdict = check(BufReader::new(File::open(&path)?), Bounds::default());
+    let (first_part, refused_whole) = report::first_parts(&path)?;
     let took = took.into_inner().unwrap_or_else(PoisonError::into_inner);
     let (steps, changes) = (schedule.steps.len(), schedule.changes.len());
     let outcome = Outcome {
@@ -175,6 +182,8 @@
         carried,
         cpu,
         seconds,
+        first_part,
+        refused_whole,
     };
     let text = serde_json::to_vec_pretty(&outcome).map_err(std::io::Error::other)?;
     std::fs::write(folder.join("outcome.json"), text)?;
--- a/lab/src/fleet/plan.rs
+++ b/lab/src/fleet/plan.rs
@@ -73,6 +73,9 @@
     pub change_every: u64,
     pub fault_every: u64,
     pub faults: Vec<Kind>,
+    /// Without a fleet.
+    #[serde(default)]
+    pub off: bool,
     /// A router whose own platform allows two calls for a part, where the others' allows four.
     pub stricter: Option<usize>,
 }
--- a/lab/src/fleet/report.rs
+++ b/lab/src/fleet/report.rs
@@ -1,10 +1,11 @@
 //! Outcomes in words and tables.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
+use std::io::BufRead;
 use std::path::Path;
 
-use serde::Serialize;
-use ternpick_history::{Counts, Verdict};
+use serde::{Deserialize, Serialize};
+use ternpick_history::{Counts, Event, Verdict, What};
 
 use super::Outcome;
 use crate::report::text_table;
@@ -53,7 +54,7 @@
 }
 
 /// Quantiles of some figures: how many, the middle, nine of ten, 99 of a hundred, the largest.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Spread {
     pub count: usize,
     pub p50: f64,
@@ -68,6 +69,33 @@
     Spread { count: of.len(), p50: at(0.5), p90: at(0.9), p99: at(0.99), most: at(1.0) }
 }
 
+/// From the asking to the first part at a node, over a history, and how many were refused without a version.
+pub fn first_parts(history: &Path) -> std::io::Result<(Spread, u64)> {
+    let (mut asked, mut took, mut refused) = (HashMap::new(), Vec::new(), 0);
+    for line in std::io::BufReader::new(std::fs::File::open(history)?).lines() {
+        let event: Event = serde_json::from_str(&line?).map_err(std::io::Error::other)?;
+        match event.what {
+            What::Asked { lookup, .. } => {
+                asked.insert(lookup, event.at);
+            }
+            What::Part { lookup, .. } => {
+                if let Some(at) = asked.remove(&lookup) {
+                    took.push((event.at - at) as f64);
+                }
+            }
+            What::Answered { lookup, status, version, .. } => {
+                refused += u64::from(status == 503 && version.is_none());
+                asked.remove(&lookup);
+            }
+            What::Unanswered { lookup, .. } => {
+                asked.remove(&lookup);
+            }
+            _ => {}
+        }
+    }
+    Ok((spread(took), refused))
+}
+
 /// All runs together.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Sum {
@@ -131,6 +159,21 @@
         cells.extend([of.p50, of.p90, of.p99, of.most].map(|figure| format!("{figure:.0}")));
         cells
     };
+    let first = outcomes.iter().map(|of| {
+        let mut cells = vec![format!("{} {}", of.name, of.seed), of.first_part.count.to_string()];
+        cells.extend([of.first_part.p50, of.first_part.p90, of.first_part.p99].map(|micros| format!("{:.2}", micros / 1e3)));
+        cells.push(of.refused_whole.to_string());
+        cells.push(format!("{:.0}", of.carried as f64 / of.seconds / of.cpu.len().max(1) as f64));
+        cells.push(of.cpu.iter().map(|micros| format!("{:.1}", *micros as f64 / 1e3)).collect::<Vec<_>>().join(" "));
+        cells
+    });
+    let first = match outcomes.len() {
+        0..=12 => text_table(
+            &["to the first part, ms", "lookups", "p50", "p90", "p99", "refused", "messages a router and s", "CPU ms a s"],
+            &first.collect::<Vec<_>>(),
+        ),
+        _ => String::new(),
+    };
     let spans = text_table(
         &["milliseconds", "count", "p50", "p90", "p99", "most"],
         &[
@@ -145,7 +188,7 @@
     let statuses = all.counts.statuses.iter().map(|(status, count)| (status.to_string(), *count)).collect();
     let bad: Vec<String> = outcomes.iter().filter(|of| !of.is_good()).map(line).collect();
     format!(
-        "{} runs, {} good, {:.0} s in all\n{}\nanswers: {}\nfaults: {}\n{spans}{}",
+        "{} runs, {} good, {:.0} s in all\n{}\nanswers: {}\nfaults: {}\n{spans}{first}{}",
         all.runs,
         all.good,
         all.seconds,
--- a/lab/src/fleet/routers.rs
+++ b/lab/src/fleet/routers.rs
@@ -97,6 +97,9 @@
         .enumerate()
         .map(|(at, address)| format!("\t\tn{at}: {{address: \"{address}\", zone: \"z{}\", vote: {}}}\n", at % 3, at < plan.voters))
         .collect();
+    if plan.off {
+        return format!("control: {{socket: {:?}, pid_file: {:?}}}\n", router.socket, router.pid_file);
+    }
     let (socket, pid, folder) = (&router.socket, &router.pid_file, &router.folder);
     format!(
         "control: {{socket: {socket:?}, upgrade: true, pid_file: {pid:?}}}\nfleet: {{\n\tname: \"rig\"\n\tlisten: \
@@ -152,7 +155,7 @@
                 .arg("--settings")
                 .arg(&router.settings)
                 .output()?;
-            if !founded.status.success() {
+            if !plan.off && !founded.status.success() {
                 return Err(Failed::NotServing(String::from_utf8_lossy(&founded.stderr).into_owned()));
             }
             all.push(router);
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -145,6 +145,17 @@
     },
     /// Sums up the outcomes of a folder
     Report { out: PathBuf },
+    /// Plays changes in a fleet of any size in virtual time, with the program's own council; figures are simulated
+    Size {
+        #[arg(long, default_value_t = 50)]
+        routers: usize,
+        #[arg(long, default_value_t = 5)]
+        voters: usize,
+        #[arg(long, default_value_t = 10)]
+        changes: usize,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
 }
 
 fn program(given: Option<&Path>) -> Result<PathBuf, String> {
@@ -216,6 +227,15 @@
             println!("{} of {} steps are left", least.steps.len(), of.steps.len());
             Ok(ExitCode::SUCCESS)
         }
+        FleetCommand::Size { routers, voters, changes, seed } => {
+            let world = fleet::virt::World { routers: *routers, voters: *voters, ..fleet::virt::World::default() };
+            let of = fleet::virt::size(world, *changes, *seed);
+            match json {
+                true => println!("{}", serde_json::to_string(&of)?),
+                false => println!("{of:#?}"),
+            }
+            Ok(if of.broken.is_some() { ExitCode::from(2) } else { ExitCode::SUCCESS })
+        }
         FleetCommand::Report { out } => {
             let outcomes = fleet::report::read(out)?;
             match json {
--- a/policy/src/chair.rs
+++ b/policy/src/chair.rs
@@ -211,8 +211,8 @@
 
     fn told(&mut self, register: &Register, member: &Member, grant: Option<Grant>) -> Told {
         let (known, members) = self.heard.get(member).map_or((Index(0), Index(0)), |h| (h.index, h.members_at));
-        let view = (known < register.changed || known == Index(0)).then(|| View::of(register));
-        let members = (members < register.members_at || known == Index(0)).then(|| register.members.clone());
+        let view = (known < register.changed).then(|| View::of(register));
+        let members = (members < register.members_at).then(|| register.members.clone());
         Told { view, members, grant, stranger: false }
     }
 
--- a/policy/src/model.rs
+++ b/policy/src/model.rs
@@ -140,7 +140,7 @@
                     Order::Put(entry) if at == 0 => {
                         self.log.push(entry.clone());
                         let lead = &mut self.leads[at];
-                        lead.register.play(Index(self.log.len() as u64), entry);
+                        lead.register.play(Index(self.log.len() as u64 + 1), entry);
                         orders.extend(lead.chair.beat(now, &lead.register));
                     }
                     Order::Ask(number) if at == 0 && self.holds => {
@@ -297,7 +297,7 @@
                     let paper = Paper { author: "ann".into(), ..Paper::default() };
                     let entry = Entry::Propose { op: Op(1), base: None, paper, confirm: false };
                     world.log.push(entry.clone());
-                    world.leads[0].register.play(Index(1), entry);
+                    world.leads[0].register.play(Index(2), entry);
                 }
             }
             Action::Slows(at) => {
@@ -330,7 +330,7 @@
                 world.holds = false;
                 let mut register = fleet();
                 for (at, entry) in world.log.iter().enumerate() {
-                    register.play(Index(at as u64 + 1), entry.clone());
+                    register.play(Index(at as u64 + 2), entry.clone());
                 }
                 let chair = self.chair(world.now, &register);
                 world.leads.insert(0, Lead { chair, register, asked: None });
--- a/policy/src/register.rs
+++ b/policy/src/register.rs
@@ -143,14 +143,15 @@
     pub fn begins(members: BTreeMap<Member, Seated>) -> Self {
         let last_seat = members.values().filter_map(|seated| seated.seat).max().unwrap_or_default();
         Register {
-            index: Index(0),
-            changed: Index(0),
+            // The founding itself is the first place: 0 is for those that know nothing yet.
+            index: Index(1),
+            changed: Index(1),
             epoch: Epoch(0),
             in_force: Paper::default(),
             next: None,
             newest: Version(0),
             members,
-            members_at: Index(0),
+            members_at: Index(1),
             left: BTreeSet::new(),
             last_seat,
             done: VecDeque::new(),
