--- a/consensus/src/seat.rs
+++ b/consensus/src/seat.rs
@@ -6,7 +6,9 @@
 
 use nanorand::{Rng, WyRand};
 use protobuf::Message as _;
-use raft::eraftpb::{ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, Message, MessageType, Snapshot};
+use raft::eraftpb::{
+    ConfChangeSingle, ConfChangeType, ConfChangeV2, Entry, EntryType, Message, MessageType, Snapshot,
+};
 use raft::{Config, RawNode, Ready, SnapshotStatus, StateRole};
 use serde::{Deserialize, Serialize};
 
@@ -130,9 +132,7 @@
         let mut snapshot = Snapshot::default();
         let meta = snapshot.mut_metadata();
         (meta.index, meta.term) = (1, 1);
-        let mut conf = ConfState::default();
-        conf.voters = voters.iter().map(|seat| seat.0).collect();
-        meta.set_conf_state(conf);
+        meta.mut_conf_state().voters = voters.iter().map(|seat| seat.0).collect();
         snapshot.data = state.into();
         let mut shelf = Shelf::default();
         shelf.restore(snapshot);
@@ -142,7 +142,8 @@
     /// A seat that was just given to a member: it has promised nothing, and votes only once the others have made it a
     /// voter. To be used only where the agreed state says that the seat is new.
     pub fn fresh(fleet: FleetId, no: SeatNo, terms: Terms, seed: u64) -> Result<Seat, Refused> {
-        let opened = Opened { fleet, seat: no, boots: 0, shelf: Shelf::default(), witness: Witness::default() };
+        let opened =
+            Opened { fleet, seat: no, boots: 0, shelf: Shelf::default(), witness: Witness::default() };
         Self::of(opened, terms, seed)
     }
 
@@ -312,14 +313,15 @@
             Standing::Proving(heard) => {
                 if self.ticks % self.terms.heartbeat_ticks as u64 == 1 {
                     let heard = heard.clone();
-                    let others = self.voters().into_iter().filter(|seat| *seat != self.no && !heard.contains(seat));
+                    let others =
+                        self.voters().into_iter().filter(|seat| *seat != self.no && !heard.contains(seat));
                     let asks: Vec<_> = others.map(|seat| (seat, Word::Roll(self.opened))).collect();
                     self.aside.extend(asks);
                 }
             }
             Standing::TakesPart => {
                 self.step(Input::Tick);
-                if self.leads() && self.ticks % self.terms.witness_ticks as u64 == 0 {
+                if self.leads() && self.ticks.is_multiple_of(self.terms.witness_ticks as u64) {
                     self.spread();
                 }
             }
@@ -457,7 +459,11 @@
     /// Brings voters and learners to what is wanted, jointly; one change at a time. Nothing where nothing differs.
     pub fn change(&mut self, voters: &[SeatNo], learners: &[SeatNo]) -> Result<bool, Refused> {
         let conf = &self.raft.store().conf;
-        if !self.leads() || self.ready.is_some() || !conf.get_voters_outgoing().is_empty() || voters.is_empty() {
+        if !self.leads()
+            || self.ready.is_some()
+            || !conf.get_voters_outgoing().is_empty()
+            || voters.is_empty()
+        {
             return Ok(false);
         }
         let (have_voters, have_learners) = (self.voters(), self.learners());
--- a/consensus/src/shelf.rs
+++ b/consensus/src/shelf.rs
@@ -142,7 +142,10 @@
 
 impl Storage for Shelf {
     fn initial_state(&self) -> RaftResult<RaftState> {
-        Ok(RaftState { hard_state: self.hard.clone(), conf_state: self.snapshot.get_metadata().get_conf_state().clone() })
+        Ok(RaftState {
+            hard_state: self.hard.clone(),
+            conf_state: self.snapshot.get_metadata().get_conf_state().clone(),
+        })
     }
 
     fn entries(
--- a/consensus/src/witness.rs
+++ b/consensus/src/witness.rs
@@ -35,11 +35,17 @@
             return Some(format!("it has spoken in term {}, its own state ends in {}", self.term, own.term));
         }
         if self.term == own.term && self.vote != 0 && self.vote != own.vote {
-            return Some(format!("it has voted for seat {} in term {}, its own state does not know", self.vote, self.term));
+            return Some(format!(
+                "it has voted for seat {} in term {}, its own state does not know",
+                self.vote, self.term
+            ));
         }
         if self.last > own.last {
             let ((term, index), own) = (self.last, own.last);
-            return Some(format!("it has answered for entry {index} of term {term}, its own ends at {} of {}", own.1, own.0));
+            return Some(format!(
+                "it has answered for entry {index} of term {term}, its own ends at {} of {}",
+                own.1, own.0
+            ));
         }
         None
     }
@@ -93,8 +99,11 @@
     use proptest::prelude::*;
 
     fn some() -> impl Strategy<Value = Promise> {
-        (0u64..4, 0u64..4, 0u64..4, 0u64..6)
-            .prop_map(|(term, vote, last, index)| Promise { term, vote, last: (last, index) })
+        (0u64..4, 0u64..4, 0u64..4, 0u64..6).prop_map(|(term, vote, last, index)| Promise {
+            term,
+            vote,
+            last: (last, index),
+        })
     }
 
     proptest! {
--- a/consensus/tests/agreement.rs
+++ b/consensus/tests/agreement.rs
@@ -168,11 +168,15 @@
 }
 
 fn empty() -> common::Place {
-    World::new(1, 1).places.remove(&SeatNo(1)).map(|mut place| {
-        (place.seat, place.disk) = (None, Vec::new());
-        place.played.clear();
-        place
-    }).expect("a place")
+    World::new(1, 1)
+        .places
+        .remove(&SeatNo(1))
+        .map(|mut place| {
+            (place.seat, place.disk) = (None, Vec::new());
+            place.played.clear();
+            place
+        })
+        .expect("a place")
 }
 
 #[test]
--- a/consensus/tests/common/mod.rs
+++ b/consensus/tests/common/mod.rs
@@ -57,7 +57,8 @@
         };
         for no in &voters {
             let image = Seat::founds(FLEET, *no, &voters, state_of(&[]));
-            let place = Place { seat: None, disk: vec![image], played: Vec::new(), working: false, writing: None };
+            let place =
+                Place { seat: None, disk: vec![image], played: Vec::new(), working: false, writing: None };
             world.places.insert(*no, place);
             world.start(*no);
         }
@@ -152,7 +153,8 @@
         }
         let copies = if self.chance.generate::<f64>() < self.loss { 2 } else { 1 };
         for _ in 0..copies {
-            let delay = self.chance.generate_range(1..4u64) + if self.loss > 0.0 { self.chance.generate_range(0..6u64) } else { 0 };
+            let delay = self.chance.generate_range(1..4u64)
+                + if self.loss > 0.0 { self.chance.generate_range(0..6u64) } else { 0 };
             self.wire.push((self.now + delay, from, to, bytes.clone()));
         }
     }
@@ -175,7 +177,10 @@
     }
 
     pub fn standings(&self) -> Vec<(SeatNo, Option<Standing>)> {
-        self.places.iter().map(|(no, place)| (*no, place.seat.as_ref().map(|seat| seat.standing().clone()))).collect()
+        self.places
+            .iter()
+            .map(|(no, place)| (*no, place.seat.as_ref().map(|seat| seat.standing().clone())))
+            .collect()
     }
 
     /// No two have played another entry at the same place. The rule that all else rests on.
--- a/history/src/check.rs
+++ b/history/src/check.rs
@@ -159,7 +159,10 @@
 impl State {
     fn take(&mut self, event: Event) -> Checked {
         if event.at < self.now {
-            return broken(Rule::Sense, format!("it is earlier than the line before, by {} us", self.now - event.at));
+            return broken(
+                Rule::Sense,
+                format!("it is earlier than the line before, by {} us", self.now - event.at),
+            );
         }
         self.now = event.at;
         self.counts.events += 1;
@@ -224,8 +227,17 @@
         }
         let ends = self.ends.get(&router).copied().unwrap_or(0);
         let (asked, floor) = (self.now, self.surely);
-        let open =
-            Open { router, index, asked, floor, ends, version: None, calls: HashMap::new(), drained: false, done: false };
+        let open = Open {
+            router,
+            index,
+            asked,
+            floor,
+            ends,
+            version: None,
+            calls: HashMap::new(),
+            drained: false,
+            done: false,
+        };
         match self.open.insert(lookup.clone(), open) {
             Some(_) => broken(Rule::Sense, format!("lookup {lookup} is asked twice")),
             None => Ok(()),
@@ -248,10 +260,15 @@
         self.closing.push_back((now, lookup.clone()));
         if status == 200 {
             if whole && parts < of {
-                return broken(Rule::Honest, format!("lookup {lookup} is called whole with {parts} of {of} parts"));
+                return broken(
+                    Rule::Honest,
+                    format!("lookup {lookup} is called whole with {parts} of {of} parts"),
+                );
             }
             if of > 0 && (parts as f64 / of as f64) + 1e-9 < least {
-                let words = format!("lookup {lookup} is answered with {parts} of {of} parts, its least share is {least}");
+                let words = format!(
+                    "lookup {lookup} is answered with {parts} of {of} parts, its least share is {least}"
+                );
                 return broken(Rule::Honest, words);
             }
         }
@@ -276,11 +293,15 @@
     /// A version was seen: it has been proposed, and is not one that is nowhere.
     fn show(&mut self, version: u64, by: &str) -> Checked {
         if version > self.counts.proposals {
-            let words = format!("{by} shows version {version}, {} were proposed by then", self.counts.proposals);
+            let words =
+                format!("{by} shows version {version}, {} were proposed by then", self.counts.proposals);
             return broken(Rule::OnlyProposed, words);
         }
         if self.nowhere.contains(&version) {
-            return broken(Rule::NowhereMeansNever, format!("{by} shows version {version}, which is nowhere"));
+            return broken(
+                Rule::NowhereMeansNever,
+                format!("{by} shows version {version}, which is nowhere"),
+            );
         }
         if self.shown.len() >= self.bounds.versions {
             return Err(Stop::Unreached("there are more versions than are kept".into()));
@@ -337,7 +358,10 @@
             Came::InForce(number) => {
                 self.counts.in_force += 1;
                 if self.nowhere.contains(&number) {
-                    return broken(Rule::NowhereMeansNever, format!("version {number} is in force, and was nowhere"));
+                    return broken(
+                        Rule::NowhereMeansNever,
+                        format!("version {number} is in force, and was nowhere"),
+                    );
                 }
                 self.seen.insert(number, seen);
                 // A later one may have come since it was in force; it was in force at some time before this.
@@ -419,7 +443,9 @@
         match open.calls.iter().find(|(_, calls)| **calls > cap) {
             Some((shard, calls)) => {
                 let under = open.version.map_or("none".to_owned(), |version| version.to_string());
-                let words = format!("part {shard} of lookup {lookup} was called {calls} times, version {under} allows {cap}");
+                let words = format!(
+                    "part {shard} of lookup {lookup} was called {calls} times, version {under} allows {cap}"
+                );
                 broken(Rule::Calls, words)
             }
             None => Ok(()),
@@ -431,7 +457,10 @@
         self.show(version, &router)?;
         let known = self.says.entry(router.clone()).or_insert(version);
         if *known > version {
-            return broken(Rule::NeverBack, format!("{router} says version {version}, and said {known} before"));
+            return broken(
+                Rule::NeverBack,
+                format!("{router} says version {version}, and said {known} before"),
+            );
         }
         *known = version;
         Ok(())
--- a/history/src/event.rs
+++ b/history/src/event.rs
@@ -39,9 +39,15 @@
 #[serde(rename_all = "snake_case", tag = "what")]
 pub enum What {
     /// What holds of the platform, before any policy.
-    Begins { seen: Seen },
+    Begins {
+        seen: Seen,
+    },
     /// A client has sent a whole lookup.
-    Asked { lookup: String, router: String, index: String },
+    Asked {
+        lookup: String,
+        router: String,
+        index: String,
+    },
     /// Its final answer came. `version`: the policy that it says it was decided under; none: it was not taken, or the
     /// router said that it had no lease (`unguarded`).
     Answered {
@@ -57,21 +63,49 @@
         least: f64,
     },
     /// No answer came: the connection could not be made (`refused`, nobody had taken it), or it ended.
-    Unanswered { lookup: String, refused: bool },
+    Unanswered {
+        lookup: String,
+        refused: bool,
+    },
     /// An operator's proposal began.
-    Proposed { op: String, seen: Seen },
+    Proposed {
+        op: String,
+        seen: Seen,
+    },
     /// What the operator was told of it.
-    Settled { op: String, came: Came },
+    Settled {
+        op: String,
+        came: Came,
+    },
     /// A node has begun a part of a lookup.
-    Part { node: String, lookup: String, shard: u64 },
+    Part {
+        node: String,
+        lookup: String,
+        shard: u64,
+    },
     /// A router said under which version it is, being asked.
-    Says { router: String, version: Option<u64>, term: Option<u64> },
+    Says {
+        router: String,
+        version: Option<u64>,
+        term: Option<u64>,
+    },
     /// Something was broken, or mended.
-    Fault { kind: String, whom: String },
+    Fault {
+        kind: String,
+        whom: String,
+    },
     /// A process of a router was ended, or ended by itself: what it had taken has no answer.
-    Ended { router: String },
-    Started { router: String },
+    Ended {
+        router: String,
+    },
+    Started {
+        router: String,
+    },
     /// A process stands still, and goes on (SIGSTOP, SIGCONT).
-    Stopped { router: String },
-    Continued { router: String },
+    Stopped {
+        router: String,
+    },
+    Continued {
+        router: String,
+    },
 }
--- a/lab/src/fleet/clients.rs
+++ b/lab/src/fleet/clients.rs
@@ -36,7 +36,8 @@
     let mut stream = TcpStream::connect_timeout(&to, LEAVES).map_err(|_| true)?;
     let sent = stream.set_nodelay(true).and_then(|()| stream.write_all(text.as_bytes()));
     sent.map_err(|_| false)?;
-    let (mut reader, mut input, mut bytes) = (Reader::of_answers(ANSWER_BOUND), Ring::new(ANSWER_BOUND), [0; 8192]);
+    let (mut reader, mut input, mut bytes) =
+        (Reader::of_answers(ANSWER_BOUND), Ring::new(ANSWER_BOUND), [0; 8192]);
     loop {
         if reader.read(&mut input).map_err(|_| false)? {
             return Ok(reader);
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -100,7 +100,8 @@
     std::fs::write(folder.join("schedule.json"), text)?;
     let path = folder.join("history.jsonl");
     let history = Arc::new(History::create(&path)?);
-    let calls = ["half", "whole", "once"].map(|index| (index.to_owned(), if index == "once" { 1 } else { 4 }));
+    let calls =
+        ["half", "whole", "once"].map(|index| (index.to_owned(), if index == "once" { 1 } else { 4 }));
     history.note(What::Begins { seen: Seen { calls: calls.into(), drained: vec![] } });
     let nodes = (0..plan.nodes).map(|_| Node::start_slow([Act::Serve; 2], Duration::from_millis(2)));
     let nodes = nodes.collect::<std::io::Result<Vec<Node>>>()?;
@@ -114,7 +115,8 @@
     let took = Mutex::new(Vec::new());
     let played: Result<Option<u64>, Failed> = std::thread::scope(|scope| {
         let ends = Ends(&stop);
-        let clients: Vec<_> = routers.all.iter().map(|router| (router.name.clone(), router.address)).collect();
+        let clients: Vec<_> =
+            routers.all.iter().map(|router| (router.name.clone(), router.address)).collect();
         let sockets: Vec<PathBuf> = routers.all.iter().map(|router| router.socket.clone()).collect();
         for number in 0..plan.clients {
             let (clients, stop, history) = (clients.clone(), &stop, &*history);
@@ -145,7 +147,12 @@
                 }
             });
         }
-        let mut player = Player { routers: &mut routers, nodes: &nodes, open: Vec::new(), operator: operator(work.path()) };
+        let mut player = Player {
+            routers: &mut routers,
+            nodes: &nodes,
+            open: Vec::new(),
+            operator: operator(work.path()),
+        };
         let broke = player.play(schedule, began);
         let well = if plan.off { Ok(Some(0)) } else { player.heal() };
         // A little more, with nothing broken.
@@ -165,7 +172,8 @@
         let _ = std::fs::copy(log, folder.join(format!("{}.log", router.name)));
     }
     drop(routers);
-    let history = Arc::into_inner(history).ok_or_else(|| std::io::Error::other("the history is still written to"))?;
+    let history =
+        Arc::into_inner(history).ok_or_else(|| std::io::Error::other("the history is still written to"))?;
     history.finish()?;
     let verdict = check(BufReader::new(File::open(&path)?), Bounds::default());
     let (first_part, refused_whole) = report::first_parts(&path)?;
@@ -193,7 +201,11 @@
 /// A folder in memory.
 fn in_memory() -> std::io::Result<tempfile::TempDir> {
     let shared = Path::new("/dev/shm");
-    if shared.is_dir() { tempfile::tempdir_in(shared) } else { tempfile::tempdir() }
+    if shared.is_dir() {
+        tempfile::tempdir_in(shared)
+    } else {
+        tempfile::tempdir()
+    }
 }
 
 /// Ends the clients also where something fails.
@@ -300,13 +312,16 @@
             Kind::LeadDeaf | Kind::LeadKill | Kind::LeadStop | Kind::LeadDisk => {}
             Kind::Isolate => self.isolate(whom, true),
             Kind::Split => self.split(step, true),
-            Kind::Delay | Kind::Reorder | Kind::Double | Kind::Drop => self.routers.relay.set(weather(step.kind)),
+            Kind::Delay | Kind::Reorder | Kind::Double | Kind::Drop => {
+                self.routers.relay.set(weather(step.kind))
+            }
             Kind::FullDisk => self.routers.full_disk(whom, true),
             Kind::NodeStall => self.nodes[step.other % self.nodes.len()].suffers(Fault::Stall),
             Kind::NodeCut => self.routers.all[whom].pipes[step.other % self.nodes.len()].cut(true),
             Kind::DiscoveryDown => self.routers.all[whom].discovery.set(|roster| roster.down = true),
         }
-        self.open.push(Open { until: Instant::now() + Duration::from_millis(step.lasts), step: step.clone() });
+        self.open
+            .push(Open { until: Instant::now() + Duration::from_millis(step.lasts), step: step.clone() });
         Ok(())
     }
 
@@ -342,7 +357,9 @@
         match step.kind {
             Kind::Kill => self.routers.start_again(whom, Disk::AsItWas)?,
             // One seat at a time: with more lost than a minority no fleet goes on by itself.
-            Kind::LastWrite | Kind::OlderState | Kind::LostState if self.routers.all.iter().any(|of| of.unseated) => {
+            Kind::LastWrite | Kind::OlderState | Kind::LostState
+                if self.routers.all.iter().any(|of| of.unseated) =>
+            {
                 self.routers.start_again(whom, Disk::AsItWas)?;
             }
             Kind::LastWrite => self.routers.start_again(whom, Disk::WithoutLast)?,
@@ -361,7 +378,9 @@
             Kind::LeadKill | Kind::LeadStop | Kind::LeadDisk => {}
             Kind::Isolate => self.isolate(whom, false),
             Kind::Split => self.split(step, false),
-            Kind::Delay | Kind::Reorder | Kind::Double | Kind::Drop => self.routers.relay.set(Weather::default()),
+            Kind::Delay | Kind::Reorder | Kind::Double | Kind::Drop => {
+                self.routers.relay.set(Weather::default())
+            }
             Kind::FullDisk => self.routers.full_disk(whom, false),
             Kind::NodeStall => self.nodes[step.other % self.nodes.len()].recovers(),
             Kind::NodeCut => self.routers.all[whom].pipes[step.other % self.nodes.len()].cut(false),
@@ -394,7 +413,8 @@
                 unseated = Some((at, router.name.clone()));
             }
             let voters = status["seat"]["voters"].as_array().into_iter().flatten();
-            let votes = standing == "takes part" && voters.into_iter().any(|seat| *seat == status["seat"]["seat"]);
+            let votes =
+                standing == "takes part" && voters.into_iter().any(|seat| *seat == status["seat"]["seat"]);
             seated[at] = votes;
             stands.push(status);
         }
@@ -426,10 +446,15 @@
             self.look(&mut stands)?;
             let versions: Vec<Option<u64>> = stands
                 .iter()
-                .map(|of| of["version"].as_u64().filter(|_| of["lease_left_ms"].is_u64() && of["next"].is_null()))
+                .map(|of| {
+                    of["version"].as_u64().filter(|_| of["lease_left_ms"].is_u64() && of["next"].is_null())
+                })
                 .collect();
             let votes = stands.iter().filter(|of| of["seat"]["standing"] == "takes part").count();
-            if versions[0].is_some() && versions.iter().all(|of| *of == versions[0]) && votes >= self.routers.voters {
+            if versions[0].is_some()
+                && versions.iter().all(|of| *of == versions[0])
+                && votes >= self.routers.voters
+            {
                 return Ok(Some(u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX)));
             }
         }
--- a/lab/src/fleet/operator.rs
+++ b/lab/src/fleet/operator.rs
@@ -41,7 +41,10 @@
 /// What nodes can see of it.
 fn seen(change: &Change) -> Seen {
     let calls = ["half", "whole"].map(|index| (index.to_owned(), change.calls));
-    Seen { calls: BTreeMap::from(calls), drained: change.drained.iter().map(|node| format!("s{node}")).collect() }
+    Seen {
+        calls: BTreeMap::from(calls),
+        drained: change.drained.iter().map(|node| format!("s{node}")).collect(),
+    }
 }
 
 impl Operator<'_> {
@@ -69,12 +72,23 @@
             let socket = &self.sockets[(change.through + again) % self.sockets.len()];
             if let (Some(after), true) = (change.withdrawn, again == 0) {
                 // It is proposed, left for a while, and withdrawn.
-                let (said, _) = self.run(socket, &["policy", "propose", "--timeout", WAIT, "--op", &op, &file]);
+                let (said, _) =
+                    self.run(socket, &["policy", "propose", "--timeout", WAIT, "--op", &op, &file]);
                 if let Some(of) = said["number"].as_u64() {
                     known = Some(of);
                     std::thread::sleep(Duration::from_millis(after));
                     let of = of.to_string();
-                    let words = ["policy", "withdraw", "--by", "ann", "--reason", "changed my mind", "--timeout", WAIT, &of];
+                    let words = [
+                        "policy",
+                        "withdraw",
+                        "--by",
+                        "ann",
+                        "--reason",
+                        "changed my mind",
+                        "--timeout",
+                        WAIT,
+                        &of,
+                    ];
                     self.run(socket, &words);
                 }
             }
@@ -105,7 +119,10 @@
     /// Gives a router that has lost its seat another one.
     pub fn replace(&self, through: usize, name: &str) -> std::io::Result<()> {
         let mut command = Command::new(&self.program);
-        command.args(["fleet", "replace", "--timeout", WAIT, name]).arg("--socket").arg(&self.sockets[through]);
+        command
+            .args(["fleet", "replace", "--timeout", WAIT, name])
+            .arg("--socket")
+            .arg(&self.sockets[through]);
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null()).spawn()?;
         std::thread::spawn(move || child.wait());
         Ok(())
--- a/lab/src/fleet/plan.rs
+++ b/lab/src/fleet/plan.rs
@@ -128,7 +128,9 @@
         let mut chance = Pcg64Mcg::seed_from_u64(seed);
         let (mut steps, mut at, mut lost) = (Vec::new(), 500, 0);
         let end = self.seconds * 1000;
-        let spread = |chance: &mut Pcg64Mcg, micros: u64| chance.random_range(micros / 2000..=micros * 3 / 2000).max(1);
+        let spread = |chance: &mut Pcg64Mcg, micros: u64| {
+            chance.random_range(micros / 2000..=micros * 3 / 2000).max(1)
+        };
         loop {
             at += spread(&mut chance, self.fault_every);
             let Some(kind) = self.faults.choose(&mut chance).copied().filter(|_| at < end) else { break };
@@ -147,7 +149,8 @@
             if loses {
                 lost = at + lasts + lease * 4;
             }
-            let (whom, other) = (chance.random_range(0..self.routers), chance.random_range(0..self.routers.max(self.nodes)));
+            let (whom, other) =
+                (chance.random_range(0..self.routers), chance.random_range(0..self.routers.max(self.nodes)));
             steps.push(Step { at, lasts, kind, whom, other });
         }
         let (mut changes, mut at) = (Vec::new(), 300);
--- a/lab/src/fleet/relay.rs
+++ b/lab/src/fleet/relay.rs
@@ -86,7 +86,9 @@
 
 impl Relay {
     /// A relay for routers that really listen at `targets`; where others reach them comes back.
-    pub fn start(names: Vec<String>, targets: Vec<SocketAddr>, seed: u64) -> std::io::Result<(Arc<Relay>, Vec<SocketAddr>)> {
+    pub fn start(
+        names: Vec<String>, targets: Vec<SocketAddr>, seed: u64,
+    ) -> std::io::Result<(Arc<Relay>, Vec<SocketAddr>)> {
         let state = State {
             cuts: HashMap::new(),
             weather: Weather::default(),
@@ -164,7 +166,8 @@
                     _ => return,
                 }
             }
-            let from = reader.header("fleet-from").and_then(|from| self.names.iter().position(|name| name == from));
+            let from =
+                reader.header("fleet-from").and_then(|from| self.names.iter().position(|name| name == from));
             let Some(from) = from else { return };
             if !self.post(from, to, &reader) {
                 // A cut is silence: whoever asks waits in vain.
@@ -184,8 +187,9 @@
         }
         let body = request.body();
         let (path, name, length) = (request.path(), &self.names[from], body.len());
-        let head =
-            format!("POST {path} HTTP/1.1\r\nHost: x\r\nFleet-From: {name}\r\nContent-Length: {length}\r\n\r\n");
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nHost: x\r\nFleet-From: {name}\r\nContent-Length: {length}\r\n\r\n"
+        );
         let bytes = [head.as_bytes(), body].concat();
         let Weather { late, doubled, lost } = state.weather;
         if lost > 0.0 && state.chance.random_bool(lost) {
@@ -213,7 +217,8 @@
                 match due {
                     Some(at) if at <= now => letters.pop(),
                     _ => {
-                        let wait = due.map_or(Duration::from_millis(500), |at| at.saturating_duration_since(now));
+                        let wait =
+                            due.map_or(Duration::from_millis(500), |at| at.saturating_duration_since(now));
                         drop(link.more.wait_timeout(letters, wait));
                         continue;
                     }
--- a/lab/src/fleet/report.rs
+++ b/lab/src/fleet/report.rs
@@ -30,7 +30,9 @@
                 counts.ended
             )
         }
-        Verdict::Rejected(broken) => format!("REJECTED, {}, line {}: {}", broken.rule, broken.line, broken.words),
+        Verdict::Rejected(broken) => {
+            format!("REJECTED, {}, line {}: {}", broken.rule, broken.line, broken.words)
+        }
         Verdict::Unreached(words) => format!("no verdict: {words}"),
     }
 }
@@ -65,7 +67,9 @@
 
 pub fn spread(mut of: Vec<f64>) -> Spread {
     of.sort_by(f64::total_cmp);
-    let at = |q: f64| of.get(((of.len() as f64 * q) as usize).min(of.len().saturating_sub(1))).copied().unwrap_or(0.0);
+    let at = |q: f64| {
+        of.get(((of.len() as f64 * q) as usize).min(of.len().saturating_sub(1))).copied().unwrap_or(0.0)
+    };
     Spread { count: of.len(), p50: at(0.5), p90: at(0.9), p99: at(0.99), most: at(1.0) }
 }
 
@@ -148,7 +152,9 @@
         counts,
         took: took(false),
         took_again: took(true),
-        well_after_ms: spread(outcomes.iter().filter_map(|of| of.well_after_ms).map(|ms| ms as f64).collect()),
+        well_after_ms: spread(
+            outcomes.iter().filter_map(|of| of.well_after_ms).map(|ms| ms as f64).collect(),
+        ),
     }
 }
 
@@ -161,15 +167,29 @@
     };
     let first = outcomes.iter().map(|of| {
         let mut cells = vec![format!("{} {}", of.name, of.seed), of.first_part.count.to_string()];
-        cells.extend([of.first_part.p50, of.first_part.p90, of.first_part.p99].map(|micros| format!("{:.2}", micros / 1e3)));
+        cells.extend(
+            [of.first_part.p50, of.first_part.p90, of.first_part.p99]
+                .map(|micros| format!("{:.2}", micros / 1e3)),
+        );
         cells.push(of.refused_whole.to_string());
         cells.push(format!("{:.0}", of.carried as f64 / of.seconds / of.cpu.len().max(1) as f64));
-        cells.push(of.cpu.iter().map(|micros| format!("{:.1}", *micros as f64 / 1e3)).collect::<Vec<_>>().join(" "));
+        cells.push(
+            of.cpu.iter().map(|micros| format!("{:.1}", *micros as f64 / 1e3)).collect::<Vec<_>>().join(" "),
+        );
         cells
     });
     let first = match outcomes.len() {
         0..=12 => text_table(
-            &["to the first part, ms", "lookups", "p50", "p90", "p99", "refused", "messages a router and s", "CPU ms a s"],
+            &[
+                "to the first part, ms",
+                "lookups",
+                "p50",
+                "p90",
+                "p99",
+                "refused",
+                "messages a router and s",
+                "CPU ms a s",
+            ],
             &first.collect::<Vec<_>>(),
         ),
         _ => String::new(),
--- a/lab/src/fleet/routers.rs
+++ b/lab/src/fleet/routers.rs
@@ -95,7 +95,13 @@
     let members: Vec<String> = addresses
         .iter()
         .enumerate()
-        .map(|(at, address)| format!("\t\tn{at}: {{address: \"{address}\", zone: \"z{}\", vote: {}}}\n", at % 3, at < plan.voters))
+        .map(|(at, address)| {
+            format!(
+                "\t\tn{at}: {{address: \"{address}\", zone: \"z{}\", vote: {}}}\n",
+                at % 3,
+                at < plan.voters
+            )
+        })
         .collect();
     if plan.off {
         return format!("control: {{socket: {:?}, pid_file: {:?}}}\n", router.socket, router.pid_file);
@@ -113,7 +119,8 @@
 impl Routers {
     /// Founds a fleet and starts it.
     pub fn start(
-        plan: &FleetPlan, program: &Path, folder: &Path, nodes: &[SocketAddr], history: &Arc<History>, seed: u64,
+        plan: &FleetPlan, program: &Path, folder: &Path, nodes: &[SocketAddr], history: &Arc<History>,
+        seed: u64,
     ) -> Result<Routers, Failed> {
         let names: Vec<String> = (0..plan.routers).map(|at| format!("n{at}")).collect();
         let listens = (0..plan.routers).map(free).collect::<std::io::Result<Vec<_>>>()?;
@@ -123,9 +130,13 @@
             let own = folder.join(&name);
             std::fs::create_dir_all(&own)?;
             let discovery = Discovery::default();
-            let mut pipes = nodes.iter().map(|node| Pipe::start(*node)).collect::<std::io::Result<Vec<_>>>()?;
-            let listed: Vec<String> =
-                pipes.iter().enumerate().map(|(at, pipe)| entry(&format!("s{at}"), pipe.address, "Ready")).collect();
+            let mut pipes =
+                nodes.iter().map(|node| Pipe::start(*node)).collect::<std::io::Result<Vec<_>>>()?;
+            let listed: Vec<String> = pipes
+                .iter()
+                .enumerate()
+                .map(|(at, pipe)| entry(&format!("s{at}"), pipe.address, "Ready"))
+                .collect();
             let listed = listed.join(",");
             discovery.set(|roster| (roster.version, roster.changes) = (1, listed.clone()));
             pipes.push(Pipe::start(discovery.start())?);
@@ -188,7 +199,10 @@
     pub fn begin(&mut self, at: usize) -> Result<(), Failed> {
         let router = &mut self.all[at];
         let mut command = process::serve(&self.program, &router.config, &router.settings);
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(router.folder.with_file_name("log"))?;
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(router.folder.with_file_name("log"))?;
         command.env("RUST_LOG", "info").stdout(Stdio::null());
         // The log goes through a pipe: a disk that is full for the router is not for its log.
         command.stderr(Stdio::piped());
@@ -212,7 +226,9 @@
 
     /// Whoever leads, as it says itself.
     pub fn leader(&self) -> Option<usize> {
-        let leads = |router: &Router| router.up && !router.stopped && router.status().is_some_and(|of| of["leads"] == true);
+        let leads = |router: &Router| {
+            router.up && !router.stopped && router.status().is_some_and(|of| of["leads"] == true)
+        };
         self.all.iter().position(leads)
     }
 
@@ -266,8 +282,12 @@
             Disk::WithoutLast => {
                 if let Ok(whole) = std::fs::read(&file) {
                     let mark = b"ternpick-kept-1 ";
-                    let starts: Vec<usize> =
-                        whole.windows(mark.len()).enumerate().filter(|(_, some)| some == mark).map(|(at, _)| at).collect();
+                    let starts: Vec<usize> = whole
+                        .windows(mark.len())
+                        .enumerate()
+                        .filter(|(_, some)| some == mark)
+                        .map(|(at, _)| at)
+                        .collect();
                     if let Some(last) = starts.last().filter(|last| **last > 0) {
                         std::fs::write(&file, &whole[..*last])?;
                         router.unseated = at < self.voters;
@@ -322,7 +342,8 @@
     pub fn look(&mut self) -> Option<String> {
         let mut found = None;
         for at in 0..self.all.len() {
-            let gone = self.all[at].up && self.all[at].pid().is_some_and(|pid| process::sample(pid).is_none());
+            let gone =
+                self.all[at].up && self.all[at].pid().is_some_and(|pid| process::sample(pid).is_none());
             if gone && self.all[at].is_reaped() {
                 self.all[at].up = false;
                 found = Some(self.all[at].name.clone());
--- a/lab/src/fleet/virt.rs
+++ b/lab/src/fleet/virt.rs
@@ -10,8 +10,8 @@
 use ternpick::types::Micros;
 use ternpick_consensus::Seat;
 use ternpick_policy::{
-    seat_terms, Act, Admission, Command, Council, Effect, FleetId, Found, Heard, Incarnation, Keeper, Member, Op,
-    Register, Said, SeatNo, Seated, Terms, Verdict, Version, Wish,
+    seat_terms, Act, Admission, Command, Council, Effect, FleetId, Found, Heard, Incarnation, Keeper, Member,
+    Op, Register, Said, SeatNo, Seated, Terms, Verdict, Version, Wish,
 };
 
 const FLEET: FleetId = FleetId(1);
@@ -108,13 +108,22 @@
                 1 => -drift,
                 _ => chance.random_range(-drift..=drift),
             };
-            let disk = (at < world.voters)
-                .then(|| Seat::founds(FLEET, SeatNo(at as u64 + 1), &voters, state.clone()))
-                .unwrap_or_default();
-            let keeper = Keeper::starts(world.terms, member(at), Incarnation(chance.random()), false, Micros(began));
+            let disk = match at < world.voters {
+                true => Seat::founds(FLEET, SeatNo(at as u64 + 1), &voters, state.clone()),
+                false => Vec::new(),
+            };
+            let keeper =
+                Keeper::starts(world.terms, member(at), Incarnation(chance.random()), false, Micros(began));
             let seeds = chance.random();
-            let council =
-                Council::new(FLEET, world.terms, seat_terms(ELECTION), keeper, members.clone(), seeds, Micros(began));
+            let council = Council::new(
+                FLEET,
+                world.terms,
+                seat_terms(ELECTION),
+                keeper,
+                members.clone(),
+                seeds,
+                Micros(began),
+            );
             routers.push(Router {
                 council,
                 fast_ppm,
@@ -213,8 +222,12 @@
 
     /// An operator of a router proposes something.
     pub fn propose(&mut self, at: usize, op: u64) {
-        let command =
-            Command::Propose { base: None, text: String::new(), author: "ann".into(), reason: format!("try {op}") };
+        let command = Command::Propose {
+            base: None,
+            text: String::new(),
+            author: "ann".into(),
+            reason: format!("try {op}"),
+        };
         self.routers[at].council.wish(Op(op), Wish::Do(command));
         self.at(self.now, at, What::Turn);
     }
@@ -283,9 +296,10 @@
             Act::Say(to, said) => {
                 let Some(to) = self.names.get(&to).copied() else { return };
                 self.traffic[at].out += 1;
-                self.traffic[at].bytes_out += postcard::to_stdvec(&said).map_or(0, |bytes| bytes.len() as u64);
+                self.traffic[at].bytes_out +=
+                    postcard::to_stdvec(&said).map_or(0, |bytes| bytes.len() as u64);
                 let late = self.chance.random_range(self.world.late.0..=self.world.late.1);
-                self.at(self.now + late, to, What::Comes(at, Box::new(said)));
+                self.at(self.now + late, to, What::Comes(at, said));
             }
             Act::Keep(image) => {
                 self.routers[at].disk = image;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -228,7 +228,8 @@
             Ok(ExitCode::SUCCESS)
         }
         FleetCommand::Size { routers, voters, changes, seed } => {
-            let world = fleet::virt::World { routers: *routers, voters: *voters, ..fleet::virt::World::default() };
+            let world =
+                fleet::virt::World { routers: *routers, voters: *voters, ..fleet::virt::World::default() };
             let of = fleet::virt::size(world, *changes, *seed);
             match json {
                 true => println!("{}", serde_json::to_string(&of)?),
@@ -242,7 +243,11 @@
                 true => println!("{}", serde_json::to_string(&fleet::report::sum(&outcomes))?),
                 false => println!("{}", fleet::report::table(&outcomes)),
             }
-            Ok(if outcomes.iter().all(fleet::Outcome::is_good) { ExitCode::SUCCESS } else { ExitCode::from(2) })
+            Ok(if outcomes.iter().all(fleet::Outcome::is_good) {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::from(2)
+            })
         }
     }
 }
--- a/policy/src/chair.rs
+++ b/policy/src/chair.rs
@@ -200,7 +200,10 @@
     fn may_have(&self, register: &Register, member: &Member, process: Incarnation) -> bool {
         let known = self.leases.contains_key(&(member.clone(), process));
         let processes = self.leases.keys().filter(|(of, _)| of == member).count();
-        if !register.members.contains_key(member) || (self.put.is_some() && self.beginning) || !known && processes >= MOST_PROCESSES {
+        if !register.members.contains_key(member)
+            || (self.put.is_some() && self.beginning)
+            || !known && processes >= MOST_PROCESSES
+        {
             return false;
         }
         match &register.next {
@@ -210,7 +213,8 @@
     }
 
     fn told(&mut self, register: &Register, member: &Member, grant: Option<Grant>) -> Told {
-        let (known, members) = self.heard.get(member).map_or((Index(0), Index(0)), |h| (h.index, h.members_at));
+        let (known, members) =
+            self.heard.get(member).map_or((Index(0), Index(0)), |h| (h.index, h.members_at));
         let view = (known < register.changed).then(|| View::of(register));
         let members = (members < register.members_at).then(|| register.members.clone());
         Told { view, members, grant, stranger: false }
--- a/policy/src/council.rs
+++ b/policy/src/council.rs
@@ -44,7 +44,7 @@
 /// What a driver is to do, in order.
 #[derive(Debug)]
 pub enum Act {
-    Say(Member, Said),
+    Say(Member, Box<Said>),
     /// Keep this whole, then say so with [`Council::kept`]. One at a time.
     Keep(Vec<u8>),
     /// Of this router's lease and policy.
@@ -116,8 +116,8 @@
 
 impl Council {
     pub fn new(
-        fleet: FleetId, terms: Terms, seat_terms: SeatTerms, keeper: Keeper, members: BTreeMap<Member, Seated>,
-        seed: u64, now: Micros,
+        fleet: FleetId, terms: Terms, seat_terms: SeatTerms, keeper: Keeper,
+        members: BTreeMap<Member, Seated>, seed: u64, now: Micros,
     ) -> Council {
         Council {
             me: keeper.me().clone(),
@@ -198,7 +198,7 @@
     fn say(&mut self, to: &Member, said: Said) {
         match *to == self.me {
             true => self.home.push_back(said),
-            false => self.acts.push(Act::Say(to.clone(), said)),
+            false => self.acts.push(Act::Say(to.clone(), Box::new(said))),
         }
     }
 
@@ -327,7 +327,9 @@
                 }
             }
             // It may still be put: whoever asks says it again.
-            Err(refused) => self.log(Level::Info, format!("fleet: a command is not put into the log, {refused}")),
+            Err(refused) => {
+                self.log(Level::Info, format!("fleet: a command is not put into the log, {refused}"))
+            }
         }
     }
 
@@ -405,7 +407,8 @@
             }
             Err(words) => {
                 if self.failed.is_none() {
-                    let line = format!("fleet: the state cannot be kept, nothing is answered until it can: {words}");
+                    let line =
+                        format!("fleet: the state cannot be kept, nothing is answered until it can: {words}");
                     self.log(Level::Error, line);
                 }
                 self.failed = Some((now + KEEP_AGAIN, std::mem::take(&mut self.image)));
@@ -488,11 +491,17 @@
         let now = of(register);
         if let Some(number) = now.filter(|_| now != next) {
             let author = register.next.as_ref().map_or("", |next| next.paper.author.as_str());
-            self.log(Level::Info, format!("policy: proposal {number} by '{author}' is on its way, entry {index}"));
+            self.log(
+                Level::Info,
+                format!("policy: proposal {number} by '{author}' is on its way, entry {index}"),
+            );
         }
         if register.in_force.number != force {
             let number = register.in_force.number;
-            self.log(Level::Info, format!("policy: version {number} is agreed to be in force, entry {index}"));
+            self.log(
+                Level::Info,
+                format!("policy: version {number} is agreed to be in force, entry {index}"),
+            );
         } else if let Some(gone) = next.filter(|_| now.is_none()) {
             let fate = register.history.iter().find(|past| past.number == gone).map(|past| past.fate.clone());
             self.log(Level::Info, format!("policy: proposal {gone} is nowhere, {fate:?}, entry {index}"));
@@ -516,7 +525,8 @@
 
     /// The chair looks what is due, and gets the answers to its questions.
     fn beat(&mut self, now: Micros) {
-        let (Some(seat), Some(register), Some((term, chair))) = (&self.seat, &self.register, &mut self.chair) else {
+        let (Some(seat), Some(register), Some((term, chair))) = (&self.seat, &self.register, &mut self.chair)
+        else {
             return;
         };
         let played = seat.played();
@@ -538,19 +548,29 @@
             return;
         }
         self.next_seats = now + SEATS_EVERY;
-        let (Some(seat), Some(register), Some(_)) = (&mut self.seat, &self.register, &self.chair) else { return };
+        let (Some(seat), Some(register), Some(_)) = (&mut self.seat, &self.register, &self.chair) else {
+            return;
+        };
         let (voters, learners) = register.seats();
         let mut lines = Vec::new();
         match seat.change(&voters, &learners) {
-            Ok(true) => lines.push((Level::Info, format!("fleet: who votes changes to {voters:?}, learning {learners:?}"))),
+            Ok(true) => lines.push((
+                Level::Info,
+                format!("fleet: who votes changes to {voters:?}, learning {learners:?}"),
+            )),
             Ok(false) => {}
-            Err(refused) => lines.push((Level::Debug, format!("fleet: who votes cannot change now, {refused}"))),
+            Err(refused) => {
+                lines.push((Level::Debug, format!("fleet: who votes cannot change now, {refused}")))
+            }
         }
         for no in learners {
             if seat.learners().contains(&no) && seat.has_learnt(no) {
                 let entry = postcard::to_stdvec(&Entry::Learnt { seat: no }).unwrap_or_default();
                 if seat.put(entry).is_ok() {
-                    lines.push((Level::Info, format!("fleet: seat {no} has learnt what was agreed, and is to vote")));
+                    lines.push((
+                        Level::Info,
+                        format!("fleet: seat {no} has learnt what was agreed, and is to vote"),
+                    ));
                 }
             }
         }
@@ -572,16 +592,25 @@
                     Ok(seat) => {
                         (self.seat, self.seat_words, self.register) = (Some(seat), None, None);
                         (self.chair, self.failed) = (None, None);
-                        self.log(Level::Info, format!("fleet: {} begins in the new seat {no}, and learns", self.me));
+                        self.log(
+                            Level::Info,
+                            format!("fleet: {} begins in the new seat {no}, and learns", self.me),
+                        );
                     }
                     Err(refused) => {
-                        self.log(Level::Error, format!("fleet: the new seat {no} cannot be taken, {refused}"));
+                        self.log(
+                            Level::Error,
+                            format!("fleet: the new seat {no} cannot be taken, {refused}"),
+                        );
                     }
                 }
             }
             // Its seat is another's word now, or nobody's: it must not speak from it.
             Some((no, _)) if own.is_some() && own != Some(no) => {
-                let words = format!("its state is of seat {}, the fleet has given it seat {no}", own.unwrap_or_default());
+                let words = format!(
+                    "its state is of seat {}, the fleet has given it seat {no}",
+                    own.unwrap_or_default()
+                );
                 self.log(Level::Error, format!("fleet: {} takes part without its vote, {words}", self.me));
                 (self.seat, self.seat_words, self.chair) = (None, Some(words), None);
             }
--- a/policy/src/keeper.rs
+++ b/policy/src/keeper.rs
@@ -23,7 +23,10 @@
     Unguarded(Version),
     /// A change takes hold; ask again when something has changed, or at this time.
     Hold(Micros),
-    Refused { why: Why, come_back: Micros },
+    Refused {
+        why: Why,
+        come_back: Micros,
+    },
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -112,9 +115,7 @@
 
 impl Keeper {
     /// One that starts at `now`. `inherits`: it takes the place of a process that may still admit for a while.
-    pub fn starts(
-        terms: Terms, me: Member, incarnation: Incarnation, inherits: bool, now: Micros,
-    ) -> Keeper {
+    pub fn starts(terms: Terms, me: Member, incarnation: Incarnation, inherits: bool, now: Micros) -> Keeper {
         let alone_from = if inherits { now + terms.surely_over() } else { now };
         Keeper {
             terms,
@@ -284,7 +285,10 @@
         if longer && now < until {
             if let Some(lost) = self.lost_at.take() {
                 let ms = now.since(lost).0 / 1000;
-                effects.push(Effect::Say(format!("lease: back under version {}, {ms} ms without", grant.version)));
+                effects.push(Effect::Say(format!(
+                    "lease: back under version {}, {ms} ms without",
+                    grant.version
+                )));
             }
             self.lease = Some(Lease { epoch: grant.epoch, version: grant.version, until });
             self.paused = None;
@@ -313,7 +317,8 @@
             return;
         }
         let before = self.view.replace(view.clone());
-        let (was, epoch_was) = before.as_ref().map_or((None, None), |v| (Some(v.in_force.number), Some(v.epoch)));
+        let (was, epoch_was) =
+            before.as_ref().map_or((None, None), |v| (Some(v.in_force.number), Some(v.epoch)));
         if epoch_was != Some(view.epoch) {
             // The lease is void: it waits a while, but only if it was admitting until now.
             let admitted = self.lease.is_some_and(|lease| now < lease.until);
--- a/policy/src/model.rs
+++ b/policy/src/model.rs
@@ -18,7 +18,15 @@
 const MOST_ON_WAY: usize = 2;
 
 fn terms() -> Terms {
-    Terms { lease: 2 * STEP, renew: STEP, drift_ppm: 0, hold: 0, patience: STEP, serve_without: false, confirm: false }
+    Terms {
+        lease: 2 * STEP,
+        renew: STEP,
+        drift_ppm: 0,
+        hold: 0,
+        patience: STEP,
+        serve_without: false,
+        confirm: false,
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -98,7 +106,8 @@
 }
 
 fn fleet() -> Register {
-    let seated = |address: &str| Seated { address: address.into(), zone: String::new(), seat: None, learns: false };
+    let seated =
+        |address: &str| Seated { address: address.into(), zone: String::new(), seat: None, learns: false };
     let members = BTreeMap::from([("a".into(), seated("1")), ("b".into(), seated("2"))]);
     Register::begins(members)
 }
@@ -109,8 +118,7 @@
 
 impl Change {
     fn keeper(&self, at: usize, incarnation: u64, now: u64) -> Keeper {
-        let mut keeper =
-            Keeper::starts(terms(), member(at), Incarnation(incarnation), false, Micros(now));
+        let mut keeper = Keeper::starts(terms(), member(at), Incarnation(incarnation), false, Micros(now));
         keeper.planted = match self.fault {
             Some(Fault::Keeper(fault)) => Some(fault),
             _ => None,
--- a/policy/src/record.rs
+++ b/policy/src/record.rs
@@ -74,7 +74,8 @@
         if text.is_empty() {
             return Ok((Record::default(), vec![]));
         }
-        let Read { value, used } = SCHEMA.read::<Record>(name, text).map_err(|refused| refused.to_string())?;
+        let Read { value, used } =
+            SCHEMA.read::<Record>(name, text).map_err(|refused| refused.to_string())?;
         Ok((value, used))
     }
 
@@ -86,7 +87,8 @@
             return Ok(record);
         }
         let line = |(path, what): (String, String)| {
-            let place = used.iter().find(|used| used.path.starts_with(&path)).and_then(|used| used.from.clone());
+            let place =
+                used.iter().find(|used| used.path.starts_with(&path)).and_then(|used| used.from.clone());
             let (file, line) = place.unwrap_or((name.to_owned(), 1));
             format!("{file}:{line}: {path} {what}")
         };
@@ -133,7 +135,8 @@
         }
         match (self.further, platform.further) {
             (Some(of), Some((spare, share))) if of.spare > spare || of.share > share => {
-                let what = format!("is {} and {}, the platform allows {spare} and {share}", of.spare, of.share);
+                let what =
+                    format!("is {} and {}, the platform allows {spare} and {share}", of.spare, of.share);
                 all.push(("further".into(), what));
             }
             (Some(_), None) => {
@@ -166,12 +169,15 @@
                 ("calls", terms.calls.map(|calls| calls.to_string())),
                 ("copies", terms.copies.map(|copies| copies.to_string())),
             ];
-            let set = of.into_iter().filter_map(|(key, value)| Some((format!("indexes.{name}.{key}"), value?)));
+            let set =
+                of.into_iter().filter_map(|(key, value)| Some((format!("indexes.{name}.{key}"), value?)));
             all.extend(set);
         }
         all.extend(self.drained.iter().map(|node| (format!("drained.{node}"), "true".to_owned())));
         let customers = self.customers.iter();
-        all.extend(customers.map(|(name, of)| (format!("customers.{name}.per_second"), of.per_second.to_string())));
+        all.extend(
+            customers.map(|(name, of)| (format!("customers.{name}.per_second"), of.per_second.to_string())),
+        );
         if let Some(further) = self.further {
             all.insert("further.spare".into(), further.spare.to_string());
             all.insert("further.share".into(), further.share.to_string());
@@ -187,7 +193,12 @@
 
     fn platform() -> Platform {
         Platform {
-            indexes: vec![PlatformIndex { name: "half".into(), least: 0.5, need: 1.0, soft: Micros(600_000) }],
+            indexes: vec![PlatformIndex {
+                name: "half".into(),
+                least: 0.5,
+                need: 1.0,
+                soft: Micros(600_000),
+            }],
             calls: Some(3),
             copies: false,
             customers: BTreeMap::from([("north".into(), 20.0)]),
@@ -220,7 +231,8 @@
         assert_eq!((record.indexes["half"].least, record.indexes["half"].calls), (Some(0.75), Some(2)));
         let rows = record.differs(&Record::default());
         let paths: Vec<&str> = rows.iter().map(|(path, ..)| path.as_str()).collect();
-        let wanted = ["drained.s-1", "further.share", "further.spare", "indexes.half.calls", "indexes.half.least"];
+        let wanted =
+            ["drained.s-1", "further.share", "further.spare", "indexes.half.calls", "indexes.half.least"];
         assert_eq!(paths, wanted);
         assert_eq!(Record::read("p", ""), Ok(Record::default()));
     }
--- a/policy/src/register.rs
+++ b/policy/src/register.rs
@@ -39,26 +39,69 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Entry {
     /// `base`: the version that its author looked at; another in force means that it is refused.
-    Propose { op: Op, base: Option<Version>, paper: Paper, confirm: bool },
+    Propose {
+        op: Op,
+        base: Option<Version>,
+        paper: Paper,
+        confirm: bool,
+    },
     /// What members said, by who heard them.
-    Verdicts { number: Version, said: Vec<(Member, Verdict)> },
+    Verdicts {
+        number: Version,
+        said: Vec<(Member, Verdict)>,
+    },
     /// A second person wants it too.
-    Confirm { op: Op, number: Version, by: String },
+    Confirm {
+        op: Op,
+        number: Version,
+        by: String,
+    },
     /// All members fit, or their leases are surely over (`without`): every router is to stop admitting.
-    Begin { number: Version, round: Round, without: BTreeSet<Member> },
+    Begin {
+        number: Version,
+        round: Round,
+        without: BTreeSet<Member>,
+    },
     /// All have stopped, or their leases are surely over.
-    InForce { number: Version, round: Round },
+    InForce {
+        number: Version,
+        round: Round,
+    },
     /// Somebody did not stop in time: all go on as before.
-    Resume { number: Version, round: Round },
-    Withdraw { op: Op, number: Version, by: String, reason: String },
-    Enter { op: Op, member: Member, address: String, zone: String },
-    Leave { op: Op, member: Member },
+    Resume {
+        number: Version,
+        round: Round,
+    },
+    Withdraw {
+        op: Op,
+        number: Version,
+        by: String,
+        reason: String,
+    },
+    Enter {
+        op: Op,
+        member: Member,
+        address: String,
+        zone: String,
+    },
+    Leave {
+        op: Op,
+        member: Member,
+    },
     /// A member is given a new seat in the agreement; any earlier one of its is void.
-    Seat { op: Op, member: Member },
+    Seat {
+        op: Op,
+        member: Member,
+    },
     /// A member has a seat no longer.
-    Unseat { op: Op, member: Member },
+    Unseat {
+        op: Op,
+        member: Member,
+    },
     /// A new seat has learnt what was agreed, and is to vote: from here on it never begins with nothing again.
-    Learnt { seat: SeatNo },
+    Learnt {
+        seat: SeatNo,
+    },
 }
 
 /// What became of a command.
--- a/policy/src/say.rs
+++ b/policy/src/say.rs
@@ -89,32 +89,72 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Said {
     /// Between seats of the agreement.
-    Seat { from: SeatNo, to: SeatNo, word: Vec<u8> },
+    Seat {
+        from: SeatNo,
+        to: SeatNo,
+        word: Vec<u8>,
+    },
     Renew(Renew),
     Told(Told),
     /// Whoever is asked does not lead; perhaps this one does.
     Elsewhere(Option<Member>),
     /// An operator's command, for whoever leads; said again until its outcome is heard.
-    Do { op: Op, command: Command },
-    Did { op: Op, outcome: Outcome },
+    Do {
+        op: Op,
+        command: Command,
+    },
+    Did {
+        op: Op,
+        outcome: Outcome,
+    },
     /// A question of an operator's, and its answer (JSON).
-    Look { op: Op, what: String },
-    Seen { op: Op, json: String },
+    Look {
+        op: Op,
+        what: String,
+    },
+    Seen {
+        op: Op,
+        json: String,
+    },
 }
 
 /// What an operator wants done.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Command {
-    Propose { base: Option<u64>, text: String, author: String, reason: String },
-    Confirm { number: u64, by: String },
-    Withdraw { number: u64, by: String, reason: String },
-    Add { member: String, address: String, zone: String },
-    Remove { member: String },
+    Propose {
+        base: Option<u64>,
+        text: String,
+        author: String,
+        reason: String,
+    },
+    Confirm {
+        number: u64,
+        by: String,
+    },
+    Withdraw {
+        number: u64,
+        by: String,
+        reason: String,
+    },
+    Add {
+        member: String,
+        address: String,
+        zone: String,
+    },
+    Remove {
+        member: String,
+    },
     /// A new seat, for one that has none or has lost its own.
-    Seat { member: String },
-    Unseat { member: String },
-    Transfer { to: Member },
+    Seat {
+        member: String,
+    },
+    Unseat {
+        member: String,
+    },
+    Transfer {
+        to: Member,
+    },
 }
 
 impl Command {
@@ -130,7 +170,9 @@
             Command::Withdraw { number, by, reason } => {
                 Entry::Withdraw { op, number: Version(number), by, reason }
             }
-            Command::Add { member: name, address, zone } => Entry::Enter { op, member: member(name), address, zone },
+            Command::Add { member: name, address, zone } => {
+                Entry::Enter { op, member: member(name), address, zone }
+            }
             Command::Remove { member: name } => Entry::Leave { op, member: member(name) },
             Command::Seat { member: name } => Entry::Seat { op, member: member(name) },
             Command::Unseat { member: name } => Entry::Unseat { op, member: member(name) },
--- a/router/src/fleet/cli.rs
+++ b/router/src/fleet/cli.rs
@@ -229,11 +229,13 @@
             })
         }
         Policy::Check { socket, file } => {
-            let question = json!({"ask": "check", "name": file.display().to_string(), "text": text_of(&file)?});
+            let question =
+                json!({"ask": "check", "name": file.display().to_string(), "text": text_of(&file)?});
             let said = to_fleet(&socket, question)?;
             finish(&socket, &said, || {
                 let lines = said["figures"].as_object().into_iter().flatten();
-                let lines: Vec<String> = lines.map(|(path, value)| format!("{path} = {}", word(value))).collect();
+                let lines: Vec<String> =
+                    lines.map(|(path, value)| format!("{path} = {}", word(value))).collect();
                 format!("it fits this router\n{}", lines.join("\n"))
             })
         }
@@ -250,7 +252,12 @@
             } else if rows.is_empty() {
                 println!("nothing differs from version {}", said["in_force"]["number"]);
             } else {
-                println!("{:<40} {:>16} {:>16}", "", format!("version {}", said["in_force"]["number"]), "this file");
+                println!(
+                    "{:<40} {:>16} {:>16}",
+                    "",
+                    format!("version {}", said["in_force"]["number"]),
+                    "this file"
+                );
                 rows.iter().for_each(|(path, old, new)| println!("{path:<40} {old:>16} {new:>16}"));
             }
             Ok(ExitCode::SUCCESS)
@@ -272,14 +279,17 @@
                 return Ok(ExitCode::SUCCESS);
             }
             for past in seen["history"].as_array().into_iter().flatten() {
-                let why = past["why"].as_str().map_or(String::new(), |why| format!(" by {}: {why}", word(&past["by"])));
+                let why = past["why"]
+                    .as_str()
+                    .map_or(String::new(), |why| format!(" by {}: {why}", word(&past["by"])));
                 let now = if past["number"] == seen["in_force"]["number"] { " (now)" } else { "" };
-                let (number, fate, author) = (word(&past["number"]), word(&past["fate"]), word(&past["author"]));
+                let (number, fate, author) =
+                    (word(&past["number"]), word(&past["fate"]), word(&past["author"]));
                 println!("{number:>6}  {fate:<10}{now} {author}: {}{why}", word(&past["reason"]));
             }
             Ok(ExitCode::SUCCESS)
         }
-        Policy::Watch { socket } => loop {
+        Policy::Watch { socket } => {
             let mut last = Value::Null;
             loop {
                 let said = to_fleet(&socket, json!({"ask": "status"}))?;
@@ -291,7 +301,7 @@
                 }
                 std::thread::sleep(LOOK);
             }
-        },
+        }
     }
 }
 
@@ -302,7 +312,9 @@
     let next = match of["next"].as_object() {
         None => String::new(),
         Some(next) if next["takes_hold"] == true => format!(", {} takes hold", next["number"]),
-        Some(next) if next["unconfirmed"] == true => format!(", {} waits for a second person", next["number"]),
+        Some(next) if next["unconfirmed"] == true => {
+            format!(", {} waits for a second person", next["number"])
+        }
         Some(next) => format!(", {} is looked at", next["number"]),
     };
     let (member, version) = (word(&of["member"]), word(&of["version"]));
@@ -318,7 +330,8 @@
     let text = text_of(file)?;
     let record = Record::read(&file.display().to_string(), &text)?;
     let began = Instant::now();
-    let of = json!({"propose": {"base": base, "text": text, "author": record.author, "reason": record.reason}});
+    let of =
+        json!({"propose": {"base": base, "text": text, "author": record.author, "reason": record.reason}});
     let said = command(socket, wait, of)?;
     let number = said["number"].clone();
     if said["ok"] != true || !waits {
@@ -327,16 +340,27 @@
     let (terminal, mut told) = (std::io::stderr().is_terminal() && !socket.json, String::new());
     while began.elapsed() < wait.timeout {
         if let Some(seen) = look(socket, "members")? {
-            let past = seen["history"].as_array().into_iter().flatten().find(|past| past["number"] == number).cloned();
+            let past = seen["history"]
+                .as_array()
+                .into_iter()
+                .flatten()
+                .find(|past| past["number"] == number)
+                .cloned();
             let took = began.elapsed().as_millis();
             match past.as_ref().and_then(|past| past["fate"].as_str()) {
                 Some("in_force") => {
                     let said = json!({"ok": true, "number": number, "fate": "in_force", "took_ms": took, "op": said["op"]});
-                    return finish(socket, &said, || format!("version {number} is in force, after {took} ms"));
+                    return finish(socket, &said, || {
+                        format!("version {number} is in force, after {took} ms")
+                    });
                 }
                 Some(fate @ ("refused" | "withdrawn")) => {
                     let past = past.clone().unwrap_or_default();
-                    let line = format!("{number} is nowhere: {fate} by {}, {}", word(&past["by"]), word(&past["why"]));
+                    let line = format!(
+                        "{number} is nowhere: {fate} by {}, {}",
+                        word(&past["by"]),
+                        word(&past["why"])
+                    );
                     let said = json!({"ok": false, "number": number, "fate": fate, "by": past["by"], "why": past["why"],
                         "line": line, "op": said["op"]});
                     return finish(socket, &said, String::new);
@@ -351,8 +375,13 @@
         }
         std::thread::sleep(LOOK);
     }
-    let line = format!("proposal {number} is open: neither in force nor withdrawn after {:?}; {told}", wait.timeout);
-    finish(socket, &json!({"ok": false, "unknown": true, "number": number, "line": line, "op": said["op"]}), String::new)
+    let line =
+        format!("proposal {number} is open: neither in force nor withdrawn after {:?}; {told}", wait.timeout);
+    finish(
+        socket,
+        &json!({"ok": false, "unknown": true, "number": number, "line": line, "op": said["op"]}),
+        String::new,
+    )
 }
 
 /// Who has yet to confirm, who is silent, and until when it can take.
@@ -362,7 +391,8 @@
     }
     let rows = || seen["rows"].as_array().into_iter().flatten();
     let silent = |row: &&Value| row["heard_ms_ago"].as_u64().is_none_or(|ago| ago > 1000);
-    let names = |rows: Vec<&Value>| rows.iter().map(|row| word(&row["member"])).collect::<Vec<_>>().join(", ");
+    let names =
+        |rows: Vec<&Value>| rows.iter().map(|row| word(&row["member"])).collect::<Vec<_>>().join(", ");
     let down = names(rows().filter(silent).collect());
     let missing = names(rows().filter(|row| row["fits"] == false && !silent(row)).collect());
     let mut words = format!("{} of {} have confirmed", word(&seen["next"]["fit"]), word(&seen["members"]));
@@ -390,7 +420,9 @@
             Ok(ExitCode::SUCCESS)
         }
         FleetCommand::Add { socket, wait, name, address, zone, vote } => {
-            address.parse::<std::net::SocketAddr>().map_err(|_| format!("{address} is no address and port"))?;
+            address
+                .parse::<std::net::SocketAddr>()
+                .map_err(|_| format!("{address} is no address and port"))?;
             let of = json!({"add": {"member": name, "address": address, "zone": zone}});
             let mut said = command(&socket, &wait, of)?;
             if said["ok"] == true && vote {
@@ -417,7 +449,10 @@
         FleetCommand::Replace { socket, wait, name } => {
             let said = command(&socket, &wait, json!({"seat": {"member": name}}))?;
             finish(&socket, &said, || {
-                format!("{name} has seat {} in place of any earlier one, and votes once it has learnt", said["seat"])
+                format!(
+                    "{name} has seat {} in place of any earlier one, and votes once it has learnt",
+                    said["seat"]
+                )
             })
         }
         FleetCommand::Transfer { socket, wait, name } => {
@@ -455,7 +490,12 @@
     let state = postcard::to_stdvec(&Register::begins(members)).map_err(|e| e.to_string())?;
     let image = Seat::founds(number_of(&terms.name), seat, &voters, state);
     disk::keep(&folder, &mut None, 0, &image)?;
-    println!("{me} has seat {seat} of {} in fleet {}, kept in {}", voters.len(), terms.name, folder.display());
+    println!(
+        "{me} has seat {seat} of {} in fleet {}, kept in {}",
+        voters.len(),
+        terms.name,
+        folder.display()
+    );
     Ok(ExitCode::SUCCESS)
 }
 
@@ -499,17 +539,35 @@
     match of["seat"].as_object() {
         Some(seat) => println!(
             "seat {}: {}, term {}, entries to {}, agreed to {}, played to {}",
-            seat["seat"], word(&seat["standing"]), seat["term"], seat["last"], seat["agreed"], seat["played"]
+            seat["seat"],
+            word(&seat["standing"]),
+            seat["term"],
+            seat["last"],
+            seat["agreed"],
+            seat["played"]
+        ),
+        None => println!(
+            "no vote{}",
+            of["seat_words"].as_str().map_or(String::new(), |words| format!(": {words}"))
         ),
-        None => println!("no vote{}", of["seat_words"].as_str().map_or(String::new(), |words| format!(": {words}"))),
     }
     let Some(seen) = seen else {
         println!("nobody that leads is reached");
         return Ok(ExitCode::from(OPEN));
     };
-    println!("{} leads, entry {}, version {} in force", word(&seen["leader"]), seen["index"], seen["in_force"]["number"]);
+    println!(
+        "{} leads, entry {}, version {} in force",
+        word(&seen["leader"]),
+        seen["index"],
+        seen["in_force"]["number"]
+    );
     if seen["next"].is_object() {
-        println!("proposal {} by {}: {}", seen["next"]["number"], word(&seen["next"]["author"]), waits_for(&seen));
+        println!(
+            "proposal {} by {}: {}",
+            seen["next"]["number"],
+            word(&seen["next"]["author"]),
+            waits_for(&seen)
+        );
     }
     rows(&seen);
     Ok(ExitCode::SUCCESS)
--- a/router/src/fleet/commands.rs
+++ b/router/src/fleet/commands.rs
@@ -27,7 +27,8 @@
 
 fn policy(register: &Register) -> Value {
     let past = |past: &ternpick_policy::Past| {
-        let mut row = json!({"number": past.number, "author": past.author, "reason": past.reason, "at": past.at});
+        let mut row =
+            json!({"number": past.number, "author": past.author, "reason": past.reason, "at": past.at});
         if let (Value::Object(row), Value::Object(more)) = (&mut row, fate(&past.fate)) {
             row.extend(more);
         }
@@ -81,7 +82,8 @@
             json!({"done": true, "ok": true, "fleet": fleet.status(&desk.brain, now)})
         }
         Some("check") => {
-            let (name, text) = (asked["name"].as_str().unwrap_or("policy"), asked["text"].as_str().unwrap_or_default());
+            let (name, text) =
+                (asked["name"].as_str().unwrap_or("policy"), asked["text"].as_str().unwrap_or_default());
             match Record::read_within(name, text, &fleet.platform()) {
                 Ok(record) => json!({"done": true, "ok": true, "figures": record.lines()}),
                 Err(words) => json!({"done": true, "ok": false, "line": words}),
@@ -90,8 +92,12 @@
         Some("show") => {
             let text = fleet.council.borrow().keeper.view().map(|view| (view.in_force.clone(), view.epoch));
             match text {
-                Some((of, epoch)) => json!({"done": true, "ok": true, "in_force": paper(&of), "epoch": epoch}),
-                None => json!({"done": true, "ok": false, "line": "this router has yet to learn the policy in force"}),
+                Some((of, epoch)) => {
+                    json!({"done": true, "ok": true, "in_force": paper(&of), "epoch": epoch})
+                }
+                None => {
+                    json!({"done": true, "ok": false, "line": "this router has yet to learn the policy in force"})
+                }
             }
         }
         Some("look") => {
@@ -108,12 +114,18 @@
                 return json!({"done": true, "ok": false, "line": "this is no command of a fleet"});
             };
             match fleet.ask(router, op, Wish::Do(command), wait).await {
-                Some(Heard::Did(Outcome::Proposed(number))) => json!({"done": true, "ok": true, "number": number}),
+                Some(Heard::Did(Outcome::Proposed(number))) => {
+                    json!({"done": true, "ok": true, "number": number})
+                }
                 Some(Heard::Did(Outcome::Seated(seat))) => json!({"done": true, "ok": true, "seat": seat}),
                 Some(Heard::Did(Outcome::Done)) => json!({"done": true, "ok": true}),
-                Some(Heard::Did(Outcome::Refused(words))) => json!({"done": true, "ok": false, "line": words}),
-                _ => unknown("no outcome was heard: it may be done yet, or have been done. Said again with the same \
-                    --op it is done once"),
+                Some(Heard::Did(Outcome::Refused(words))) => {
+                    json!({"done": true, "ok": false, "line": words})
+                }
+                _ => unknown(
+                    "no outcome was heard: it may be done yet, or have been done. Said again with the same \
+                    --op it is done once",
+                ),
             }
         }
         _ => json!({"done": true, "ok": false, "line": "ask for status, show, check, look or do"}),
--- a/router/src/fleet/drive.rs
+++ b/router/src/fleet/drive.rs
@@ -48,7 +48,7 @@
 
     fn carry_out(&self, router: &Rc<Router>, me: &Rc<Fleet>, act: Act, now: Micros) {
         match act {
-            Act::Say(to, said) => self.say(router, me, &to, said),
+            Act::Say(to, said) => self.say(router, me, &to, *said),
             Act::Keep(image) => self.keep(router, me, image),
             Act::Do(effect) => self.obey(router, effect),
             Act::Look(to, op, what) => {
@@ -78,7 +78,11 @@
                     Verdict::Fits => "it fits".to_owned(),
                     Verdict::Refused(words) => format!("refused, {words}"),
                 };
-                tracing::info!("policy: proposal {} by '{}' is looked at: {word}", paper.number, paper.author);
+                tracing::info!(
+                    "policy: proposal {} by '{}' is looked at: {word}",
+                    paper.number,
+                    paper.author
+                );
                 self.council.borrow_mut().checked(paper.number, verdict);
             }
             Effect::Use(paper) => self.put_in_force(router, &paper),
@@ -134,7 +138,8 @@
         let heard = async {
             loop {
                 let more = told.listen();
-                if let Some(outcome) = self.waits.borrow().0.get(&op).and_then(|(outcome, _)| outcome.clone()) {
+                if let Some(outcome) = self.waits.borrow().0.get(&op).and_then(|(outcome, _)| outcome.clone())
+                {
                     return outcome;
                 }
                 more.await;
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -24,7 +24,8 @@
 use ternpick::types::{Listing, Micros, Phase, Tariff};
 use ternpick_consensus::FleetId;
 use ternpick_policy::{
-    Admission, Council, Incarnation, Keeper, Member, Paper, Platform, Record, SeatNo, Seated, Terms, Verdict, Version,
+    Admission, Council, Incarnation, Keeper, Member, Paper, Platform, Record, SeatNo, Seated, Terms, Verdict,
+    Version,
 };
 use ternpick_store::Journal;
 
@@ -143,8 +144,8 @@
 
 impl Fleet {
     pub fn new(
-        settings: FleetTerms, name: &str, tariff: &Tariff, indexes: &[String], customers: Vec<String>, inherits: bool,
-        now: Micros,
+        settings: FleetTerms, name: &str, tariff: &Tariff, indexes: &[String], customers: Vec<String>,
+        inherits: bool, now: Micros,
     ) -> Rc<Fleet> {
         let (terms, me) = (spans(&settings), Member::from(name));
         let keeper = Keeper::starts(terms, me.clone(), Incarnation(chance()), inherits, now);
@@ -196,7 +197,9 @@
     pub async fn settled(&self, router: &Router) {
         loop {
             let changed = self.changed.listen();
-            let Admission::Hold(until) = self.council.borrow().keeper.admission(router.clock.now()) else { return };
+            let Admission::Hold(until) = self.council.borrow().keeper.admission(router.clock.now()) else {
+                return;
+            };
             let held = async {
                 async_io::Timer::at(router.clock.instant(until)).await;
             };
@@ -307,7 +310,9 @@
         let (out, out_bytes, come, come_bytes) = self.traffic.get();
         let admission = match keeper.admission(now) {
             Admission::Under(_) => "admits".to_owned(),
-            Admission::Unguarded(_) => "admits without a lease, and marks it: the rule is given up".to_owned(),
+            Admission::Unguarded(_) => {
+                "admits without a lease, and marks it: the rule is given up".to_owned()
+            }
             Admission::Hold(_) => "waits while a change takes hold".to_owned(),
             Admission::Refused { why, .. } => format!("refuses: {}", why.words()),
         };
--- a/router/src/fleet/post.rs
+++ b/router/src/fleet/post.rs
@@ -70,7 +70,10 @@
         while let Some(next) = waiting.front() {
             let length = postcard::to_stdvec(next).map_or(0, |bytes| bytes.len());
             if length > PARCEL_BYTES {
-                tracing::warn!("fleet: {length} bytes for {} are more than goes at a time, and dropped", self.to);
+                tracing::warn!(
+                    "fleet: {length} bytes for {} are more than goes at a time, and dropped",
+                    self.to
+                );
                 waiting.pop_front();
                 continue;
             }
@@ -104,7 +107,8 @@
             Timer::at(router.clock.instant(router.clock.now() + AGAIN)).await;
             continue;
         };
-        let called = router.until(Some(router.clock.now() + CALL_WITHIN), call(&router, &fleet, &mut kept, address, &body));
+        let called = router
+            .until(Some(router.clock.now() + CALL_WITHIN), call(&router, &fleet, &mut kept, address, &body));
         match called.await {
             Some(Ok(())) => fleet.counts((1, body.len() as u64), (0, 0)),
             failed => {
@@ -171,7 +175,8 @@
     let _ = stream.get_ref().set_nodelay(true);
     let (mut input, mut request) = (Ring::new(HEAD_BOUND), Reader::of_requests());
     loop {
-        let read = router.until(Some(router.clock.now() + IDLE), read(&stream, &mut input, &mut request)).await;
+        let read =
+            router.until(Some(router.clock.now() + IDLE), read(&stream, &mut input, &mut request)).await;
         let Some(Ok(())) = read else { return };
         let length = request.body().len() as u64;
         let (status, words) = match (request.method(), request.path()) {
@@ -204,7 +209,8 @@
         match stream.get_ref().read(input.free()) {
             Ok(0) => return Err(()),
             Ok(count) => input.filled_more(count),
-            Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::Interrupted) => {}
+            Err(e)
+                if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::Interrupted) => {}
             Err(_) => return Err(()),
         }
     }
--- a/router/src/lifecycle/control.rs
+++ b/router/src/lifecycle/control.rs
@@ -133,7 +133,9 @@
         Some("status") => json!({"done": true, "ok": true, "status": status(router, control)}),
         Some("fleet") => match &router.fleet {
             Some(fleet) => commands::answer(router, fleet, &asked).await,
-            None => json!({"done": true, "ok": false, "line": "this router belongs to no fleet: none is in its settings"}),
+            None => {
+                json!({"done": true, "ok": false, "line": "this router belongs to no fleet: none is in its settings"})
+            }
         },
         Some("drain") => {
             router.told_to_stop.notify(1);
--- a/router/src/lifecycle/settings.rs
+++ b/router/src/lifecycle/settings.rs
@@ -81,7 +81,9 @@
             return Err(format!("fleet.members: {votes} vote, there have to be 1 to 9, best 3, 5 or 7"));
         }
         if self.renew * 2 > self.lease {
-            return Err("fleet.renew is over half of fleet.lease: a lease would end between two requests".into());
+            return Err(
+                "fleet.renew is over half of fleet.lease: a lease would end between two requests".into()
+            );
         }
         Ok(())
     }
--- a/router/tests/fleet.rs
+++ b/router/tests/fleet.rs
@@ -23,7 +23,8 @@
     env!("CARGO_BIN_EXE_ternpick").into()
 }
 
-const SMALL: &str = "name: \"hard\"\nrouters: 3\nvoters: 3\nnodes: 3\nrate: 60\nclients: 48\nseconds: 4\nlease: 1s\n\
+const SMALL: &str =
+    "name: \"hard\"\nrouters: 3\nvoters: 3\nnodes: 3\nrate: 60\nclients: 48\nseconds: 4\nlease: 1s\n\
                      renew: 250ms\nfaults: []\n";
 
 fn plan(more: &str) -> FleetPlan {
@@ -70,7 +71,8 @@
 #[test_case(3)]
 fn whatever_breaks_a_history_keeps_the_rules(seed: u64) {
     let _turn = turn();
-    let plan = FleetPlan::parse("fleet-test.cue", include_str!("../../lab/plans/fleet-test.cue")).expect("a plan");
+    let plan =
+        FleetPlan::parse("fleet-test.cue", include_str!("../../lab/plans/fleet-test.cue")).expect("a plan");
     let folder = tempfile::tempdir().expect("a folder");
     let (_, counts) = judged(&plan.draw(seed), folder.path());
     assert!(counts.decided > 100, "{counts:?}");
@@ -79,7 +81,8 @@
 #[test]
 fn changes_take_hold_everywhere_and_nobody_is_refused_while_nothing_is_broken() {
     // Alone on the machine: a core that another fleet has would be a pause of its own.
-    let _turns: Vec<_> = TURNS.iter().map(|turn| turn.lock().unwrap_or_else(PoisonError::into_inner)).collect();
+    let _turns: Vec<_> =
+        TURNS.iter().map(|turn| turn.lock().unwrap_or_else(PoisonError::into_inner)).collect();
     let changes = (0..6).map(|at| change(300 + at * 500, at as usize % 3)).collect();
     let folder = tempfile::tempdir().expect("a folder");
     let schedule = Schedule { plan: plan(""), seed: 1, steps: vec![], changes };
@@ -112,7 +115,8 @@
 #[test_case(Kind::LeadDeaf, 0; "heard by all and hearing nobody")]
 fn whoever_leads_fails_during_a_change(kind: Kind, after: u64) {
     let steps = vec![step(1000 + after, 1500, kind, 0)];
-    let (_, counts) = played(plan("seconds: 5"), steps, vec![change(1000, 0), change(1600, 1), change(3500, 2)]);
+    let (_, counts) =
+        played(plan("seconds: 5"), steps, vec![change(1000, 0), change(1600, 1), change(3500, 2)]);
     assert!(counts.in_force >= 1, "{counts:?}");
 }
 
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -171,7 +171,8 @@
             match parse_one(&whole[at..], kind) {
                 Ok((kept, length)) => (last, at) = (Some(kept), at + length),
                 Err(wrong) => {
-                    let later = later_marks(&whole, at + 1).any(|from| parse_one(&whole[from..], kind).is_ok());
+                    let later =
+                        later_marks(&whole, at + 1).any(|from| parse_one(&whole[from..], kind).is_ok());
                     if last.is_none() || later {
                         return Err(wrong.at(path, kind));
                     }
