A round that most were late for blames nobody, and each waits longer than the one before

Seen: a fleet that never admitted again after three upgrades on a busy machine (all refused for 40 s, one proposal open). Cause: all were late for one round, none got a lease for it until the change was over, and a round without a single member present is never begun (chair.rs, end_round and begin_round). Shown by a fleet in virtual time whose messages take longer than the patience: stuck before, in force after. Change: who was late is kept out only where most were not; patience doubles with each round, 32 times at most.

--- a/lab/tests/virtual_fleet.rs
+++ b/lab/tests/virtual_fleet.rs
@@ -112,3 +112,16 @@
     assert!(!of.tenth_silent_ms.is_empty() && of.tenth_silent_ms.iter().all(|ms| *ms < 2500.0), "{of:?}");
     assert!(!of.zone_cut_ms.is_empty() && of.zone_cut_ms.iter().all(|ms| *ms < 2500.0), "{of:?}");
 }
+
+/// Seen once on a busy machine: all were late for the round, all were without a lease for it, and nobody could begin anew.
+#[test]
+fn a_fleet_slower_than_its_patience_changes_all_the_same() {
+    let terms = Terms { lease: 8 * S, renew: S, ..Terms::default() };
+    let mut fleet =
+        Fleet::new(World { routers: 5, voters: 3, terms, late: (60 * MS, 110 * MS), ..World::default() }, 3);
+    fleet.until(10 * S);
+    let leader = fleet.leader().expect("one leads");
+    fleet.propose(leader, 1);
+    let took = fleet.until_in_force(Version(1), 5 * MS, fleet.now + 60 * S);
+    assert!(took.is_some() && fleet.broken.is_none(), "{took:?}");
+}
--- a/policy/src/chair.rs
+++ b/policy/src/chair.rs
@@ -12,6 +12,8 @@
 
 /// Processes of one member whose leases may run at a time; one more gets none before the oldest is over.
 const MOST_PROCESSES: usize = 4;
+/// Patience doubles with each round, so many times at most.
+const LONGEST_PATIENCE: u64 = 5;
 /// How long an entry, or a question to the others, may be on its way before it is put again.
 const PUT_AGAIN: Micros = Micros(300_000);
 
@@ -308,7 +310,9 @@
             return Some(Entry::InForce { number, round });
         }
         let (_, _, seen) = self.round_seen?;
-        if now.since(seen) < Micros(self.terms.patience) {
+        // Each round waits longer than the one before: a fleet that is slow as a whole gets through all the same.
+        let patience = Micros(self.terms.patience << (round.0.saturating_sub(1)).min(LONGEST_PATIENCE));
+        if now.since(seen) < patience {
             return None;
         }
         let names: Vec<&str> = missing.iter().map(|member| member.0.as_str()).collect();
@@ -317,7 +321,10 @@
             now.since(seen).0 / 1000,
             names.join(", ")
         )));
-        self.late.extend(missing);
+        // Where most were late nobody is to blame, and without a lease for anybody no change would ever end.
+        if missing.len() * 2 < register.members.len() - without.len() {
+            self.late.extend(missing);
+        }
         Some(Entry::Resume { number, round })
     }
 
