--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -162,15 +162,15 @@
         drop(ends);
         broke.and(well)
     });
-    let well_after_ms = played?;
-    let seconds = began.elapsed().as_secs_f64();
-    let cpu = routers.all.iter_mut().map(|router| (router.cpu() as f64 / seconds) as u64).collect();
-    let carried = routers.relay.carried();
     for router in &routers.all {
         let log = router.folder.with_file_name("log");
-        // For people; one that never spoke has none.
+        // For people, also where the run broke off; one that never spoke has none.
         let _ = std::fs::copy(log, folder.join(format!("{}.log", router.name)));
     }
+    let well_after_ms = played?;
+    let seconds = began.elapsed().as_secs_f64();
+    let cpu = routers.all.iter_mut().map(|router| (router.cpu() as f64 / seconds) as u64).collect();
+    let carried = routers.relay.carried();
     drop(routers);
     let history =
         Arc::into_inner(history).ok_or_else(|| std::io::Error::other("the history is still written to"))?;
@@ -381,7 +381,11 @@
             Kind::Delay | Kind::Reorder | Kind::Double | Kind::Drop => {
                 self.routers.relay.set(Weather::default())
             }
-            Kind::FullDisk => self.routers.full_disk(whom, false),
+            Kind::FullDisk => {
+                self.routers.full_disk(whom, false);
+                // One that was just starting has ended for want of room.
+                self.routers.start_again(whom, Disk::AsItWas)?;
+            }
             Kind::NodeStall => self.nodes[step.other % self.nodes.len()].recovers(),
             Kind::NodeCut => self.routers.all[whom].pipes[step.other % self.nodes.len()].cut(false),
             Kind::DiscoveryDown => self.routers.all[whom].discovery.set(|roster| roster.down = false),
--- a/lab/src/fleet/routers.rs
+++ b/lab/src/fleet/routers.rs
@@ -46,6 +46,8 @@
     pub pipes: Vec<Pipe>,
     pub up: bool,
     pub stopped: bool,
+    /// Nothing more can be written on its disk: a start fails there.
+    full: bool,
     /// Its seat may be lost: it does not vote, or has yet to be seen doing so.
     pub unseated: bool,
     /// When it was last given another seat.
@@ -154,6 +156,7 @@
                 pipes,
                 up: false,
                 stopped: false,
+                full: false,
                 unseated: false,
                 replaced: None,
                 cpu: (0, (0, 0)),
@@ -325,7 +328,8 @@
         }
     }
 
-    pub fn full_disk(&self, at: usize, full: bool) {
+    pub fn full_disk(&mut self, at: usize, full: bool) {
+        self.all[at].full = full;
         if let Some(pid) = self.all[at].pid().filter(|_| self.all[at].up) {
             process::full_disk(pid, full);
         }
@@ -346,7 +350,8 @@
                 self.all[at].up && self.all[at].pid().is_some_and(|pid| process::sample(pid).is_none());
             if gone && self.all[at].is_reaped() {
                 self.all[at].up = false;
-                found = Some(self.all[at].name.clone());
+                self.ended(at);
+                found = Some(self.all[at].name.clone()).filter(|_| !self.all[at].full).or(found);
             }
         }
         found
