--- a/lab/src/load/mod.rs
+++ b/lab/src/load/mod.rs
@@ -82,7 +82,7 @@
     pub load: Load,
     pub lookups: u64,
     pub a_second: f64,
-    /// By status: 200 and others; 0: no answer.
+    /// By status: 200 and others; 0: taken, and no answer; 1: nobody listened, so nobody had taken it.
     pub answers: BTreeMap<u16, u64>,
     /// Sent once more, since a kept connection was closed under them.
     pub again: u64,
--- a/lab/tests/load.rs
+++ b/lab/tests/load.rs
@@ -33,7 +33,8 @@
     assert!(answered >= 500 && of.parts_sent >= answered * 2, "{of:?}");
 }
 
-/// Between two processes nobody listens: each client may lose what it has in hand, and one try more.
+/// Between two processes nobody listens, and who asks then is refused; beside that each client may lose what it has in
+/// hand, and one try more.
 #[test_case("kill"; "killed")]
 #[test_case("restart"; "restarted")]
 fn a_router_that_ends_loses_little_and_serves_again(kind: &str) {
