--- a/router/tests/fleet.rs
+++ b/router/tests/fleet.rs
@@ -122,11 +122,11 @@
 
 #[test]
 fn of_two_proposals_at_once_one_is_refused_and_none_is_lost() {
-    let changes = (0..3).flat_map(|at| [change(500 + at * 800, 0), change(500 + at * 800, 1)]).collect();
-    let (_, counts) = played(plan(""), vec![], changes);
+    // Far enough apart that a busy machine is through with one pair before the next.
+    let changes = (0..3).flat_map(|at| [change(500 + at * 2500, 0), change(500 + at * 2500, 1)]).collect();
+    let (_, counts) = played(plan("seconds: 8"), vec![], changes);
     assert_eq!((counts.in_force + counts.nowhere, counts.open), (6, 0), "{counts:?}");
-    // On a busy machine one may still be on its way when the next two come.
-    assert!(counts.in_force >= 1, "{counts:?}");
+    assert!(counts.in_force >= 3, "{counts:?}");
 }
 
 #[test_case(Kind::Kill; "with its state")]
@@ -157,7 +157,7 @@
     let steps = vec![step(800, 3000, Kind::LongStop, 1), step(4300, 300, Kind::Stop, 0)];
     let changes = vec![change(1000, 0), change(2500, 2), change(4400, 2)];
     let (_, counts) = played(plan(more), steps, changes);
-    assert!(counts.in_force >= 1, "{counts:?}");
+    assert!(counts.in_force >= 2, "{counts:?}");
 }
 
 #[test]
