One lease and 0.5 s also with the leader silent; commands end where a router stands still

Seen: two silent, one of them the leader: 3.5 to 4.7 s to in force. Cause: leases of the leader before were counted from the election on (chair.rs, Chair::takes). Checked: the majority that confirmed a lease shares a voter with every majority of the next election, so what voters last took of an earlier leader bounds it. Change: voters whose term is kept say how long ago that was (heeds.rs); the leases of others count from the later half of that. Cause: the control socket was read without a time (lifecycle/control.rs, ask). Such commands now end as open (status 3) two seconds past their time.

--- a/consensus/src/seat.rs
+++ b/consensus/src/seat.rs
@@ -102,6 +102,8 @@
     changed: bool,
     conf_changed: bool,
     played: u64,
+    /// The term that is kept: no word of an earlier one's leader is ever taken again, by no process of this seat.
+    kept_term: u64,
 }
 
 /// Messages and ticks that wait while work is being kept.
@@ -189,6 +191,7 @@
             changed: true,
             conf_changed: false,
             played: applied,
+            kept_term: own.term,
         };
         seat.draw();
         // What it knows of itself from others, kept beside its own state, has to agree with that.
@@ -237,6 +240,16 @@
         self.raft.raft.term
     }
 
+    /// The term in which it is for good, whatever happens to this process.
+    pub fn kept_term(&self) -> u64 {
+        self.kept_term
+    }
+
+    /// Those that vote, where who votes does not change just now.
+    pub fn settled_voters(&self) -> Option<Vec<SeatNo>> {
+        self.raft.store().conf.get_voters_outgoing().is_empty().then(|| self.voters())
+    }
+
     fn numbers(of: &[u64]) -> Vec<SeatNo> {
         let mut all: Vec<SeatNo> = of.iter().map(|no| SeatNo(*no)).collect();
         all.sort_unstable();
@@ -356,13 +369,13 @@
         }
     }
 
-    /// Something has come from another seat. What makes no sense is passed over.
-    pub fn hear(&mut self, from: SeatNo, bytes: &[u8]) {
+    /// Something has come from another seat. What makes no sense is passed over. The term comes back of one that leads and
+    /// whose word is taken.
+    pub fn hear(&mut self, from: SeatNo, bytes: &[u8]) -> Option<u64> {
         if matches!(self.standing, Standing::Spoilt(_)) {
-            return;
+            return None;
         }
-        let Ok(word) = postcard::from_bytes::<Word>(bytes) else { return };
-        match word {
+        match postcard::from_bytes::<Word>(bytes).ok()? {
             Word::Roll(promise) => {
                 self.witness.join(from, promise);
                 let known = self.witness.of(from);
@@ -371,7 +384,8 @@
             Word::Seen(promise) => {
                 if let Standing::Proving(heard) = &mut self.standing {
                     if let Some(words) = promise.beyond(&self.opened) {
-                        return self.spoil(format!("it is an older copy: {words}"));
+                        self.spoil(format!("it is an older copy: {words}"));
+                        return None;
                     }
                     if !heard.contains(&from) {
                         heard.push(from);
@@ -384,34 +398,40 @@
                     self.witness.join(seat, promise);
                 }
             }
-            Word::Raft(bytes) => self.hear_raft(from, &bytes),
+            Word::Raft(bytes) => return self.hear_raft(from, &bytes),
         }
+        None
     }
 
-    fn hear_raft(&mut self, from: SeatNo, bytes: &[u8]) {
+    fn hear_raft(&mut self, from: SeatNo, bytes: &[u8]) -> Option<u64> {
         let mut message = Message::default();
         if message.merge_from_bytes(bytes).is_err() || message.from != from.0 || message.to != self.no.0 {
-            return;
+            return None;
         }
         let kind = message.get_msg_type();
         // Only what seats say to each other; the core's own words come from nobody else.
         if raft::raw_node::is_local_msg(kind) || kind == MessageType::MsgPropose {
-            return;
+            return None;
         }
         // An answer to this very term's leader tells which entry it means; to an earlier one's it may mean another.
         let (store, term) = (self.raft.store(), self.term());
         let leads = self.raft.raft.state == StateRole::Leader && message.term == term;
         self.witness.heard(from, &message, |index| store.term_at(index).filter(|_| leads));
         if self.standing != Standing::TakesPart {
-            return;
+            return None;
         }
         // A leader never says that more is agreed here than this seat has answered for.
         let last = self.raft.raft.raft_log.last_index();
         if kind == MessageType::MsgHeartbeat && message.commit > last && message.term >= self.term() {
             let words = format!("it has answered for entry {}, its own end at {last}", message.commit);
-            return self.spoil(format!("it is an older copy: {words}"));
+            self.spoil(format!("it is an older copy: {words}"));
+            return None;
         }
+        let leads =
+            [MessageType::MsgHeartbeat, MessageType::MsgAppend, MessageType::MsgSnapshot].contains(&kind);
+        let heeded = (leads && message.term >= self.term()).then_some(message.term);
         self.step(Input::Heard(message));
+        heeded
     }
 
     /// Something for the core; at once, or once the work that is being kept is: it bears nothing in between.
@@ -565,6 +585,7 @@
     /// The work is kept: this follows.
     pub fn kept(&mut self) -> Done {
         let mut done = Done::default();
+        self.kept_term = self.raft.store().hard.term;
         for (to, word) in std::mem::take(&mut self.aside) {
             done.messages.push((to, postcard::to_stdvec(&word).unwrap_or_default()));
         }
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -307,6 +307,9 @@
                 return Ok(());
             }
             Kind::Upgrade => return Ok(()),
+            Kind::Remove => {
+                self.operator.fleet(self.others(whom)[0], &["remove", &self.routers.all[whom].name])?;
+            }
             Kind::Stop | Kind::LongStop => self.routers.stop(whom, true),
             Kind::Cut => self.routers.relay.cut(step.other % count, whom, true),
             Kind::LeadDeaf | Kind::LeadKill | Kind::LeadStop | Kind::LeadDisk => {}
@@ -389,6 +392,12 @@
             Kind::NodeStall => self.nodes[step.other % self.nodes.len()].recovers(),
             Kind::NodeCut => self.routers.all[whom].pipes[step.other % self.nodes.len()].cut(false),
             Kind::DiscoveryDown => self.routers.all[whom].discovery.set(|roster| roster.down = false),
+            Kind::Remove => {
+                let of = &self.routers.all[whom];
+                let (address, zone) = (of.fleet_address.to_string(), format!("z{}", whom % 3));
+                let words = ["add", &of.name, "--address", &address, "--zone", &zone, "--vote"];
+                self.operator.fleet(self.others(whom)[0], &words)?;
+            }
             Kind::Restart | Kind::Upgrade => {}
         }
         Ok(())
@@ -425,7 +434,7 @@
         if let Some((at, name)) = unseated {
             self.routers.all[at].replaced = Some(Instant::now());
             // Where nobody leads just now it is said again.
-            self.operator.replace(at, &name)?;
+            self.operator.fleet(at, &["replace", &name])?;
         }
         for (router, votes) in self.routers.all.iter_mut().zip(seated) {
             router.unseated &= !votes;
--- a/lab/src/fleet/operator.rs
+++ b/lab/src/fleet/operator.rs
@@ -116,13 +116,10 @@
         None
     }
 
-    /// Gives a router that has lost its seat another one.
-    pub fn replace(&self, through: usize, name: &str) -> std::io::Result<()> {
+    /// Changes who belongs to the fleet, or gives a router that has lost its seat another one.
+    pub fn fleet(&self, through: usize, words: &[&str]) -> std::io::Result<()> {
         let mut command = Command::new(&self.program);
-        command
-            .args(["fleet", "replace", "--timeout", WAIT, name])
-            .arg("--socket")
-            .arg(&self.sockets[through]);
+        command.arg("fleet").args(words).args(["--timeout", WAIT, "--socket"]).arg(&self.sockets[through]);
         let mut child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null()).spawn()?;
         std::thread::spawn(move || child.wait());
         Ok(())
--- a/lab/src/fleet/plan.rs
+++ b/lab/src/fleet/plan.rs
@@ -52,6 +52,8 @@
     LeadStop,
     LeadDisk,
     LeadDeaf,
+    /// An operator takes it out of the fleet, its vote too, and in again after a while. It runs on all the time.
+    Remove,
     NodeStall,
     /// One router no longer reaches one node.
     NodeCut,
--- a/lab/src/fleet/routers.rs
+++ b/lab/src/fleet/routers.rs
@@ -36,6 +36,8 @@
 pub struct Router {
     pub name: String,
     pub address: SocketAddr,
+    /// Where other routers reach it.
+    pub fleet_address: SocketAddr,
     pub socket: PathBuf,
     config: PathBuf,
     settings: PathBuf,
@@ -145,6 +147,7 @@
             let path = |what: &str| own.join(what);
             let router = Router {
                 address: free(plan.routers + at)?,
+                fleet_address: addresses[at],
                 socket: path("control"),
                 config: path("router.json"),
                 settings: path("fleet.cue"),
--- a/lab/src/fleet/virt.rs
+++ b/lab/src/fleet/virt.rs
@@ -159,7 +159,7 @@
     }
 
     fn begins(&mut self, at: usize) {
-        let seed = self.chance.random();
+        let (seed, now) = (self.chance.random(), self.clock(at));
         let router = &mut self.routers[at];
         let found = match router.disk.is_empty() {
             true => Found::Nothing,
@@ -168,7 +168,7 @@
                 Err(refused) => Found::Unusable(refused.to_string()),
             },
         };
-        router.council.begins(found);
+        router.council.begins(now, found);
         self.at(self.now, at, What::Turn);
     }
 
--- a/lab/tests/virtual_fleet.rs
+++ b/lab/tests/virtual_fleet.rs
@@ -125,3 +125,29 @@
     let took = fleet.until_in_force(Version(1), 5 * MS, fleet.now + 60 * S);
     assert!(took.is_some() && fleet.broken.is_none(), "{took:?}");
 }
+
+/// The lease of a leader that falls silent counts from when the voters last took its word, not from the election on.
+#[test_case(11, 0)]
+#[test_case(12, 3)]
+#[test_case(13, 40)]
+#[test_case(14, 400)]
+#[test_case(15, 900)]
+#[test_case(16, 1500)]
+fn with_the_leader_among_two_that_fall_silent_a_change_waits_one_lease(seed: u64, after: u64) {
+    let terms = Terms::default();
+    let mut fleet = Fleet::new(World { drift_ppm: terms.drift_ppm, terms, ..World::default() }, seed);
+    fleet.until(4 * S + seed * 37 * MS);
+    let leader = fleet.leader().expect("one leads");
+    let also = (leader + 1) % 7;
+    fleet.silence(leader, true);
+    fleet.silence(also, true);
+    let silent = fleet.now;
+    fleet.pass(after * MS, MS);
+    fleet.propose((leader + 2) % 7, 1);
+    let there = fleet.until_in_force(Version(1), MS, fleet.now + 10 * S).expect("in force");
+    assert!(there - silent < terms.lease + 500 * MS, "{} us", there - silent);
+    assert!(there - silent >= terms.lease, "{} us: its lease may still run", there - silent);
+    [leader, also].iter().for_each(|at| fleet.silence(*at, false));
+    fleet.pass(3 * S, 5 * MS);
+    assert_eq!((fleet.version(leader), fleet.broken.clone()), (Some(Version(1)), None));
+}
--- a/policy/src/chair.rs
+++ b/policy/src/chair.rs
@@ -5,9 +5,9 @@
 
 use ternpick::types::Micros;
 
-use crate::ids::{Incarnation, Index, Member, Round, Seq, Version};
+use crate::ids::{Incarnation, Index, Member, Round, SeatNo, Seq, Version};
 use crate::register::{Entry, Pending, Register, Verdict};
-use crate::say::{Grant, Renew, Told, View};
+use crate::say::{Grant, Heeded, Renew, Told, View};
 use crate::terms::Terms;
 
 /// Processes of one member whose leases may run at a time; one more gets none before the oldest is over.
@@ -51,8 +51,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Chair {
     terms: Terms,
-    /// From when on this router leads; leases that others gave began before.
+    /// Leases that others gave began before: from when on this router leads, or earlier by its voters' word.
     since: Micros,
+    /// The term in which it leads and who voted then; what each has said of when it last took an earlier leader's word.
+    elected: (u64, Vec<SeatNo>),
+    heeded: BTreeMap<SeatNo, Micros>,
     /// One entry a member.
     heard: BTreeMap<Member, Heard>,
     /// When the last request that got a lease had come, by process; emptied as leases run out.
@@ -86,6 +89,8 @@
     NoAsking,
     /// A new one does not wait out the leases of the one before.
     ForgetsOthers,
+    /// It believes one voter alone about when leases of others can have begun.
+    OneVotersWord,
 }
 
 impl Chair {
@@ -94,6 +99,8 @@
         Chair {
             terms,
             since: now,
+            elected: (0, Vec::new()),
+            heeded: BTreeMap::new(),
             heard: BTreeMap::new(),
             leases: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -109,6 +116,30 @@
         }
     }
 
+    /// It leads in this term by the votes of most of these.
+    pub fn elected(&mut self, term: u64, voters: Vec<SeatNo>) {
+        self.elected = (term, voters);
+    }
+
+    /// Whoever led before gave no lease that was asked for after most voters had last taken its word: one of those
+    /// would have had to confirm it. Seen: two silent, one of them the leader; a change waited for the election as well.
+    fn dates_back(&mut self, now: Micros, of: Heeded) {
+        let (term, voters) = &self.elected;
+        if of.term != *term || !voters.contains(&of.seat) {
+            return;
+        }
+        let last = Micros(now.0.saturating_sub(self.terms.at_least(of.ago).0));
+        self.heeded.entry(of.seat).and_modify(|known| *known = last.min(*known)).or_insert(last);
+        let mut times: Vec<Micros> = self.heeded.values().copied().collect();
+        times.sort_unstable();
+        let majority = voters.len() / 2;
+        #[cfg(any(test, feature = "planted"))]
+        let majority = if self.has(Planted::OneVotersWord) { 0 } else { majority };
+        if let Some(time) = times.get(majority) {
+            self.since = self.since.min(*time);
+        }
+    }
+
     #[cfg(any(test, feature = "planted"))]
     fn has(&self, fault: Planted) -> bool {
         self.planted == Some(fault)
@@ -136,6 +167,9 @@
         };
         let waiting =
             Waiting { incarnation: of.incarnation, seq: of.seq, came: now, unfit: of.unfit.is_some() };
+        if let Some(heeded) = of.heeded {
+            self.dates_back(now, heeded);
+        }
         self.heard.insert(of.member.clone(), heard);
         self.waiting.insert(of.member, waiting);
         self.beat(now, register)
@@ -420,3 +454,42 @@
     let micros: Option<u64> = serde::Deserialize::deserialize(from)?;
     Ok(micros.map(Micros))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    const MS: u64 = 1000;
+
+    fn says(seat: u64, term: u64, ago: u64) -> Heeded {
+        Heeded { seat: SeatNo(seat), term, ago: ago * MS }
+    }
+
+    /// When leases of others can have begun at the latest, by a leader of three voters that leads since 10,000 ms.
+    #[test_case(&[] => 10_000; "nobody has said anything")]
+    #[test_case(&[says(1, 4, 700)] => 10_000; "one voter of three")]
+    #[test_case(&[says(1, 4, 700), says(2, 4, 600)] => 9_400; "two: the later of both")]
+    #[test_case(&[says(1, 4, 700), says(2, 4, 600), says(3, 4, 5000)] => 9_300; "any two will do")]
+    #[test_case(&[says(1, 4, 700), says(1, 4, 700)] => 10_000; "one twice")]
+    #[test_case(&[says(1, 4, 700), says(2, 3, 600)] => 10_000; "one that may still take the earlier one's word")]
+    #[test_case(&[says(1, 4, 700), says(9, 4, 600)] => 10_000; "one without a vote")]
+    fn leases_of_others_began_before(said: &[Heeded]) -> u64 {
+        let terms = Terms { drift_ppm: 0, ..Terms::default() };
+        let mut chair = Chair::takes(terms, Micros(10_000 * MS), &Register::begins(BTreeMap::new()));
+        chair.elected(4, vec![SeatNo(1), SeatNo(2), SeatNo(3)]);
+        said.iter().for_each(|of| chair.dates_back(Micros(10_000 * MS), *of));
+        chair.since.0 / MS
+    }
+
+    #[test]
+    fn one_voters_word_that_counts_alone_ends_leases_too_early() {
+        let mut chair =
+            Chair::takes(Terms::default(), Micros(10_000 * MS), &Register::begins(BTreeMap::new()));
+        chair.planted = Some(Planted::OneVotersWord);
+        chair.elected(4, vec![SeatNo(1), SeatNo(2), SeatNo(3)]);
+        // Cut off from the leader before for three seconds, while the others still confirmed its leases.
+        chair.dates_back(Micros(10_000 * MS), says(3, 4, 3000));
+        assert!(chair.over(Micros(10_000 * MS), &"n0".into(), None), "a lease may still run");
+    }
+}
--- a/policy/src/council.rs
+++ b/policy/src/council.rs
@@ -8,10 +8,11 @@
 use ternpick_consensus::{Done, Seat, SeatNo, Standing, Status, Terms as SeatTerms};
 
 use crate::chair::{Chair, Order};
+use crate::heeds::Heeds;
 use crate::ids::{Index, Member, Op};
 use crate::keeper::{Effect, Keeper};
 use crate::register::{Entry, Outcome, Register, Seated, Verdict};
-use crate::say::{Command, Said, Told};
+use crate::say::{Command, Heeded, Said, Told};
 use crate::{FleetId, Terms, Version};
 
 /// One tick of the agreement.
@@ -85,6 +86,7 @@
     pub keeper: Keeper,
     pub members: BTreeMap<Member, Seated>,
     seat: Option<Seat>,
+    heeds: Heeds,
     /// Why there is no seat, where there should be one.
     pub seat_words: Option<String>,
     register: Option<Register>,
@@ -127,6 +129,7 @@
             keeper,
             members,
             seat: None,
+            heeds: Heeds::starts(now),
             seat_words: None,
             register: None,
             chair: None,
@@ -149,7 +152,9 @@
     }
 
     /// Takes the seat that the folder holds.
-    pub fn begins(&mut self, found: Found) {
+    pub fn begins(&mut self, now: Micros, found: Found) {
+        // Until now another process may have spoken from the same seat.
+        self.heeds = Heeds::starts(now);
         let votes = self.members.get(&self.me).is_some_and(|seated| seated.seat.is_some());
         match found {
             Found::Seat(seat) => {
@@ -220,8 +225,9 @@
             Said::Seat { from: seat, to, word } => {
                 // While something cannot be kept, nothing is heard: it could not be answered for.
                 if self.failed.is_none() {
-                    if let Some(own) = self.seat.as_mut().filter(|own| own.no() == to) {
-                        own.hear(seat, &word);
+                    let own = self.seat.as_mut().filter(|own| own.no() == to);
+                    if let Some(term) = own.and_then(|own| own.hear(seat, &word)) {
+                        self.heeds.takes(now, term);
                     }
                 }
             }
@@ -361,6 +367,9 @@
             return;
         };
         let (term, leader, no) = (seat.term(), seat.leader(), seat.no());
+        if seat.leads() {
+            self.heeds.takes(now, term);
+        }
         match &self.register {
             Some(register) if seat.leads_surely() && !matches!(seat.standing(), Standing::Spoilt(_)) => {
                 if self.chair.as_ref().is_none_or(|(of, _)| *of != term) {
@@ -368,6 +377,9 @@
                     let line = format!("fleet: {} leads in term {term}, entry {}", self.me, register.index);
                     #[allow(unused_mut)]
                     let mut chair = Chair::takes(self.terms, now, register);
+                    if let Some(voters) = seat.settled_voters() {
+                        chair.elected(term, voters);
+                    }
                     #[cfg(any(test, feature = "planted"))]
                     {
                         chair.planted = self.planted;
@@ -591,6 +603,7 @@
                 match Seat::fresh(self.fleet, no, self.seat_terms, self.seeds) {
                     Ok(seat) => {
                         (self.seat, self.seat_words, self.register) = (Some(seat), None, None);
+                        self.heeds = Heeds::starts(now);
                         (self.chair, self.failed) = (None, None);
                         self.log(
                             Level::Info,
@@ -630,7 +643,11 @@
         if self.keeper.is_unanswered(now) && self.chair.is_none() {
             self.leads = None;
         }
-        if let Some(renew) = self.keeper.renew(now) {
+        if let Some(mut renew) = self.keeper.renew(now) {
+            renew.heeded = self.seat.as_ref().map(|seat| {
+                let term = seat.kept_term();
+                Heeded { seat: seat.no(), term, ago: now.since(self.heeds.before(term)).0 }
+            });
             if let Some(to) = self.whom() {
                 self.say(&to, Said::Renew(renew));
             }
--- a/policy/src/keeper.rs
+++ b/policy/src/keeper.rs
@@ -238,6 +238,7 @@
             stopped: self.stopped(),
             alone: now >= self.alone_from,
             unfit: self.unfit.filter(|unfit| Some(*unfit) == self.version()),
+            heeded: None,
         })
     }
 
@@ -368,6 +369,10 @@
 
     /// Time has passed; a lease that is over is told of once.
     pub fn elapsed(&mut self, now: Micros) -> Option<Effect> {
+        #[cfg(any(test, feature = "planted"))]
+        if self.has(Planted::UsedBeyondEnd) {
+            return None;
+        }
         let lease = self.lease.filter(|lease| now >= lease.until)?;
         self.lease = None;
         self.lost_at = Some(lease.until);
@@ -378,6 +383,8 @@
     /// When time alone changes something: the lease's end, the end of holding, the next request.
     pub fn next_due(&self, now: Micros) -> Micros {
         let lease = self.lease.map(|lease| lease.until);
+        #[cfg(any(test, feature = "planted"))]
+        let lease = lease.filter(|until| *until > now || !self.has(Planted::UsedBeyondEnd));
         let ask = self.due(now);
         lease.into_iter().fold(ask, Micros::min)
     }
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -12,6 +12,7 @@
 mod chair;
 mod council;
 mod figures;
+mod heeds;
 mod ids;
 mod keeper;
 mod record;
@@ -32,7 +33,7 @@
     Entry, Fate, Outcome, Paper, Past, Pending, Register, Seated, Verdict, LONGEST_TEXT, LONGEST_WORDS,
     MOST_MEMBERS,
 };
-pub use say::{Command, Grant, NextView, Renew, Said, Told, View};
+pub use say::{Command, Grant, Heeded, NextView, Renew, Said, Told, View};
 pub use terms::Terms;
 pub use ternpick_consensus::FleetId;
 
--- a/policy/src/say.rs
+++ b/policy/src/say.rs
@@ -25,6 +25,16 @@
     pub alone: bool,
     /// It cannot use the policy in force: it wants no lease.
     pub unfit: Option<Version>,
+    /// Of one that votes.
+    pub heeded: Option<Heeded>,
+}
+
+/// A voter can no longer take the word of a leader of a term before `term`, and has last done so `ago` microseconds back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Heeded {
+    pub seat: SeatNo,
+    pub term: u64,
+    pub ago: u64,
 }
 
 /// A lease: this process may admit under this version, in this epoch, for the agreed span from when it asked.
--- a/router/src/fleet/cli.rs
+++ b/router/src/fleet/cli.rs
@@ -12,12 +12,14 @@
 use ternpick_policy::{Member, Record, Register};
 
 use crate::fleet::{chance, disk, founders, number_of};
-use crate::lifecycle::control::{ask, Socket};
+use crate::lifecycle::control::{ask_within, Socket};
 use crate::lifecycle::{config, settings};
 
 const OPEN: u8 = 3;
 /// How often a command that waits looks again.
 const LOOK: Duration = Duration::from_millis(50);
+/// A router that has not answered for so long past its time stands still.
+const SILENT: Duration = Duration::from_secs(2);
 
 #[derive(Args)]
 pub struct Wait {
@@ -164,10 +166,12 @@
     std::fs::read_to_string(file).map_err(|e| format!("cannot read {}: {e}", file.display()))
 }
 
+/// Asks the router; one that stands still is given up a little after the time in which it was to answer.
 fn to_fleet(socket: &Socket, question: Value) -> Result<Value, String> {
     let mut question = question;
     question["do"] = "fleet".into();
-    ask(&socket.socket, &question, &mut |_| ())
+    let within = Duration::from_millis(question["wait_ms"].as_u64().unwrap_or(0)).saturating_add(SILENT);
+    ask_within(&socket.socket, &question, Some(within), &mut |_| ())
 }
 
 fn look(socket: &Socket, what: &str) -> Result<Option<Value>, String> {
@@ -293,6 +297,10 @@
             let mut last = Value::Null;
             loop {
                 let said = to_fleet(&socket, json!({"ask": "status"}))?;
+                if said["unknown"] == true {
+                    eprintln!("ternpick: {}", word(&said["line"]));
+                    continue;
+                }
                 let of = &said["fleet"];
                 let state = json!([of["version"], of["next"], of["admission"], of["leader"]]);
                 if state != last {
@@ -521,6 +529,9 @@
 
 fn status(socket: &Socket) -> Done {
     let said = to_fleet(socket, json!({"ask": "status"}))?;
+    if said["unknown"] == true {
+        return finish(socket, &said, String::new);
+    }
     let seen = look(socket, "members")?;
     if socket.json {
         println!("{}", json!({"own": said["fleet"], "leader": seen}));
--- a/router/src/fleet/drive.rs
+++ b/router/src/fleet/drive.rs
@@ -169,7 +169,7 @@
         };
         let (found, journal) = disk::find(&fleet.folder, fleet.id, fleet.seat_terms(), chance());
         *fleet.journal.borrow_mut() = journal;
-        fleet.council.borrow_mut().begins(found);
+        fleet.council.borrow_mut().begins(router.clock.now(), found);
         let listener = post::bind(&router, address).await;
         tracing::info!("fleet: {} speaks on {address} in fleet {}", fleet.me, fleet.settings.name);
         let listening = router.executor.spawn(post::listen(Rc::clone(&router), Rc::clone(&fleet), listener));
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -104,6 +104,7 @@
         "no-wait" => council.planted = Some(InChair::NoWait),
         "no-asking" => council.planted = Some(InChair::NoAsking),
         "forgets-others" => council.planted = Some(InChair::ForgetsOthers),
+        "one-voters-word" => council.planted = Some(InChair::OneVotersWord),
         "counts-from-grant" => council.keeper.planted = Some(InKeeper::CountsFromGrant),
         "used-beyond-end" => council.keeper.planted = Some(InKeeper::UsedBeyondEnd),
         "goes-on-in-barrier" => council.keeper.planted = Some(InKeeper::GoesOnInBarrier),
--- a/router/src/lifecycle/control.rs
+++ b/router/src/lifecycle/control.rs
@@ -264,10 +264,25 @@
 }
 
 pub fn ask(socket: &Path, question: &Value, each: &mut dyn FnMut(&Value)) -> Result<Value, String> {
+    ask_within(socket, question, None, each)
+}
+
+/// A router that stands still says nothing for so long: then nobody can tell what became of the question.
+pub fn ask_within(
+    socket: &Path, question: &Value, within: Option<Duration>, each: &mut dyn FnMut(&Value),
+) -> Result<Value, String> {
     let words = |e: std::io::Error| format!("control socket {}: {e}", socket.display());
     let mut stream = UnixStream::connect(socket).map_err(words)?;
+    stream.set_read_timeout(within).map_err(words)?;
     stream.write_all(format!("{question}\n").as_bytes()).map_err(words)?;
     for line in BufReader::new(stream).lines() {
+        let silent = |e: &std::io::Error| {
+            matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut)
+        };
+        if line.as_ref().is_err_and(silent) {
+            let line = format!("the router at {} does not answer", socket.display());
+            return Ok(json!({"done": true, "ok": false, "unknown": true, "line": line}));
+        }
         let said: Value = serde_json::from_str(&line.map_err(words)?).map_err(|e| e.to_string())?;
         if said["done"] == true {
             return Ok(said);
--- a/router/tests/fleet.rs
+++ b/router/tests/fleet.rs
@@ -204,3 +204,33 @@
     let (_, counts) = played(plan("seconds: 5"), steps, vec![change(1000, 0)]);
     assert_eq!((counts.in_force, counts.lost, counts.ended), (1, 0, 0), "{counts:?}");
 }
+
+#[test]
+fn a_router_comes_back_with_a_state_from_before_a_member_was_removed() {
+    // n3 was down as n2 was taken out, and believes in its vote; then both are alone with each other.
+    let plan = plan("routers: 4\nvoters: 4\nseconds: 8");
+    let removed = step(1200, 5800, Kind::Remove, 2);
+    let apart = Step { at: 4000, lasts: 1800, kind: Kind::Split, whom: 1, other: 0 };
+    let steps = vec![step(600, 2800, Kind::Kill, 3), removed, apart];
+    let (_, counts) = played(plan, steps, vec![change(2200, 0), change(4400, 1), change(6200, 3)]);
+    assert!(counts.in_force >= 2 && counts.open == 0, "{counts:?}");
+    assert!(counts.statuses.contains_key(&503), "neither admits anything there: {counts:?}");
+}
+
+/// Seen: operators' commands hung for as long as their router stood still, and the rig with them.
+#[test_case(&["policy", "propose", "--wait", "--timeout", "200ms"], true; "a proposal")]
+#[test_case(&["policy", "history"], false; "a question")]
+#[test_case(&["fleet", "status"], false; "how it stands")]
+fn a_command_to_a_router_that_stands_still_ends_as_open(words: &[&str], with_file: bool) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (socket, file) = (folder.path().join("control"), folder.path().join("p.cue"));
+    // Its connections are made, and nobody reads them.
+    let _still = std::os::unix::net::UnixListener::bind(&socket).expect("a socket");
+    std::fs::write(&file, "author: \"ann\"\nreason: \"a try\"\n").expect("written");
+    let mut command = std::process::Command::new(program());
+    command.args(words).args(with_file.then_some(&file)).arg("--socket").arg(&socket);
+    let done = command.output().expect("it ends");
+    let words = String::from_utf8_lossy(&done.stderr);
+    assert_eq!(done.status.code(), Some(3), "{words}");
+    assert!(words.contains("nobody") || words.contains("does not answer"), "{words}");
+}
