--- /dev/null
+++ b/policy/src/annex.rs
@@ -0,0 +1,90 @@
+//! Room for a further matter that the same routers agree on: its entries stand in the same log, its state goes into the same
+//! snapshots, and what every router has to know of it before it may send anything goes with the leases. What it means is
+//! known to the package that implements [`Annex`].
+
+use std::collections::BTreeMap;
+
+use ternpick::types::Micros;
+
+use crate::ids::{Index, Member};
+use crate::register::Seated;
+
+/// What the router that leads knows of another.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Attended {
+    pub member: Member,
+    /// What its newest process said last; not of one that has not been heard since this one leads.
+    pub word: Option<Vec<u8>>,
+    /// It has been heard so lately that it is there.
+    pub fresh: bool,
+    /// No process of it but that one can have a lease, nor had one for as long as was asked.
+    pub alone: bool,
+    /// None of its processes can have a lease, nor had one for as long as was asked.
+    pub over: bool,
+}
+
+pub trait Annex {
+    /// Plays an agreed entry: the same entries in the same order give the same state on every router. For who asked:
+    /// a number, or why it is refused.
+    fn play(&mut self, index: Index, entry: &[u8]) -> Result<u64, String>;
+    /// Who belongs to the fleet from this place on.
+    fn members(&mut self, members: &BTreeMap<Member, Seated>);
+    /// The whole state, and one read again; an empty one is a new fleet's.
+    fn image(&self) -> Vec<u8>;
+    fn restore(&mut self, image: &[u8]);
+    /// What every router has to know before it gets a lease.
+    fn outs(&self) -> Vec<u8>;
+    /// For how long past its lease a router that is silent may still act on what it admitted.
+    fn lingers(&self) -> Micros;
+    /// Members that left, and whose processes may still act.
+    fn gone(&self) -> Vec<Member>;
+    /// This router leads: whether a command is worth an entry.
+    fn admits(&self, now: Micros, entry: &[u8]) -> Result<(), String>;
+    /// This router leads in this term: entries to be put next, and lines for the people on call.
+    fn steps(
+        &mut self, now: Micros, me: &Member, term: u64, attended: &[Attended],
+    ) -> (Vec<Vec<u8>>, Vec<String>);
+    /// The answer to an operator's question, as JSON; none: it is no question of this matter.
+    fn look(&self, now: Micros, what: &str) -> Option<String>;
+}
+
+/// No further matter.
+pub struct Nothing;
+
+impl Annex for Nothing {
+    fn play(&mut self, _: Index, _: &[u8]) -> Result<u64, String> {
+        Err("this router's settings have no such matter".into())
+    }
+
+    fn members(&mut self, _: &BTreeMap<Member, Seated>) {}
+
+    fn image(&self) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn restore(&mut self, _: &[u8]) {}
+
+    fn outs(&self) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn lingers(&self) -> Micros {
+        Micros(0)
+    }
+
+    fn gone(&self) -> Vec<Member> {
+        Vec::new()
+    }
+
+    fn admits(&self, _: Micros, _: &[u8]) -> Result<(), String> {
+        Err("this router's settings have no such matter".into())
+    }
+
+    fn steps(&mut self, _: Micros, _: &Member, _: u64, _: &[Attended]) -> (Vec<Vec<u8>>, Vec<String>) {
+        (Vec::new(), Vec::new())
+    }
+
+    fn look(&self, _: Micros, _: &str) -> Option<String> {
+        None
+    }
+}
--- a/policy/src/chair.rs
+++ b/policy/src/chair.rs
@@ -5,13 +5,14 @@
 
 use ternpick::types::Micros;
 
+use crate::annex::Attended;
 use crate::ids::{Incarnation, Index, Member, Round, SeatNo, Seq, Version};
 use crate::register::{Entry, Pending, Register, Verdict};
 use crate::say::{Grant, Heeded, Renew, Told, View};
 use crate::terms::Terms;
 
 /// Processes of one member whose leases may run at a time; one more gets none before the oldest is over.
-const MOST_PROCESSES: usize = 4;
+const MOST_PROCESSES: usize = 8;
 /// Patience doubles with each round, so many times at most.
 const LONGEST_PATIENCE: u64 = 5;
 /// How long an entry, or a question to the others, may be on its way before it is put again.
@@ -38,6 +39,8 @@
     alone: bool,
     index: Index,
     members_at: Index,
+    outs_at: Index,
+    word: Vec<u8>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -56,6 +59,8 @@
     /// The term in which it leads and who voted then; what each has said of when it last took an earlier leader's word.
     elected: (u64, Vec<SeatNo>),
     heeded: BTreeMap<SeatNo, Micros>,
+    /// Leases are remembered for so long past their end.
+    pub remembers: Micros,
     /// One entry a member.
     heard: BTreeMap<Member, Heard>,
     /// When the last request that got a lease had come, by process; emptied as leases run out.
@@ -101,6 +106,7 @@
             since: now,
             elected: (0, Vec::new()),
             heeded: BTreeMap::new(),
+            remembers: Micros(0),
             heard: BTreeMap::new(),
             leases: BTreeMap::new(),
             waiting: BTreeMap::new(),
@@ -164,6 +170,8 @@
             alone: of.alone,
             index: of.index,
             members_at: of.members_at,
+            outs_at: of.outs_at,
+            word: of.word,
         };
         let waiting =
             Waiting { incarnation: of.incarnation, seq: of.seq, came: now, unfit: of.unfit.is_some() };
@@ -177,7 +185,12 @@
 
     /// Whether no lease of this member, given by whomever, can still run; `but`: apart from this process's own.
     fn over(&self, now: Micros, member: &Member, but: Option<Incarnation>) -> bool {
-        let span = self.terms.surely_over();
+        self.over_for(now, member, but, Micros(0))
+    }
+
+    /// The same, and whether none has for so long.
+    fn over_for(&self, now: Micros, member: &Member, but: Option<Incarnation>, longer: Micros) -> bool {
+        let span = self.terms.surely_over() + longer;
         let own = self.leases.iter().filter(|((of, process), _)| of == member && Some(*process) != but);
         let mut own_over = own.map(|(_, came)| *came).all(|came| now > came + span);
         let mut others_over = now > self.since + span;
@@ -212,7 +225,7 @@
     }
 
     fn grant(&mut self, now: Micros, register: &Register, to: BTreeMap<Member, Waiting>) -> Vec<Order> {
-        let span = self.terms.surely_over();
+        let span = self.terms.surely_over() + self.remembers;
         self.leases.retain(|_, came| now <= *came + span);
         let mut orders = Vec::new();
         for (member, waiting) in to {
@@ -236,6 +249,9 @@
     fn may_have(&self, register: &Register, member: &Member, process: Incarnation) -> bool {
         let known = self.leases.contains_key(&(member.clone(), process));
         let processes = self.leases.keys().filter(|(of, _)| of == member).count();
+        if self.heard.get(member).is_none_or(|heard| heard.outs_at < register.outs_at) {
+            return false;
+        }
         if !register.members.contains_key(member)
             || (self.put.is_some() && self.beginning)
             || !known && processes >= MOST_PROCESSES
@@ -396,6 +412,22 @@
         orders.push(Order::Ask(self.last_ask));
     }
 
+    /// How far each member is with the further matter: those that belong to the fleet, and those that left it.
+    pub fn attended(&self, now: Micros, register: &Register, gone: &[Member]) -> Vec<Attended> {
+        let of = |member: &Member| {
+            let heard = self.heard.get(member).filter(|_| register.members.contains_key(member));
+            let others = |but| self.over_for(now, member, but, self.remembers);
+            Attended {
+                member: member.clone(),
+                word: heard.map(|heard| heard.word.clone()),
+                fresh: heard.is_some() && self.is_fresh(now, member),
+                alone: heard.is_some_and(|heard| heard.alone || others(Some(heard.incarnation))),
+                over: !self.terms.serve_without && others(None),
+            }
+        };
+        register.members.keys().chain(gone.iter().filter(|of| !register.members.contains_key(*of))).map(of).collect()
+    }
+
     /// When time alone may change something.
     pub fn next_due(&self, now: Micros, register: &Register) -> Micros {
         let busy = register.next.is_some() || self.asked.is_some() || !self.waiting.is_empty();
--- a/policy/src/council.rs
+++ b/policy/src/council.rs
@@ -7,6 +7,7 @@
 use ternpick::types::Micros;
 use ternpick_consensus::{Done, Seat, SeatNo, Standing, Status, Terms as SeatTerms};
 
+use crate::annex::{Annex, Nothing};
 use crate::chair::{Chair, Order};
 use crate::heeds::Heeds;
 use crate::ids::{Index, Member, Op};
@@ -90,6 +91,10 @@
     /// Why there is no seat, where there should be one.
     pub seat_words: Option<String>,
     register: Option<Register>,
+    /// A further matter that is agreed on in the same log.
+    pub annex: Box<dyn Annex>,
+    /// Entries of it that are on their way, and since when: one turn's at a time.
+    annexing: Option<(Index, Micros)>,
     chair: Option<(u64, Chair)>,
     /// Who leads, as far as is known, and whom to ask next otherwise.
     leads: Option<Member>,
@@ -132,6 +137,8 @@
             heeds: Heeds::starts(now),
             seat_words: None,
             register: None,
+            annex: Box::new(Nothing),
+            annexing: None,
             chair: None,
             leads: None,
             next_ask: 0,
@@ -174,8 +181,15 @@
                 self.seat_words = Some(words);
             }
         }
+        self.restored();
+    }
+
+    /// The register is another one than was played so far.
+    fn restored(&mut self) {
         if let Some(register) = &self.register {
             self.members.clone_from(&register.members);
+            self.annex.restore(&register.annex);
+            self.annex.members(&register.members);
         }
     }
 
@@ -254,7 +268,7 @@
                     self.keeper.asks_anew();
                 }
             }
-            Said::Do { op, command } => self.do_for(from, op, command),
+            Said::Do { op, command } => self.do_for(now, from, op, command),
             Said::Did { op, outcome } => self.heard(op, Heard::Did(outcome)),
             Said::Look { op, what } => match self.chair {
                 Some(_) => self.acts.push(Act::Look(from.clone(), op, what)),
@@ -303,7 +317,7 @@
     }
 
     /// A command, put into the log once however often it is said; its outcome is told when it is known.
-    fn do_for(&mut self, from: &Member, op: Op, command: Command) {
+    fn do_for(&mut self, now: Micros, from: &Member, op: Op, command: Command) {
         let (Some(_), Some(register), Some(seat)) = (&self.chair, &self.register, &mut self.seat) else {
             let leads = self.leads.clone().filter(|member| *member != self.me);
             return self.say(from, Said::Elsewhere(leads));
@@ -324,6 +338,11 @@
         if self.doing.iter().any(|(of, _)| *of == op) {
             return;
         }
+        if let Command::Annex { entry } = &command {
+            if let Err(words) = self.annex.admits(now, entry) {
+                return self.say(from, Said::Did { op, outcome: Outcome::Refused(words) });
+            }
+        }
         let Some(entry) = command.entry(op, self.terms.confirm) else { return };
         match seat.put(postcard::to_stdvec(&entry).unwrap_or_default()) {
             Ok(()) => {
@@ -377,6 +396,8 @@
                     let line = format!("fleet: {} leads in term {term}, entry {}", self.me, register.index);
                     #[allow(unused_mut)]
                     let mut chair = Chair::takes(self.terms, now, register);
+                    chair.remembers = self.annex.lingers();
+                    self.annexing = None;
                     if let Some(voters) = seat.settled_voters() {
                         chair.elected(term, voters);
                     }
@@ -463,7 +484,9 @@
         let Some(seat) = &mut self.seat else { return };
         let own = seat.no();
         if let Some(register) = self.register.as_ref().filter(|_| seat.is_long()) {
-            seat.compact(postcard::to_stdvec(register).unwrap_or_default());
+            let mut of = register.clone();
+            of.annex = self.annex.image();
+            seat.compact(postcard::to_stdvec(&of).unwrap_or_default());
         }
         for (to, word) in done.messages {
             let holder = self.members.iter().find(|(_, of)| of.seat == Some(to));
@@ -478,7 +501,10 @@
     fn play(&mut self, done: &Done) {
         if let Some((_, state)) = &done.restored {
             match postcard::from_bytes(state) {
-                Ok(register) => self.register = Some(register),
+                Ok(register) => {
+                    self.register = Some(register);
+                    self.restored();
+                }
                 Err(e) => self.log(Level::Error, format!("fleet: the agreed state cannot be read, {e}")),
             }
         }
@@ -499,7 +525,17 @@
     fn play_one(&mut self, register: &mut Register, index: Index, entry: Entry) {
         let of = |register: &Register| register.next.as_ref().map(|next| next.paper.number);
         let (next, force) = (of(register), register.in_force.number);
+        if let Entry::Annex { op, entry } = &entry {
+            // A command that was played before is done.
+            if op.is_none_or(|op| register.outcome(op).is_none()) {
+                let came = self.annex.play(index, entry);
+                register.annexed(index, *op, came, self.annex.outs());
+            }
+        }
         register.play(index, entry);
+        if register.members_at == index {
+            self.annex.members(&register.members);
+        }
         let now = of(register);
         if let Some(number) = now.filter(|_| now != next) {
             let author = register.next.as_ref().map_or("", |next| next.paper.author.as_str());
@@ -552,6 +588,24 @@
         }
         orders.extend(chair.beat(now, register));
         self.order(orders);
+        self.annex_steps(now);
+    }
+
+    /// The further matter goes on: what it wants put, once what it put before is played, or lost.
+    fn annex_steps(&mut self, now: Micros) {
+        let (Some(register), Some((term, chair))) = (&self.register, &self.chair) else { return };
+        self.annexing.take_if(|(index, at)| *index < register.index || now.since(*at) > SAY_AGAIN);
+        if self.annexing.is_some() {
+            return;
+        }
+        let attended = chair.attended(now, register, &self.annex.gone());
+        let (steps, lines) = self.annex.steps(now, &self.me, *term, &attended);
+        if !steps.is_empty() {
+            self.annexing = Some((register.index, now));
+        }
+        lines.into_iter().for_each(|line| self.log(Level::Info, line));
+        let entries = steps.into_iter().map(|entry| Order::Put(Entry::Annex { op: None, entry }));
+        self.order(entries.collect());
     }
 
     /// Brings who votes to what the register says, one change at a time.
@@ -723,7 +777,10 @@
         keeper.shares(now);
         #[cfg(any(test, feature = "planted"))]
         let planted = self.planted;
+        let annex = std::mem::replace(&mut self.annex, Box::new(Nothing));
         *self = Council::new(self.fleet, self.terms, self.seat_terms, keeper, members, seed, now);
+        self.annex = annex;
+        self.annex.restore(&[]);
         #[cfg(any(test, feature = "planted"))]
         {
             self.planted = planted;
--- a/policy/src/keeper.rs
+++ b/policy/src/keeper.rs
@@ -64,6 +64,9 @@
     Use(Paper),
     /// The members as they are now.
     Members(BTreeMap<Member, Seated>),
+    /// What has to be known of the further matter, from this place on; to be gone by at once, and answered with
+    /// [`Keeper::goes_by`].
+    Outs(Index, Vec<u8>),
     /// One line for the people on call.
     Say(String),
 }
@@ -97,6 +100,8 @@
     eager: bool,
     /// An answer to the last request has come.
     answered: bool,
+    /// Of the further matter: what this router goes by, and its word on it.
+    goes_by: (Index, Vec<u8>),
     #[cfg(any(test, feature = "planted"))]
     pub planted: Option<Planted>,
 }
@@ -133,6 +138,7 @@
             stranger: false,
             eager: true,
             answered: true,
+            goes_by: (Index(0), Vec::new()),
             #[cfg(any(test, feature = "planted"))]
             planted: None,
         }
@@ -239,6 +245,8 @@
             alone: now >= self.alone_from,
             unfit: self.unfit.filter(|unfit| Some(*unfit) == self.version()),
             heeded: None,
+            outs_at: self.goes_by.0,
+            word: self.goes_by.1.clone(),
         })
     }
 
@@ -341,6 +349,9 @@
             effects.push(Effect::Use(view.in_force.clone()));
             self.unfit = None;
         }
+        if before.as_ref().is_none_or(|before| before.outs_at != view.outs_at) {
+            effects.push(Effect::Outs(view.outs_at, view.outs.clone()));
+        }
         let next = view.next.as_ref().filter(|next| !next.barrier);
         let said = self.verdict.as_ref().map(|(number, _)| *number);
         match next {
@@ -356,6 +367,13 @@
         }
     }
 
+    /// Of the further matter this router goes by what was agreed up to this place, and says this word of it. News goes out
+    /// at once.
+    pub fn goes_by(&mut self, outs_at: Index, word: Vec<u8>, news: bool) {
+        self.eager |= news;
+        self.goes_by = (outs_at, word);
+    }
+
     /// Whether a proposal fits here.
     pub fn checked(&mut self, number: Version, verdict: Verdict) {
         self.verdict = Some((number, verdict));
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -9,6 +9,7 @@
 //! The rule: a lookup is decided under the policy in force when it was admitted; once one router has admitted under a
 //! version, none ever again admits under an earlier one. `docs/design/policy.md` says why it holds.
 
+mod annex;
 mod chair;
 mod council;
 mod figures;
@@ -23,6 +24,7 @@
 #[cfg(test)]
 mod model;
 
+pub use annex::{Annex, Attended, Nothing};
 pub use chair::{Chair, Order, Seen};
 pub use council::{seat_terms, Act, Council, Found, Heard, Level, Wish, TICK};
 pub use figures::{platform, put_in_force};
--- a/policy/src/register.rs
+++ b/policy/src/register.rs
@@ -102,6 +102,11 @@
     Learnt {
         seat: SeatNo,
     },
+    /// Of a further matter ([`crate::Annex`]); some are commands.
+    Annex {
+        op: Option<Op>,
+        entry: Vec<u8>,
+    },
 }
 
 /// What became of a command.
@@ -109,6 +114,7 @@
 pub enum Outcome {
     Proposed(Version),
     Seated(SeatNo),
+    Numbered(u64),
     Done,
     Refused(String),
 }
@@ -179,6 +185,11 @@
     pub last_seat: SeatNo,
     done: VecDeque<(Op, Outcome)>,
     pub history: VecDeque<Past>,
+    /// What every router has to know of the further matter before it gets a lease, and where that last changed.
+    pub outs: Vec<u8>,
+    pub outs_at: Index,
+    /// The whole of the further matter; only in snapshots.
+    pub annex: Vec<u8>,
 }
 
 impl Register {
@@ -199,6 +210,9 @@
             last_seat,
             done: VecDeque::new(),
             history: VecDeque::new(),
+            outs: Vec::new(),
+            outs_at: Index(1),
+            annex: Vec::new(),
         }
     }
 
@@ -216,9 +230,31 @@
         self.members.iter().find(|(_, of)| of.seat == Some(seat)).map(|(member, _)| member)
     }
 
-    /// Plays one entry. What it came to is remembered by its command.
+    /// An entry of the further matter was played: what it came to, and what every router has to know from here on.
+    pub fn annexed(&mut self, index: Index, op: Option<Op>, came: Result<u64, String>, outs: Vec<u8>) {
+        self.index = index;
+        if let Some(op) = op {
+            let outcome = came.map_or_else(Outcome::Refused, Outcome::Numbered);
+            self.remember(op, outcome);
+        }
+        if outs != self.outs {
+            (self.outs, self.outs_at, self.changed) = (outs, index, index);
+        }
+    }
+
+    fn remember(&mut self, op: Op, outcome: Outcome) {
+        self.done.push_back((op, outcome));
+        while self.done.len() > MOST_DONE {
+            self.done.pop_front();
+        }
+    }
+
+    /// Plays one entry; one of a further matter is [`Register::annexed`]. What it came to is remembered by its command.
     pub fn play(&mut self, index: Index, entry: Entry) {
         self.index = index;
+        if matches!(entry, Entry::Annex { .. }) {
+            return;
+        }
         let checking = matches!(entry, Entry::Verdicts { .. });
         let (op, outcome) = match entry {
             Entry::Propose { op, base, paper, confirm } => (Some(op), self.propose(op, base, paper, confirm)),
@@ -233,16 +269,14 @@
             Entry::InForce { number, round } => (None, self.come_in_force(number, round)),
             Entry::Learnt { seat } => (None, self.learnt(seat)),
             Entry::Resume { number, round } => (None, self.resume(number, round)),
+            Entry::Annex { .. } => (None, None),
         };
         // Who fits is the leader's matter, until somebody does not.
         if !checking || self.next.is_none() {
             self.changed = index;
         }
         if let (Some(op), Some(outcome)) = (op, outcome) {
-            self.done.push_back((op, outcome));
-            while self.done.len() > MOST_DONE {
-                self.done.pop_front();
-            }
+            self.remember(op, outcome);
         }
     }
 
--- a/policy/src/say.rs
+++ b/policy/src/say.rs
@@ -27,6 +27,9 @@
     pub unfit: Option<Version>,
     /// Of one that votes.
     pub heeded: Option<Heeded>,
+    /// Of the further matter: what it goes by, and its word on it.
+    pub outs_at: Index,
+    pub word: Vec<u8>,
 }
 
 /// A voter can no longer take the word of a leader of a term before `term`, and has last done so `ago` microseconds back.
@@ -64,6 +67,8 @@
     pub in_force: Paper,
     pub next: Option<NextView>,
     pub members_at: Index,
+    pub outs: Vec<u8>,
+    pub outs_at: Index,
 }
 
 impl View {
@@ -80,6 +85,8 @@
             in_force: register.in_force.clone(),
             next,
             members_at: register.members_at,
+            outs: register.outs.clone(),
+            outs_at: register.outs_at,
         }
     }
 }
@@ -165,6 +172,10 @@
     Transfer {
         to: Member,
     },
+    /// Of a further matter.
+    Annex {
+        entry: Vec<u8>,
+    },
 }
 
 impl Command {
@@ -186,6 +197,7 @@
             Command::Remove { member: name } => Entry::Leave { op, member: member(name) },
             Command::Seat { member: name } => Entry::Seat { op, member: member(name) },
             Command::Unseat { member: name } => Entry::Unseat { op, member: member(name) },
+            Command::Annex { entry } => Entry::Annex { op: Some(op), entry },
             Command::Transfer { .. } => return None,
         })
     }
--- a/router/src/fleet/commands.rs
+++ b/router/src/fleet/commands.rs
@@ -118,6 +118,9 @@
                     json!({"done": true, "ok": true, "number": number})
                 }
                 Some(Heard::Did(Outcome::Seated(seat))) => json!({"done": true, "ok": true, "seat": seat}),
+                Some(Heard::Did(Outcome::Numbered(number))) => {
+                    json!({"done": true, "ok": true, "number": number})
+                }
                 Some(Heard::Did(Outcome::Done)) => json!({"done": true, "ok": true}),
                 Some(Heard::Did(Outcome::Refused(words))) => {
                     json!({"done": true, "ok": false, "line": words})
--- a/router/src/fleet/drive.rs
+++ b/router/src/fleet/drive.rs
@@ -86,7 +86,7 @@
                 self.council.borrow_mut().checked(paper.number, verdict);
             }
             Effect::Use(paper) => self.put_in_force(router, &paper),
-            Effect::Members(_) => {}
+            Effect::Members(_) | Effect::Outs(..) => {}
             Effect::Say(line) => tracing::info!("{line}"),
         }
     }
--- /dev/null
+++ b/works/src/carrier.rs
@@ -0,0 +1,705 @@
+//! One router's part in the works. While its router leads it carries the work on: it takes machines out where the limits
+//! allow it, gives a permit once a machine is surely quiet, and sees machines back. All that it keeps beside the books may
+//! be lost: whoever leads next begins from the books and hears everybody anew.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Value};
+use ternpick::types::Micros;
+use ternpick_policy::{Annex, Attended, Index, Member, Seated};
+
+use crate::books::{Books, Entry, Job, Request, Stage};
+use crate::ids::{PermitNo, RequestNo};
+use crate::order::{plan, Item, Plan};
+use crate::room::{Binds, Limits, Room, World};
+use crate::word::Word;
+
+/// Spans in microseconds, shares from 0 to 1.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Terms {
+    pub limits: Limits,
+    /// For how long past the end of its lease a router may still act on a lookup: the longest deadline there is.
+    pub lingers: u64,
+    /// A machine that has not shown that it bears load for so long after it was given back is kept out.
+    pub back_within: u64,
+    /// Nothing more goes out before all has been well for so long.
+    pub calm: u64,
+    /// The work is held while more than this share of lookups is late, failed or refused; it goes on below half of it.
+    pub late_over: f64,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Terms {
+            limits: Limits::default(),
+            lingers: 10_000_000,
+            back_within: 600_000_000,
+            calm: 5_000_000,
+            late_over: 0.1,
+        }
+    }
+}
+
+/// Lookups that were answered of late, at the least, before their share that was late says something.
+const LEAST_ANSWERED: u32 = 10;
+/// A machine is unsound where one in so many routers says so, and at least one does.
+const ONE_IN: usize = 3;
+/// Machines that one step takes out.
+const MOST_A_STEP: usize = 32;
+
+/// Faults that tests must catch.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Planted {
+    /// A permit is given as soon as the machine is out.
+    NoWaiting,
+    /// A router that is silent counts as quiet at once.
+    SilentIsQuiet,
+    /// A word from before the machine went out counts.
+    AnyWord,
+}
+
+pub struct Carrier {
+    pub terms: Terms,
+    pub books: Books,
+    /// As this router sees it, and its wall clock in milliseconds.
+    world: World,
+    wall: u64,
+    /// Machines that fail without having been taken out, and since when nothing has been wrong that holds the work.
+    failing: BTreeSet<String>,
+    well_since: Option<Micros>,
+    /// When this one first saw a machine on its way back.
+    returning: BTreeMap<(RequestNo, String), Micros>,
+    /// Words of the last look, for people: who waits for whom.
+    attended: Vec<(Member, Option<Word>, bool, bool)>,
+    led_term: u64,
+    pub planted: Option<Planted>,
+}
+
+impl Carrier {
+    pub fn new(terms: Terms) -> Carrier {
+        Carrier {
+            terms,
+            books: Books::default(),
+            world: World::default(),
+            wall: 0,
+            failing: BTreeSet::new(),
+            well_since: None,
+            returning: BTreeMap::new(),
+            attended: Vec::new(),
+            led_term: 0,
+            planted: None,
+        }
+    }
+
+    /// The fleet as this router sees it now; soundness is what all say of it.
+    pub fn sees(&mut self, world: World, wall: u64) {
+        (self.world, self.wall) = (world, wall);
+    }
+
+    /// The world with everything that is in work, or that routers call so, as unsound.
+    fn standing(&self, words: &[&Word], active: bool) -> World {
+        let mut world = self.world.clone();
+        let (unsound, working) = (unsound(words), self.books.active());
+        for node in &mut world.nodes {
+            node.sound = !unsound.contains(node.name.as_str()) && !(active && working.contains(node.name.as_str()));
+        }
+        let calls: u64 = words.iter().map(|word| u64::from(word.calls)).sum();
+        world.load = calls as f64;
+        world
+    }
+
+    /// Whom a machine that went out at a place still waits for.
+    fn waits_for<'a>(&self, machine: &str, at: Index, of: impl Iterator<Item = &'a (Member, Option<Word>, bool, bool)>) -> Vec<&'a Member> {
+        let waits = |(_, word, alone, over): &&(Member, Option<Word>, bool, bool)| {
+            let quiet = word.as_ref().is_some_and(|word| {
+                let knows = word.goes_by >= at || self.planted == Some(Planted::AnyWord);
+                knows && !word.busy.iter().any(|name| name == machine)
+            });
+            let silent = word.is_none() && self.planted == Some(Planted::SilentIsQuiet);
+            !(quiet && *alone || *over || silent || self.planted == Some(Planted::NoWaiting))
+        };
+        of.filter(waits).map(|(member, ..)| member).collect()
+    }
+
+    /// Requests in their order: by deadline, then by priority.
+    fn ordered(&self) -> Vec<(RequestNo, &Request)> {
+        let mut all: Vec<(RequestNo, &Request)> = self.books.requests.iter().map(|(no, of)| (*no, of)).collect();
+        all.sort_by_key(|(no, of)| (of.by_when.unwrap_or(u64::MAX), u8::MAX - of.priority, *no));
+        all
+    }
+
+    /// What waits, as items for a plan.
+    fn items(&self, world: &World) -> (Vec<Item>, Vec<(RequestNo, String)>) {
+        let numbers: BTreeMap<&str, usize> =
+            world.nodes.iter().enumerate().map(|(at, node)| (node.name.as_str(), at)).collect();
+        let (mut items, mut unknown) = (Vec::new(), Vec::new());
+        for (no, request) in self.ordered() {
+            let waits = request.machines.iter().filter(|machine| {
+                self.books.jobs.get(&(no, (*machine).clone())).is_some_and(|job| job.stage == Stage::Waits)
+            });
+            let urgency = (request.by_when.unwrap_or(u64::MAX), u8::MAX - request.priority);
+            let mut item = |nodes: Vec<usize>| {
+                items.push(Item { request: no, nodes, urgency, lasts: request.lasts });
+            };
+            let mut nodes = Vec::new();
+            for machine in waits {
+                match numbers.get(machine.as_str()) {
+                    Some(at) => nodes.push(*at),
+                    None => unknown.push((no, machine.clone())),
+                }
+            }
+            match request.together {
+                true if nodes.is_empty() => {}
+                true => item(nodes),
+                false => nodes.into_iter().for_each(|node| item(vec![node])),
+            }
+        }
+        (items, unknown)
+    }
+
+    fn planned(&self, more: Option<&Request>) -> (Plan, Vec<Item>, World) {
+        // What is out now will be there again; what fails without work may not.
+        let words: Vec<&Word> = self.attended.iter().filter_map(|(_, word, ..)| word.as_ref()).collect();
+        let mut world = self.standing(&words, false);
+        let working = self.books.active();
+        for node in &mut world.nodes {
+            node.sound |= working.contains(node.name.as_str());
+        }
+        let (mut items, _) = self.items(&world);
+        if let Some(of) = more {
+            let nodes: Vec<usize> = of.machines.iter().filter_map(|name| world.number(name)).collect();
+            let urgency = (of.by_when.unwrap_or(u64::MAX), u8::MAX - of.priority);
+            let item = |nodes| Item { request: RequestNo(u64::MAX), nodes, urgency, lasts: of.lasts };
+            match of.together {
+                true => items.push(item(nodes)),
+                false => items.extend(nodes.into_iter().map(|node| item(vec![node]))),
+            }
+        }
+        let room = Room::of(&world, &self.terms.limits, 0);
+        (plan(&items, &room), items, world)
+    }
+
+    /// Steps for what is out or on its way back.
+    fn follow(&mut self, now: Micros, steps: &mut Vec<Entry>) {
+        let (fence, wall) = (self.books.fence, self.wall);
+        let jobs: Vec<((RequestNo, String), Job)> =
+            self.books.jobs.iter().map(|(key, job)| (key.clone(), job.clone())).collect();
+        self.returning.retain(|key, _| {
+            self.books.jobs.get(key).is_some_and(|job| matches!(job.stage, Stage::Returns { .. }))
+        });
+        let fresh: Vec<&Word> = self.attended.iter().filter_map(|(_, word, ..)| word.as_ref()).collect();
+        let bad = unsound(&fresh);
+        let mut since = Vec::new();
+        for (key, job) in jobs {
+            match job.stage {
+                Stage::Out if self.waits_for(&key.1, job.at, self.attended.iter()).is_empty() => {
+                    steps.push(Entry::Permit { fence, job: key, now: wall });
+                }
+                Stage::Returns { .. } => {
+                    let bears = fresh.iter().any(|word| word.bear.contains(&key.1));
+                    let began = self.returning.get(&key).copied();
+                    if bears && !bad.contains(key.1.as_str()) {
+                        steps.push(Entry::Back { fence, job: key, now: wall });
+                    } else if began.is_some_and(|began| now.since(began).0 > self.terms.back_within) {
+                        steps.push(Entry::Keep { fence, job: key, now: wall });
+                    } else if began.is_none() {
+                        since.push(key);
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.returning.extend(since.into_iter().map(|key| (key, now)));
+    }
+
+    /// Whether the work is held, or goes on.
+    fn hold(&mut self, now: Micros, steps: &mut Vec<Entry>) {
+        let fence = self.books.fence;
+        let words: Vec<&Word> = self.attended.iter().filter_map(|(_, word, ..)| word.as_ref()).collect();
+        let working = self.books.active();
+        let failing: BTreeSet<String> = unsound(&words)
+            .into_iter()
+            .filter(|name| !working.contains(name) && self.world.nodes.iter().any(|node| node.name == **name))
+            .map(str::to_owned)
+            .collect();
+        let (answered, late) =
+            words.iter().fold((0, 0), |(all, late), word| (all + word.answered, late + word.late));
+        let share = f64::from(late) / f64::from(answered.max(1));
+        let says = answered >= LEAST_ANSWERED;
+        let new: Vec<String> = failing.difference(&self.failing).cloned().collect();
+        let known = std::mem::replace(&mut self.failing, failing);
+        let held = self.books.hold.as_ref().map(|hold| hold.own);
+        let limit = if held == Some(true) { self.terms.late_over / 2.0 } else { self.terms.late_over };
+        let why = if !new.is_empty() {
+            Some(format!("{} failing without work", new.join(", ")))
+        } else if says && share > limit {
+            Some(format!("{:.1}% of {answered} lookups late, failed or refused", share * 100.0))
+        } else {
+            None
+        };
+        let _ = known;
+        let active = !self.books.jobs.is_empty();
+        match (why, held) {
+            (Some(why), None) if active => {
+                self.well_since = None;
+                steps.push(Entry::OwnHold { fence, why });
+            }
+            (Some(_), _) => self.well_since = None,
+            (None, _) => {
+                let since = *self.well_since.get_or_insert(now);
+                if held == Some(true) && now.since(since).0 >= self.terms.calm {
+                    steps.push(Entry::GoOn { fence });
+                }
+            }
+        }
+    }
+
+    /// What may go out now, in the order of the requests.
+    fn take_out(&self, now: Micros, steps: &mut Vec<Entry>) {
+        let calm = self.well_since.is_some_and(|since| now.since(since).0 >= self.terms.calm);
+        if self.books.hold.is_some() || !calm || self.world.nodes.is_empty() {
+            return;
+        }
+        let words: Vec<&Word> = self.attended.iter().filter_map(|(_, word, ..)| word.as_ref()).collect();
+        if words.iter().filter(|word| word.more > 0).count() * ONE_IN >= words.len().max(1) {
+            return;
+        }
+        let (world, active) = (self.standing(&words, true), self.books.active());
+        let mut room = Room::of(&world, &self.terms.limits, active.len());
+        let (mut items, _) = self.items(&world);
+        items.retain(|item| {
+            let free = item.nodes.iter().all(|node| !active.contains(world.nodes[*node].name.as_str()));
+            let due = self.books.requests.get(&item.request).and_then(|of| of.not_before);
+            free && due.is_none_or(|due| due <= self.wall)
+        });
+        // The plan's order: its first round is what fits best beside each other now.
+        let order = plan(&items, &room);
+        let mut jobs = Vec::new();
+        for at in order.rounds.iter().flat_map(|round| &round.items) {
+            let item = &items[*at];
+            let names = item.nodes.iter().map(|node| (item.request, world.nodes[*node].name.clone()));
+            let twice = |node: &usize| jobs.iter().any(|(_, name)| *name == world.nodes[*node].name);
+            if jobs.len() + item.nodes.len() <= MOST_A_STEP.max(item.nodes.len())
+                && !item.nodes.iter().any(twice)
+                && room.take_all(&item.nodes).is_ok()
+            {
+                jobs.extend(names);
+            }
+        }
+        if !jobs.is_empty() {
+            steps.push(Entry::TakeOut { fence: self.books.fence, jobs, now: self.wall });
+        }
+    }
+
+    fn row(&self, key: &(RequestNo, String), job: &Job, binds: &BTreeMap<String, Binds>) -> Value {
+        let waits: Vec<String> = match job.stage {
+            Stage::Out => {
+                let members = self.waits_for(&key.1, job.at, self.attended.iter());
+                members.iter().map(|member| member.0.clone()).collect()
+            }
+            _ => Vec::new(),
+        };
+        let request = self.books.requests.get(&key.0);
+        let (begun, failed) = match &job.stage {
+            Stage::Permitted { begun, failed, .. } => (begun.clone(), failed.clone()),
+            _ => (None, None),
+        };
+        let overdue = matches!(job.stage, Stage::Permitted { .. })
+            && request.is_some_and(|of| self.wall > job.since + of.lasts / 1000);
+        let binds = binds.get(&key.1).filter(|_| job.stage == Stage::Waits).map(ToString::to_string);
+        json!({"request": key.0, "machine": key.1, "state": job.stage.word(), "permit": job.stage.permit(),
+            "since_ms": job.since, "for_ms": self.wall.saturating_sub(job.since), "waits_for": waits, "begun": begun,
+            "failed": failed, "overdue": overdue, "binds": binds, "why": request.map(|of| &of.why),
+            "by": request.map(|of| &of.by)})
+    }
+
+    /// What an operator sees: machines, states, since when, who waits for what; and the plan.
+    fn table(&self) -> Value {
+        let words: Vec<&Word> = self.attended.iter().filter_map(|(_, word, ..)| word.as_ref()).collect();
+        let world = self.standing(&words, true);
+        let room = Room::of(&world, &self.terms.limits, self.books.active().len());
+        let mut binds = BTreeMap::new();
+        for (_, machine) in self.books.jobs.iter().filter(|(_, job)| job.stage == Stage::Waits).map(|(key, _)| key) {
+            let said = match world.number(machine) {
+                Some(at) => room.may(at).err(),
+                None => Some(Binds::Unknown(machine.clone())),
+            };
+            if let Some(said) = said {
+                binds.insert(machine.clone(), said);
+            }
+        }
+        let rows = self.books.jobs.iter().map(|(key, job)| self.row(key, job, &binds));
+        let past = self.books.past.iter().map(|past| json!({"at": past.at, "words": past.words}));
+        json!({"carrier": self.books.carrier.as_ref().map(|(member, _)| member), "fence": self.books.fence,
+            "hold": self.books.hold, "rows": rows.collect::<Vec<_>>(), "plan": self.plan_told(None),
+            "out": self.books.out(), "past": past.collect::<Vec<_>>()})
+    }
+
+    fn plan_told(&self, more: Option<&Request>) -> Value {
+        let (plan, items, world) = self.planned(more);
+        let names = |at: &usize| -> Vec<&str> {
+            items[*at].nodes.iter().map(|node| world.nodes[*node].name.as_str()).collect()
+        };
+        let rounds = plan.rounds.iter().map(|round| {
+            let machines: Vec<&str> = round.items.iter().flat_map(names).collect();
+            json!({"machines": machines, "lasts_ms": round.lasts / 1000})
+        });
+        let cannot = plan.cannot.iter().map(|(at, binds)| json!({"machines": names(at), "binds": binds.to_string()}));
+        let lasts: u64 = plan.rounds.iter().map(|round| round.lasts / 1000).sum();
+        json!({"rounds": rounds.collect::<Vec<_>>(), "cannot": cannot.collect::<Vec<_>>(),
+            "bound": plan.bound, "lasts_ms": lasts})
+    }
+}
+
+/// Machines that enough routers call unsound.
+fn unsound<'a>(words: &[&'a Word]) -> BTreeSet<&'a str> {
+    let mut counts = BTreeMap::<&str, usize>::new();
+    for name in words.iter().flat_map(|word| &word.unsound) {
+        *counts.entry(name).or_default() += 1;
+    }
+    let enough = (words.len() / ONE_IN).max(1);
+    counts.into_iter().filter(|(_, count)| *count >= enough).map(|(name, _)| name).collect()
+}
+
+impl Annex for Carrier {
+    fn play(&mut self, index: Index, entry: &[u8]) -> Result<u64, String> {
+        let entry = postcard::from_bytes(entry).map_err(|e| format!("it cannot be read: {e}"))?;
+        self.books.play(index, entry)
+    }
+
+    fn members(&mut self, members: &BTreeMap<Member, Seated>) {
+        self.books.belong(members.keys().cloned().collect());
+    }
+
+    fn image(&self) -> Vec<u8> {
+        postcard::to_stdvec(&self.books).unwrap_or_default()
+    }
+
+    fn restore(&mut self, image: &[u8]) {
+        self.books = postcard::from_bytes(image).unwrap_or_default();
+    }
+
+    fn outs(&self) -> Vec<u8> {
+        // Machines on their way back are told too: routers watch how they bear load.
+        let returning = self.books.jobs.iter().filter(|(_, job)| matches!(job.stage, Stage::Returns { .. }));
+        let returning: BTreeSet<&String> = returning.map(|((_, machine), _)| machine).collect();
+        postcard::to_stdvec(&(self.books.out(), returning)).unwrap_or_default()
+    }
+
+    fn lingers(&self) -> Micros {
+        Micros(self.terms.lingers)
+    }
+
+    fn gone(&self) -> Vec<Member> {
+        self.books.gone.iter().cloned().collect()
+    }
+
+    fn admits(&self, _: Micros, entry: &[u8]) -> Result<(), String> {
+        let request = match postcard::from_bytes::<Entry>(entry) {
+            Ok(Entry::Ask { request }) => request,
+            Ok(
+                Entry::Change { .. }
+                | Entry::Cancel { .. }
+                | Entry::Hold { .. }
+                | Entry::Resume { .. }
+                | Entry::Begin { .. }
+                | Entry::Done { .. },
+            ) => return Ok(()),
+            // Steps are put by whoever leads, and by nobody's command.
+            Ok(_) => return Err("this is no operator's command".into()),
+            Err(e) => return Err(format!("it cannot be read: {e}")),
+        };
+        if let Some(name) = request.machines.iter().find(|name| self.world.number(name).is_none()) {
+            return Err(Binds::Unknown(name.clone()).to_string());
+        }
+        let (plan, items, world) = self.planned(Some(&request));
+        let own = |at: &usize| items[*at].request == RequestNo(u64::MAX);
+        if let Some((at, binds)) = plan.cannot.iter().find(|(at, _)| own(at)) {
+            let names: Vec<&str> =
+                items[*at].nodes.iter().map(|node| world.nodes[*node].name.as_str()).collect();
+            return Err(format!("{} can never go out: {binds}", names.join(", ")));
+        }
+        if let Some(by_when) = request.by_when {
+            let last = plan.rounds.iter().rposition(|round| round.items.iter().any(own)).map_or(0, |at| at + 1);
+            let lasts: u64 = plan.rounds[..last].iter().map(|round| round.lasts / 1000).sum();
+            let begins = request.not_before.unwrap_or(0).max(self.wall);
+            if begins + lasts > by_when {
+                return Err(format!(
+                    "it needs {last} rounds and {} s, and is wanted within {} s: more time, fewer machines at \
+                     once under other requests, or lower limits would have to be given",
+                    lasts / 1000,
+                    by_when.saturating_sub(begins) / 1000
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    fn steps(
+        &mut self, now: Micros, me: &Member, term: u64, attended: &[Attended],
+    ) -> (Vec<Vec<u8>>, Vec<String>) {
+        if self.led_term != term {
+            // What an earlier time in the chair has seen says nothing.
+            (self.led_term, self.well_since) = (term, None);
+            (self.failing, self.returning) = (BTreeSet::new(), BTreeMap::new());
+        }
+        let read = |of: &Attended| {
+            let word = of.word.as_ref().and_then(|word| Word::read(word));
+            (of.member.clone(), word, of.alone, of.over)
+        };
+        self.attended = attended.iter().map(read).collect();
+        if self.books.requests.is_empty() && self.books.jobs.is_empty() && self.books.gone.is_empty() {
+            self.well_since.get_or_insert(now);
+            return (Vec::new(), Vec::new());
+        }
+        if self.books.carrier.as_ref() != Some(&(me.clone(), term)) {
+            let carry = Entry::Carry { member: me.clone(), term };
+            return (vec![postcard::to_stdvec(&carry).unwrap_or_default()], Vec::new());
+        }
+        let mut steps = Vec::new();
+        let over = |member: &Member| attended.iter().any(|of| of.member == *member && of.over);
+        if let Some(member) = self.books.gone.iter().find(|member| over(member)) {
+            steps.push(Entry::Forget { fence: self.books.fence, member: member.clone() });
+        }
+        self.follow(now, &mut steps);
+        self.hold(now, &mut steps);
+        if steps.is_empty() {
+            self.take_out(now, &mut steps);
+        }
+        let lines = steps.iter().filter_map(line).collect();
+        (steps.iter().map(|step| postcard::to_stdvec(step).unwrap_or_default()).collect(), lines)
+    }
+
+    fn look(&self, _: Micros, what: &str) -> Option<String> {
+        match what.strip_prefix("works-plan ") {
+            Some(text) => {
+                let request: Request = serde_json::from_str(text).unwrap_or_default();
+                Some(self.plan_told(Some(&request)).to_string())
+            }
+            None if what == "works" => Some(self.table().to_string()),
+            None => None,
+        }
+    }
+}
+
+/// One line for each step that people on call would want to know of.
+fn line(step: &Entry) -> Option<String> {
+    let names = |jobs: &[(RequestNo, String)]| {
+        jobs.iter().map(|(_, machine)| machine.as_str()).collect::<Vec<_>>().join(", ")
+    };
+    match step {
+        Entry::TakeOut { jobs, .. } => Some(format!("works: {} to go out", names(jobs))),
+        Entry::Permit { job, .. } => Some(format!("works: {} is quiet", job.1)),
+        Entry::Back { job, .. } => Some(format!("works: {} bears load again", job.1)),
+        Entry::Keep { job, .. } => Some(format!("works: {} does not come back in time, kept out", job.1)),
+        Entry::OwnHold { why, .. } => Some(format!("works: held, {why}")),
+        Entry::GoOn { .. } => Some("works: goes on".into()),
+        _ => None,
+    }
+}
+
+/// The machines that a router has to go by, as [`Annex::outs`] tells them: those that are out, and those coming back.
+impl Carrier {
+    pub fn told(outs: &[u8]) -> (Vec<String>, Vec<String>) {
+        postcard::from_bytes(outs).unwrap_or_default()
+    }
+
+    pub fn permit_of(&self, machine: &str) -> Option<PermitNo> {
+        let found = self.books.jobs.iter().find(|((_, of), job)| of == machine && job.stage.permit().is_some());
+        found.and_then(|(_, job)| job.stage.permit())
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::room::Node;
+    use test_case::test_case;
+
+    const S: u64 = 1_000_000;
+
+    /// Six machines in two sets of three.
+    fn carrier() -> Carrier {
+        let terms = Terms {
+            limits: Limits { zone_share: 0.0, most_out: 1.0, ..Limits::default() },
+            ..Terms::default()
+        };
+        let mut carrier = Carrier::new(terms);
+        let node = |at: u32| Node { name: format!("s{at}"), zone: 0, sets: vec![at / 3], sound: true };
+        carrier.sees(World { nodes: (0..6).map(node).collect(), load: 0.0 }, 1000);
+        carrier
+    }
+
+    fn ask(machines: &[&str]) -> Request {
+        let machines = machines.iter().map(|name| (*name).to_owned()).collect();
+        Request { machines, by: "ann".into(), lasts: 60 * S, ..Request::default() }
+    }
+
+    fn says(member: &str, word: &Word) -> Attended {
+        Attended { member: member.into(), word: Some(word.bytes()), fresh: true, alone: true, over: false }
+    }
+
+    struct Fleet {
+        carrier: Carrier,
+        at: u64,
+        now: u64,
+    }
+
+    impl Fleet {
+        fn asked(machines: &[&str]) -> Fleet {
+            let mut fleet = Fleet { carrier: carrier(), at: 0, now: 0 };
+            fleet.put(Entry::Ask { request: ask(machines) });
+            fleet
+        }
+
+        fn put(&mut self, entry: Entry) {
+            self.at += 1;
+            self.carrier.play(Index(self.at), &postcard::to_stdvec(&entry).expect("bytes")).expect("it fits");
+        }
+
+        /// A second passes; what was put comes back.
+        fn step(&mut self, attended: &[Attended]) -> Vec<Entry> {
+            self.now += S;
+            let (steps, _) = self.carrier.steps(Micros(self.now), &"n0".into(), 1, attended);
+            let steps: Vec<Entry> =
+                steps.iter().map(|bytes| postcard::from_bytes(bytes).expect("an entry")).collect();
+            steps.iter().for_each(|step| self.put(step.clone()));
+            steps
+        }
+
+        fn run(&mut self, seconds: u64, attended: &[Attended]) -> Vec<Entry> {
+            (0..seconds).flat_map(|_| self.step(attended)).collect()
+        }
+
+        fn out(&self) -> Vec<String> {
+            self.carrier.books.out()
+        }
+    }
+
+    fn knows(goes_by: u64) -> Word {
+        Word { goes_by: Index(goes_by), ..Word::default() }
+    }
+
+    #[test]
+    fn one_of_each_set_goes_out_and_the_next_when_it_is_back() {
+        let mut fleet = Fleet::asked(&["s0", "s1", "s3"]);
+        let quiet = [says("n0", &knows(100)), says("n1", &knows(100))];
+        fleet.run(10, &quiet);
+        assert_eq!(fleet.out(), ["s0", "s3"], "two of each set stay");
+        let permit = fleet.carrier.permit_of("s0").expect("a permit");
+        fleet.put(Entry::Done { permit, by: "ann".into(), failed: None });
+        fleet.run(10, &quiet);
+        assert_eq!(fleet.out(), ["s3"], "it has yet to show that it bears load");
+        let bears = Word { bear: vec!["s0".into()], ..knows(100) };
+        fleet.run(10, &[says("n0", &bears), says("n1", &knows(100))]);
+        assert_eq!(fleet.out(), ["s1", "s3"]);
+    }
+
+    #[test_case(knows(2), true, false, false; "a word from before it was out")]
+    #[test_case(Word { busy: vec!["s0".into()], ..knows(100) }, true, false, false; "something is out there")]
+    #[test_case(knows(100), false, false, false; "another process of it may still act")]
+    #[test_case(knows(2), true, true, true; "silent for longer than it can act")]
+    #[test_case(knows(100), true, false, true; "quiet")]
+    fn a_permit_waits_for_every_router(word: Word, alone: bool, over: bool, given: bool) {
+        let mut fleet = Fleet::asked(&["s0"]);
+        let slow = Attended { alone, over, ..says("n1", &word) };
+        fleet.run(12, &[says("n0", &knows(100)), slow]);
+        assert_eq!((fleet.out(), fleet.carrier.permit_of("s0").is_some()), (vec!["s0".into()], given));
+    }
+
+    #[test]
+    fn one_that_has_not_been_heard_keeps_a_permit_away() {
+        let mut fleet = Fleet::asked(&["s0"]);
+        let unheard = Attended { word: None, alone: false, fresh: false, ..says("n1", &Word::default()) };
+        fleet.run(12, &[says("n0", &knows(100)), unheard.clone()]);
+        assert_eq!(fleet.carrier.permit_of("s0"), None);
+        fleet.run(1, &[says("n0", &knows(100)), Attended { over: true, ..unheard }]);
+        assert!(fleet.carrier.permit_of("s0").is_some());
+    }
+
+    #[test]
+    fn a_failure_without_work_holds_it_and_calm_lets_it_go_on() {
+        let mut fleet = Fleet::asked(&["s0", "s3"]);
+        let dead = Word { unsound: vec!["s1".into()], ..knows(100) };
+        let well = [says("n0", &knows(100))];
+        fleet.run(4, &well);
+        assert!(fleet.out().is_empty(), "not calm for long enough yet");
+        let steps = fleet.step(&[says("n0", &dead)]);
+        assert!(matches!(steps[..], [Entry::OwnHold { .. }]), "{steps:?}");
+        fleet.run(10, &[says("n0", &dead)]);
+        // It is known by now: the other set's machine may go, its own neighbour may not.
+        assert_eq!(fleet.out(), ["s3"], "{:?}", fleet.carrier.books);
+        fleet.run(10, &well);
+        assert_eq!(fleet.out(), ["s0", "s3"]);
+    }
+
+    #[test]
+    fn late_lookups_hold_the_work_without_flapping() {
+        let mut fleet = Fleet::asked(&["s0"]);
+        let share = |late| [says("n0", &Word { answered: 1000, late, ..knows(100) })];
+        fleet.run(2, &share(0));
+        let mut holds = 0;
+        // Between half of the limit and the limit it stays as it is.
+        for late in [150, 80, 80, 90, 60, 80, 90, 60, 70, 80, 60, 70] {
+            holds += fleet.step(&share(late)).len();
+        }
+        assert_eq!(holds, 1, "{:?}", fleet.carrier.books.past);
+        let steps = fleet.run(7, &share(10));
+        assert!(matches!(steps[..], [Entry::GoOn { .. }, Entry::TakeOut { .. }]), "{steps:?}");
+    }
+
+    #[test]
+    fn a_machine_that_does_not_come_back_is_kept_out_until_it_is_given_back_anew() {
+        let mut fleet = Fleet::asked(&["s0", "s3"]);
+        fleet.carrier.terms.back_within = 5 * S;
+        let quiet = [says("n0", &knows(1000))];
+        fleet.run(10, &quiet);
+        let permit = fleet.carrier.permit_of("s0").expect("a permit");
+        fleet.put(Entry::Done { permit, by: "ann".into(), failed: None });
+        fleet.run(8, &quiet);
+        assert_eq!(fleet.out(), ["s0", "s3"], "kept out");
+        fleet.put(Entry::Done { permit, by: "ann".into(), failed: None });
+        fleet.run(1, &[says("n0", &Word { bear: vec!["s0".into()], ..knows(1000) })]);
+        assert_eq!(fleet.out(), ["s3"]);
+    }
+
+    #[test_case(&["s0"], |_| {}, None; "a machine that may go")]
+    #[test_case(&["s9"], |_| {}, Some("discovery lists no s9"); "one that nobody knows")]
+    #[test_case(&["s0", "s1"], |of| of.together = true, Some("can never go out: set 0"); "two of a set at once")]
+    #[test_case(&["s0", "s1"], |of| of.by_when = Some(60_000), Some("needs 2 rounds and 120 s"); "too little time")]
+    #[test_case(&["s0", "s1"], |of| of.by_when = Some(130_000), None; "time enough")]
+    fn a_request_is_answered_at_once(machines: &[&str], more: fn(&mut Request), said: Option<&str>) {
+        let mut request = ask(machines);
+        more(&mut request);
+        let entry = postcard::to_stdvec(&Entry::Ask { request }).expect("bytes");
+        let words = carrier().admits(Micros(0), &entry).err();
+        assert_eq!(words.is_some(), said.is_some(), "{words:?}");
+        assert!(said.is_none_or(|said| words.clone().unwrap_or_default().contains(said)), "{words:?}");
+    }
+
+    #[test]
+    fn a_request_for_the_last_holder_is_refused_with_words() {
+        let mut carrier = carrier();
+        let node = |at: u32| Node { name: format!("s{at}"), zone: 0, sets: vec![at], sound: true };
+        carrier.sees(World { nodes: (0..2).map(node).collect(), load: 0.0 }, 0);
+        let entry = postcard::to_stdvec(&Entry::Ask { request: ask(&["s0"]) }).expect("bytes");
+        let words = carrier.admits(Micros(0), &entry).expect_err("refused");
+        assert!(words.contains("only sound holder of set 0"), "{words}");
+    }
+
+    #[test]
+    fn nobody_puts_a_step_by_command() {
+        let step = Entry::Carry { member: "n9".into(), term: 9 };
+        assert!(carrier().admits(Micros(0), &postcard::to_stdvec(&step).expect("bytes")).is_err());
+    }
+
+    #[test]
+    fn what_one_router_alone_of_many_calls_unsound_is_sound() {
+        let one = Word { unsound: vec!["s1".into()], ..Word::default() };
+        let others = vec![Word::default(); 6];
+        let words: Vec<&Word> = others.iter().chain([&one]).collect();
+        assert!(unsound(&words).is_empty());
+        assert_eq!(unsound(&[&one, &others[0], &others[1]]).len(), 1);
+    }
+}
--- /dev/null
+++ b/works/src/room.rs
@@ -0,0 +1,276 @@
+//! What is never given up while machines are out: sound holders of each set of shards, of each zone, room for the load with
+//! a reserve. Every limit is a count of sound machines that may be missing at a time.
+
+use std::collections::HashMap;
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// What operators state.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Sound holders of each set at the least; never fewer than two where there are more, and never none.
+    pub keep: usize,
+    /// The share of each zone's machines that stays sound.
+    pub zone_share: f64,
+    /// The share of all machines that may be out at a time; one always may.
+    pub most_out: f64,
+    /// What one machine bears, in part calls a second; none: not known, and lateness alone tells.
+    pub per_node: Option<f64>,
+    /// How much more load than the measured is expected: 0.25 is a quarter more.
+    pub growth: f64,
+    /// Unplanned failures that there stays room for.
+    pub reserve: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { keep: 2, zone_share: 0.5, most_out: 0.2, per_node: None, growth: 0.25, reserve: 1 }
+    }
+}
+
+/// One machine that answers parts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Node {
+    pub name: String,
+    pub zone: u16,
+    /// The sets of shards that it holds.
+    pub sets: Vec<u32>,
+    pub sound: bool,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct World {
+    pub nodes: Vec<Node>,
+    /// Part calls a second of all routers together.
+    pub load: f64,
+}
+
+impl World {
+    pub fn number(&self, name: &str) -> Option<usize> {
+        self.nodes.iter().position(|node| node.name == name)
+    }
+}
+
+/// What keeps a machine from going out.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Binds {
+    Unknown(String),
+    /// Nobody else holds this set of shards.
+    LastHolder(u32),
+    Holders {
+        set: u32,
+        sound: usize,
+        floor: usize,
+    },
+    Zone {
+        zone: u16,
+        sound: usize,
+        floor: usize,
+    },
+    Load {
+        sound: usize,
+        floor: usize,
+    },
+    MostOut(usize),
+}
+
+impl fmt::Display for Binds {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Binds::Unknown(name) => write!(f, "discovery lists no {name}"),
+            Binds::LastHolder(set) => {
+                write!(f, "it is the only sound holder of set {set}: give that another first")
+            }
+            Binds::Holders { set, sound, floor } => {
+                write!(f, "set {set} has {sound} sound holders and keeps {floor}")
+            }
+            Binds::Zone { zone, sound, floor } => {
+                write!(f, "zone {zone} has {sound} sound machines and keeps {floor}")
+            }
+            Binds::Load { sound, floor } => {
+                write!(f, "{sound} machines are sound, the load with its reserve needs {floor}")
+            }
+            Binds::MostOut(most) => write!(f, "{most} machines are out, no more may be at a time"),
+        }
+    }
+}
+
+/// A limit: so many of its sound machines may be missing.
+#[derive(Clone, Debug)]
+struct Limit {
+    sound: usize,
+    floor: usize,
+}
+
+impl Limit {
+    fn free(&self) -> usize {
+        self.sound.saturating_sub(self.floor)
+    }
+}
+
+/// What is free of every limit. Its size is the fleet's.
+#[derive(Clone, Debug)]
+pub struct Room {
+    /// Sets first, then zones, then the load, then how many may be out at all.
+    limits: Vec<Limit>,
+    names: Vec<Name>,
+    /// By machine: the limits of which it takes one, while it is sound.
+    of: Vec<Vec<usize>>,
+    most_out: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Name {
+    Set(u32),
+    Zone(u16),
+    Load,
+    MostOut,
+}
+
+impl Room {
+    /// `out`: machines that are out now, which count against how many may be at a time.
+    pub fn of(world: &World, limits: &Limits, out: usize) -> Room {
+        let (mut all, mut names, mut at) = (Vec::<Limit>::new(), Vec::new(), HashMap::new());
+        let mut of = vec![Vec::new(); world.nodes.len()];
+        let mut totals = Vec::<usize>::new();
+        for (number, node) in world.nodes.iter().enumerate() {
+            let sets = node.sets.iter().map(|set| (0, *set));
+            for key in sets.chain([(1, u32::from(node.zone))]) {
+                let limit = *at.entry(key).or_insert_with(|| {
+                    all.push(Limit { sound: 0, floor: 0 });
+                    totals.push(0);
+                    names.push(if key.0 == 0 { Name::Set(key.1) } else { Name::Zone(node.zone) });
+                    all.len() - 1
+                });
+                totals[limit] += 1;
+                all[limit].sound += usize::from(node.sound);
+                of[number].push(limit);
+            }
+        }
+        for ((limit, name), total) in all.iter_mut().zip(&names).zip(&totals) {
+            limit.floor = match name {
+                // Two where there are more, one where there are two, and the last never goes.
+                Name::Set(_) => limits.keep.max(2).min(total - 1).max(1),
+                _ => (limits.zone_share * *total as f64).ceil() as usize,
+            };
+        }
+        let sound = world.nodes.iter().filter(|node| node.sound).count();
+        let needed = limits.per_node.filter(|per_node| *per_node > 0.0).map_or(0, |per_node| {
+            (world.load * (1.0 + limits.growth) / per_node).ceil() as usize + limits.reserve
+        });
+        let most_out = ((limits.most_out * world.nodes.len() as f64) as usize).max(1);
+        for (name, limit) in [
+            (Name::Load, Limit { sound, floor: needed }),
+            (Name::MostOut, Limit { sound: most_out, floor: out.min(most_out) }),
+        ] {
+            names.push(name);
+            all.push(limit);
+            of.iter_mut().for_each(|of| of.push(all.len() - 1));
+        }
+        for (node, of) in world.nodes.iter().zip(&mut of) {
+            if !node.sound {
+                // One that bears nothing takes nothing with it but its place among those out.
+                of.retain(|limit| matches!(names[*limit], Name::MostOut));
+            }
+        }
+        Room { limits: all, names, of, most_out }
+    }
+
+    /// What a machine's going out would break, if anything.
+    pub fn may(&self, node: usize) -> Result<(), Binds> {
+        match self.of[node].iter().find(|limit| self.limits[**limit].free() == 0) {
+            Some(limit) => Err(self.binds(*limit)),
+            None => Ok(()),
+        }
+    }
+
+    fn binds(&self, limit: usize) -> Binds {
+        let Limit { sound, floor } = self.limits[limit];
+        match self.names[limit] {
+            Name::Set(set) if sound <= 1 => Binds::LastHolder(set),
+            Name::Set(set) => Binds::Holders { set, sound, floor },
+            Name::Zone(zone) => Binds::Zone { zone, sound, floor },
+            Name::Load => Binds::Load { sound, floor },
+            Name::MostOut => Binds::MostOut(self.most_out),
+        }
+    }
+
+    pub fn take(&mut self, node: usize) {
+        for limit in &self.of[node] {
+            self.limits[*limit].sound = self.limits[*limit].sound.saturating_sub(1);
+        }
+    }
+
+    /// Whether all of them may go out together; then they are taken.
+    pub fn take_all(&mut self, nodes: &[usize]) -> Result<(), Binds> {
+        let before = self.limits.clone();
+        for node in nodes {
+            if let Err(binds) = self.may(*node) {
+                self.limits = before;
+                return Err(binds);
+            }
+            self.take(*node);
+        }
+        Ok(())
+    }
+
+    /// The limits that a machine takes of, and how many of each are free.
+    pub(crate) fn uses(&self, node: usize) -> impl Iterator<Item = (usize, usize)> + '_ {
+        self.of[node].iter().map(|limit| (*limit, self.limits[*limit].free()))
+    }
+
+    pub(crate) fn free(&self) -> Vec<usize> {
+        self.limits.iter().map(Limit::free).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use test_case::test_case;
+
+    /// Sets of holders by their numbers, as a ring of so many machines.
+    fn world(nodes: usize, sets: &[&[usize]], dead: &[usize]) -> World {
+        let node = |at: usize| Node {
+            name: format!("s{at}"),
+            zone: (at % 2) as u16,
+            sets: (0..sets.len() as u32).filter(|set| sets[*set as usize].contains(&at)).collect(),
+            sound: !dead.contains(&at),
+        };
+        World { nodes: (0..nodes).map(node).collect(), load: 0.0 }
+    }
+
+    fn open() -> Limits {
+        Limits { zone_share: 0.0, most_out: 1.0, ..Limits::default() }
+    }
+
+    #[test_case(&[&[0, 1, 2]], &[], Ok(()); "three holders, two stay")]
+    #[test_case(&[&[0, 1]], &[], Ok(()); "of two one may go")]
+    #[test_case(&[&[0]], &[], Err(Binds::LastHolder(0)); "the last holder")]
+    #[test_case(&[&[0, 1, 2]], &[1], Err(Binds::Holders { set: 0, sound: 2, floor: 2 }); "short before anything began")]
+    #[test_case(&[&[0, 1]], &[1], Err(Binds::LastHolder(0)); "its neighbour has died")]
+    #[test_case(&[&[0, 1, 2]], &[0, 1], Ok(()); "one that bears nothing takes nothing with it")]
+    fn holders_are_kept(sets: &[&[usize]], dead: &[usize], said: Result<(), Binds>) {
+        assert_eq!(Room::of(&world(6, sets, dead), &open(), 0).may(0), said);
+    }
+
+    #[test_case(Limits { zone_share: 0.7, ..open() }, 0, Err(Binds::Zone { zone: 0, sound: 3, floor: 3 }); "its zone")]
+    #[test_case(Limits { most_out: 0.2, ..open() }, 1, Err(Binds::MostOut(1)); "one is out already")]
+    #[test_case(Limits { most_out: 0.0, ..open() }, 0, Ok(()); "one always may")]
+    #[test_case(Limits { per_node: Some(10.0), ..open() }, 0, Err(Binds::Load { sound: 6, floor: 6 }); "the load")]
+    #[test_case(Limits { per_node: Some(13.0), ..open() }, 0, Ok(()); "room for the load and one failure")]
+    fn what_else_binds(limits: Limits, out: usize, said: Result<(), Binds>) {
+        let world = World { load: 40.0, ..world(6, &[&[0, 1, 2]], &[]) };
+        assert_eq!(Room::of(&world, &limits, out).may(0), said);
+    }
+
+    #[test]
+    fn together_means_all_or_none() {
+        let world = world(6, &[&[0, 1, 2], &[3, 4, 5]], &[]);
+        let mut room = Room::of(&world, &open(), 0);
+        assert_eq!(room.take_all(&[0, 1]), Err(Binds::Holders { set: 0, sound: 2, floor: 2 }));
+        assert_eq!(room.take_all(&[0, 3]), Ok(()), "nothing was taken by the try before");
+        assert!(room.may(4).is_err());
+    }
+}
