Work on machines in the router: out, quiet, permit, back; ternpick works; crews in the rig

Need: operators say what they need, the routers settle the order. A router goes by what is out as by the roster's word, and says with each request for its lease whether anything of its is there still; the one that leads gives the permit. Histories get permits, and three rules of them. Off without fleet.works.

--- a/history/src/check.rs
+++ b/history/src/check.rs
@@ -31,6 +31,12 @@
     Calls,
     /// A drained node begins nothing of lookups that were asked under the drain.
     Drains,
+    /// A permit exists once, and a machine has one at a time.
+    OnePermit,
+    /// No part is begun at a machine under a permit.
+    Quiet,
+    /// Permits leave each set of shards the holders that are stated.
+    Holders,
     /// An answer rests on its least share, and is called whole only if it is.
     Honest,
 }
@@ -79,6 +85,8 @@
     pub nowhere: u64,
     pub open: u64,
     pub parts: u64,
+    #[serde(default)]
+    pub permits: u64,
     pub ended: u64,
     pub faults: BTreeMap<String, u64>,
     /// Answers by status.
@@ -143,6 +151,11 @@
     standing: BTreeSet<String>,
     /// Drains that are surely in force, since when, and by which version.
     drains: BTreeMap<String, u64>,
+    holders: Vec<Vec<String>>,
+    keeps: usize,
+    /// Machines under a permit, and the numbers of all permits there were.
+    permits: BTreeMap<String, u64>,
+    permits_seen: BTreeSet<u64>,
 }
 
 type Checked = Result<(), Stop>;
@@ -172,10 +185,18 @@
             }
         }
         match event.what {
-            What::Begins { seen } => {
-                self.platform = seen;
+            What::Begins { seen, holders, keeps } => {
+                (self.platform, self.holders, self.keeps) = (seen, holders, keeps);
                 Ok(())
             }
+            What::Permitted { machine, permit, by } => self.permitted(machine, permit, &by),
+            What::Returned { machine, permit } => match self.permits.remove(&machine) {
+                Some(known) if known == permit => Ok(()),
+                _ => broken(
+                    Rule::Sense,
+                    format!("permit {permit} for {machine} is given back and was not had"),
+                ),
+            },
             What::Asked { lookup, router, index } => self.asked(lookup, router, index),
             What::Answered { .. } => self.answered(event.what),
             What::Unanswered { lookup, refused } => self.unanswered(&lookup, refused),
@@ -220,6 +241,30 @@
         }
     }
 
+    fn permitted(&mut self, machine: String, permit: u64, by: &str) -> Checked {
+        self.counts.permits += 1;
+        if self.permits_seen.len() >= self.bounds.versions {
+            return Err(Stop::Unreached("there are more permits than are kept".into()));
+        }
+        if !self.permits_seen.insert(permit) {
+            return broken(Rule::OnePermit, format!("{by} has permit {permit}, which there was before"));
+        }
+        if let Some(other) = self.permits.insert(machine.clone(), permit) {
+            return broken(Rule::OnePermit, format!("{machine} has permit {permit} beside {other}"));
+        }
+        for holders in self.holders.iter().filter(|holders| holders.contains(&machine)) {
+            let left = holders.iter().filter(|holder| !self.permits.contains_key(*holder)).count();
+            if left < self.keeps {
+                let words = format!(
+                    "permit {permit} for {machine} leaves {left} of its set, {} are kept",
+                    self.keeps
+                );
+                return broken(Rule::Holders, words);
+            }
+        }
+        Ok(())
+    }
+
     fn asked(&mut self, lookup: String, router: String, index: String) -> Checked {
         self.counts.lookups += 1;
         if self.open.len() >= self.bounds.lookups {
@@ -412,6 +457,12 @@
 
     fn part(&mut self, node: &str, lookup: &str, shard: u64) -> Checked {
         self.counts.parts += 1;
+        if let Some(permit) = self.permits.get(node) {
+            return broken(
+                Rule::Quiet,
+                format!("{node} begins a part of lookup {lookup} under permit {permit}"),
+            );
+        }
         let drained = self.drains.get(node).copied();
         let (within, now) = (self.bounds.drains_within, self.now);
         // One that came so late that its lookup is no longer kept is judged by nothing.
--- a/history/src/event.rs
+++ b/history/src/event.rs
@@ -38,9 +38,24 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "what")]
 pub enum What {
-    /// What holds of the platform, before any policy.
+    /// What holds of the platform, before any policy. `holders`: which machines hold each set of shards, and how many of
+    /// them work on machines leaves at the least.
     Begins {
         seen: Seen,
+        #[serde(default)]
+        holders: Vec<Vec<String>>,
+        #[serde(default)]
+        keeps: usize,
+    },
+    /// A crew has a machine under a permit, and is about to give it back.
+    Permitted {
+        machine: String,
+        permit: u64,
+        by: String,
+    },
+    Returned {
+        machine: String,
+        permit: u64,
     },
     /// A client has sent a whole lookup.
     Asked {
--- a/history/tests/checker.rs
+++ b/history/tests/checker.rs
@@ -21,7 +21,11 @@
 }
 
 fn begins() -> What {
-    What::Begins { seen: Seen { calls: BTreeMap::from([("half".into(), 3)]), drained: vec![] } }
+    What::Begins {
+        seen: Seen { calls: BTreeMap::from([("half".into(), 3)]), drained: vec![] },
+        holders: vec![["s0", "s1", "s2"].map(str::to_owned).to_vec()],
+        keeps: 2,
+    }
 }
 
 fn asked(lookup: &str) -> What {
--- a/lab/src/fleet/clients.rs
+++ b/lab/src/fleet/clients.rs
@@ -20,8 +20,9 @@
 /// The indexes, with the least share of each.
 const INDEXES: [(&str, f64); 3] = [("half", 0.5), ("whole", 1.0), ("once", 1.0)];
 
-fn request(index: &str, id: &str) -> String {
-    let parts: Vec<String> = (0..PARTS).map(|at| format!(r#"{{"tablet":{at},"fraction":0.25}}"#)).collect();
+fn request(index: &str, id: &str, first: u64, shards: u64) -> String {
+    let part = |at| format!(r#"{{"tablet":{},"fraction":0.25}}"#, (first + at) % shards);
+    let parts: Vec<String> = (0..PARTS).map(part).collect();
     let body = format!(r#"{{"tablets":[{}],"statement":"find"}}"#, parts.join(","));
     format!(
         "POST /{index} HTTP/1.1\r\nHost: x\r\nReq-Id: {id}\r\nReq-Deadline-Ms: {DEADLINE_MS}\r\nConnection: close\r\n\
@@ -86,10 +87,12 @@
         }
         let pick = number + turn as usize;
         let ((name, address), (index, least)) = (&routers[pick % routers.len()], INDEXES[pick % 5 % 3]);
+        let shards = plan.shards() as u64;
+        let first_shard = if shards == PARTS { 0 } else { (pick as u64).wrapping_mul(0x9e37_79b9) % shards };
         let lookup = format!("c{number}x{turn}");
         let asked = What::Asked { lookup: lookup.clone(), router: name.clone(), index: index.to_owned() };
         history.note(asked);
-        history.note(match ask(*address, &request(index, &lookup)) {
+        history.note(match ask(*address, &request(index, &lookup, first_shard, shards)) {
             Ok(answer) => answered(lookup, least, &answer),
             Err(refused) => What::Unanswered { lookup, refused },
         });
--- a/lab/src/fleet/fleet.cue
+++ b/lab/src/fleet/fleet.cue
@@ -24,6 +24,9 @@
 		"discovery-down", "upgrade", "power", "lead-kill", "lead-stop", "lead-disk", "lead-deaf"]
 	// The same routers without a fleet: each by its own settings, as a measure of what the fleet costs.
 	off: bool | *false
+	// Sets of shards, each held by its own machines; crews that take every machine out and back once.
+	sets: int & >=1 & <=64 | *1
+	works: bool | *false
 	// A router whose own platform allows two calls for a part, where the others' allows four.
 	stricter?: int & >=0 & <=14
 }
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! clients, operators and nodes saw becomes a history, which a checker that knows the rules alone reads afterwards.
 
 mod clients;
+mod crew;
 mod operator;
 pub mod plan;
 pub mod relay;
@@ -24,6 +25,7 @@
 
 use crate::load::Failed;
 use crate::standins::{Act, Fault, Node};
+pub use crew::Worked;
 use operator::Operator;
 pub use operator::Took;
 pub use plan::{Change, FleetPlan, Kind, Schedule, Step};
@@ -34,6 +36,8 @@
 /// How often routers are asked how they stand.
 const ASK: Duration = Duration::from_millis(150);
 /// When all is well again, all routers admit under one version within this.
+const WORKED_WITHIN: Duration = Duration::from_secs(60);
+const CREWS: usize = 3;
 const WELL_WITHIN: Duration = Duration::from_secs(30);
 
 /// What is written as it happens. A line that cannot be written spoils the history, and that is told.
@@ -71,6 +75,9 @@
     /// All routers admitted under one version in time, once nothing was broken any more; none: not in time.
     pub well_after_ms: Option<u64>,
     pub took: Vec<Took>,
+    /// Where crews worked.
+    #[serde(default)]
+    pub worked: Option<Worked>,
     pub steps: usize,
     pub changes: usize,
     /// Requests between routers, and processor time of each router, microseconds a second.
@@ -85,7 +92,8 @@
 
 impl Outcome {
     pub fn is_good(&self) -> bool {
-        matches!(self.verdict, Verdict::Accepted(_)) && self.well_after_ms.is_some()
+        let worked = self.worked.as_ref().is_none_or(|worked| worked.all_back_ms.is_some());
+        matches!(self.verdict, Verdict::Accepted(_)) && self.well_after_ms.is_some() && worked
     }
 }
 
@@ -102,7 +110,11 @@
     let history = Arc::new(History::create(&path)?);
     let calls =
         ["half", "whole", "once"].map(|index| (index.to_owned(), if index == "once" { 1 } else { 4 }));
-    history.note(What::Begins { seen: Seen { calls: calls.into(), drained: vec![] } });
+    let seen = Seen { calls: calls.into(), drained: vec![] };
+    let holders = plan.holders();
+    // Two where there are more, and never none.
+    let keeps = holders.iter().map(Vec::len).min().map_or(0, |least| 2.min(least.saturating_sub(1)).max(1));
+    history.note(What::Begins { seen, holders, keeps });
     let nodes = (0..plan.nodes).map(|_| Node::start_slow([Act::Serve; 2], Duration::from_millis(2)));
     let nodes = nodes.collect::<std::io::Result<Vec<Node>>>()?;
     let addresses: Vec<_> = nodes.iter().map(|node| node.address).collect();
@@ -112,7 +124,7 @@
         routers.admit()?;
     }
     let (stop, began) = (AtomicBool::new(false), Instant::now());
-    let took = Mutex::new(Vec::new());
+    let (took, worked) = (Mutex::new(Vec::new()), Mutex::new(None));
     let played: Result<Option<u64>, Failed> = std::thread::scope(|scope| {
         let ends = Ends(&stop);
         let clients: Vec<_> =
@@ -123,8 +135,8 @@
             scope.spawn(move || clients::client(plan, number, &clients, began, stop, history));
         }
         for (at, node) in nodes.iter().enumerate() {
-            let (history, stop) = (&*history, &stop);
-            scope.spawn(move || watch_node(at, node, stop, history));
+            let history = Arc::clone(&history);
+            node.watch(Some(Arc::new(move |letter, text: &str| parts_begin(at, letter, text, &history))));
         }
         let operator = |folder: &Path| Operator {
             program: program.to_owned(),
@@ -147,6 +159,28 @@
                 }
             });
         }
+        let crew = || crew::Crew {
+            program: program.to_owned(),
+            sockets: sockets.clone(),
+            history: &history,
+            stop: &stop,
+        };
+        if plan.works {
+            let (asks, worked) = (crew(), &worked);
+            let crews: Vec<_> = (0..CREWS).map(|_| crew()).collect();
+            scope.spawn(move || {
+                let began = Instant::now();
+                let Some(request) = asks.ask(plan) else { return };
+                std::thread::scope(|scope| {
+                    for (number, crew) in crews.iter().enumerate() {
+                        let name = format!("crew{number}");
+                        scope.spawn(move || crew.work(&name, number, request, number == 1));
+                    }
+                    let of = asks.watch(plan, request, began);
+                    *worked.lock().unwrap_or_else(PoisonError::into_inner) = Some(of);
+                });
+            });
+        }
         let mut player = Player {
             routers: &mut routers,
             nodes: &nodes,
@@ -155,6 +189,13 @@
         };
         let broke = player.play(schedule, began);
         let well = if plan.off { Ok(Some(0)) } else { player.heal() };
+        // What the crews have in hand is finished with nothing broken.
+        let late = Instant::now() + WORKED_WITHIN;
+        let is_done = || worked.lock().unwrap_or_else(PoisonError::into_inner).is_some();
+        while plan.works && well.is_ok() && !is_done() && Instant::now() < late {
+            std::thread::sleep(ASK);
+            player.look(&mut Vec::new())?;
+        }
         // A little more, with nothing broken.
         if broke.is_ok() && well.is_ok() {
             std::thread::sleep(Duration::from_millis(500));
@@ -172,12 +213,14 @@
     let cpu = routers.all.iter_mut().map(|router| (router.cpu() as f64 / seconds) as u64).collect();
     let carried = routers.relay.carried();
     drop(routers);
-    let history =
-        Arc::into_inner(history).ok_or_else(|| std::io::Error::other("the history is still written to"))?;
+    nodes.iter().for_each(|node| node.watch(None));
+    let history = alone(history)?;
     history.finish()?;
     let verdict = check(BufReader::new(File::open(&path)?), Bounds::default());
     let (first_part, refused_whole) = report::first_parts(&path)?;
     let took = took.into_inner().unwrap_or_else(PoisonError::into_inner);
+    let worked = worked.into_inner().unwrap_or_else(PoisonError::into_inner);
+    let worked = plan.works.then(|| worked.unwrap_or_default());
     let (steps, changes) = (schedule.steps.len(), schedule.changes.len());
     let outcome = Outcome {
         name: plan.name.clone(),
@@ -185,6 +228,7 @@
         verdict,
         well_after_ms,
         took,
+        worked,
         steps,
         changes,
         carried,
@@ -198,6 +242,18 @@
     Ok(outcome)
 }
 
+/// The history, once nobody else writes to it: a node may be about to.
+fn alone(mut history: Arc<History>) -> std::io::Result<History> {
+    for _ in 0..200 {
+        match Arc::try_unwrap(history) {
+            Ok(history) => return Ok(history),
+            Err(still) => history = still,
+        }
+        std::thread::sleep(LOOK);
+    }
+    Err(std::io::Error::other("the history is still written to"))
+}
+
 /// A folder in memory.
 fn in_memory() -> std::io::Result<tempfile::TempDir> {
     let shared = Path::new("/dev/shm");
@@ -217,23 +273,19 @@
     }
 }
 
-/// Writes down each part that a node begins.
-fn watch_node(at: usize, node: &Node, stop: &AtomicBool, history: &History) {
-    let frames = node.frames.lock().unwrap_or_else(PoisonError::into_inner);
-    while !stop.load(Ordering::Relaxed) {
-        let Ok((letter, text)) = frames.recv_timeout(Duration::from_millis(50)) else { continue };
-        if letter != 'q' {
-            continue;
-        }
-        let mut left = text.as_str();
-        while let Some((line, more)) = left.split_once('\n') {
-            let words: Vec<&str> = line.split(' ').collect();
-            let length = words.get(3).and_then(|word| word.parse::<usize>().ok());
-            let (Some(length), Some((lookup, shard))) = (length, words[0].rsplit_once('.')) else { break };
-            let shard = shard.parse().unwrap_or_default();
-            history.note(What::Part { node: format!("s{at}"), lookup: lookup.to_owned(), shard });
-            left = more.get(length..).unwrap_or_default();
-        }
+/// Writes down each part that a node begins, as it reads it.
+fn parts_begin(at: usize, letter: char, text: &str, history: &History) {
+    if letter != 'q' {
+        return;
+    }
+    let mut left = text;
+    while let Some((line, more)) = left.split_once('\n') {
+        let words: Vec<&str> = line.split(' ').collect();
+        let length = words.get(3).and_then(|word| word.parse::<usize>().ok());
+        let (Some(length), Some((lookup, shard))) = (length, words[0].rsplit_once('.')) else { break };
+        let shard = shard.parse().unwrap_or_default();
+        history.note(What::Part { node: format!("s{at}"), lookup: lookup.to_owned(), shard });
+        left = more.get(length..).unwrap_or_default();
     }
 }
 
--- a/lab/src/fleet/plan.rs
+++ b/lab/src/fleet/plan.rs
@@ -78,10 +78,36 @@
     /// Without a fleet.
     #[serde(default)]
     pub off: bool,
+    /// Sets of shards, each held by its own machines; more than one has twelve shards.
+    #[serde(default = "one")]
+    pub sets: usize,
+    /// Crews take every machine out and back once.
+    #[serde(default)]
+    pub works: bool,
     /// A router whose own platform allows two calls for a part, where the others' allows four.
     pub stricter: Option<usize>,
 }
 
+fn one() -> usize {
+    1
+}
+
+impl FleetPlan {
+    pub fn shards(&self) -> usize {
+        if self.sets > 1 {
+            12
+        } else {
+            4
+        }
+    }
+
+    /// Which machines hold each set.
+    pub fn holders(&self) -> Vec<Vec<String>> {
+        let own = |set: usize| (0..self.nodes).filter(move |at| at % self.sets == set);
+        (0..self.sets).map(|set| own(set).map(|at| format!("s{at}")).collect()).collect()
+    }
+}
+
 /// One thing that goes wrong, and when; milliseconds from the beginning.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Step {
--- a/lab/src/fleet/routers.rs
+++ b/lab/src/fleet/routers.rs
@@ -17,7 +17,7 @@
 use super::History;
 use crate::load::Failed;
 use crate::process;
-use crate::standins::{entry, Discovery};
+use crate::standins::{entry_of, Discovery};
 
 const BOUND: Duration = Duration::from_secs(10);
 const TURN: Duration = Duration::from_millis(2);
@@ -85,13 +85,15 @@
                        {{"name":"once","semantics":"at_most_once","onTime":600000,"deadline":1500000}}],
             "ceilings":{{"attemptsCap":{},"cancel":true,"dialTimeout":250000,"idleClose":9000000,"mostHeld":2000,
                 "secondCopies":true,"streamsPerConn":64}},
-            "extra":{{"bundleMax":8,"classNeed":[1,1,1],"minShare":[0.5,1,1],"positions":1,"reach":1,"shards":4}},
+            "extra":{{"bundleMax":8,"classNeed":[1,1,1],"minShare":[0.5,1,1],"positions":{},"reach":1,"shards":{}}},
             "report":{{"via":"inline","columns":["depth"]}},"rules":{{"askWithin":60000000}}}}}}"#,
         router.name,
         router.address,
         0x70 + router.address.port(),
         plan.routers,
-        if plan.stricter.is_some_and(|at| router.name == format!("n{at}")) { 2 } else { 4 }
+        if plan.stricter.is_some_and(|at| router.name == format!("n{at}")) { 2 } else { 4 },
+        plan.sets,
+        plan.shards()
     )
 }
 
@@ -110,10 +112,14 @@
     if plan.off {
         return format!("control: {{socket: {:?}, pid_file: {:?}}}\n", router.socket, router.pid_file);
     }
+    let works = match plan.works {
+        true => "\tworks: {lingers: 1500ms, calm: 300ms, most_out: 0.5, zone_share: 0.3, back_within: 20s, late_over: 0.5}\n",
+        false => "",
+    };
     let (socket, pid, folder) = (&router.socket, &router.pid_file, &router.folder);
     format!(
         "control: {{socket: {socket:?}, upgrade: true, pid_file: {pid:?}}}\nfleet: {{\n\tname: \"rig\"\n\tlisten: \
-         \"{listen}\"\n\tfolder: {folder:?}\n\tlease: {}us\n\trenew: {}us\n\tmembers: {{\n{}\t}}\n}}\n",
+         \"{listen}\"\n\tfolder: {folder:?}\n\tlease: {}us\n\trenew: {}us\n{works}\tmembers: {{\n{}\t}}\n}}\n",
         plan.lease,
         plan.renew,
         members.concat()
@@ -139,7 +145,7 @@
             let listed: Vec<String> = pipes
                 .iter()
                 .enumerate()
-                .map(|(at, pipe)| entry(&format!("s{at}"), pipe.address, "Ready"))
+                .map(|(at, pipe)| entry_of(&format!("s{at}"), pipe.address, "Ready", at % plan.sets))
                 .collect();
             let listed = listed.join(",");
             discovery.set(|roster| (roster.version, roster.changes) = (1, listed.clone()));
--- a/lab/src/standins.rs
+++ b/lab/src/standins.rs
@@ -60,9 +60,13 @@
     suffers: Mutex<Option<Fault>>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
     told: SyncSender<(char, String)>,
+    /// Hears of each frame as it is read, before anything is done with it.
+    watcher: Mutex<Option<Watcher>>,
     sends: Mutex<HashMap<String, u64>>,
 }
 
+type Watcher = Arc<dyn Fn(char, &str) + Send + Sync>;
+
 pub struct Node {
     pub address: SocketAddr,
     /// By shard: the first, and all others.
@@ -98,6 +102,7 @@
             suffers: Mutex::default(),
             streams: Arc::clone(&streams),
             told,
+            watcher: Mutex::default(),
             sends: Mutex::default(),
         });
         let (address, frames) = (listener.local_addr()?, Mutex::new(frames));
@@ -124,6 +129,11 @@
         }
     }
 
+    /// From now on each frame is told as it is read; or no more.
+    pub fn watch(&self, watcher: Option<Watcher>) {
+        *lock(&self.shared.watcher) = watcher;
+    }
+
     pub fn recovers(&self) {
         *lock(&self.shared.suffers) = None;
     }
@@ -201,6 +211,10 @@
                 Ok(Some(letter)) => {
                     let text = String::from_utf8_lossy(&into).into_owned();
                     into.clear();
+                    let watcher = lock(&shared.watcher).clone();
+                    if let Some(watcher) = watcher {
+                        watcher(letter.into(), &text);
+                    }
                     if letter == b'q' {
                         take(&text, shared, &mut due, &mut number);
                     }
@@ -346,7 +360,12 @@
 }
 
 pub fn entry(name: &str, address: SocketAddr, status: &str) -> String {
+    entry_of(name, address, status, 0)
+}
+
+/// The same, of a group.
+pub fn entry_of(name: &str, address: SocketAddr, status: &str, group: usize) -> String {
     format!(
-        r#"{{"name":"{name}","address":"{address}","zone":"a","group":0,"status":"{status}","since_ms":0}}"#
+        r#"{{"name":"{name}","address":"{address}","zone":"a","group":{group},"status":"{status}","since_ms":0}}"#
     )
 }
--- a/policy/src/chair.rs
+++ b/policy/src/chair.rs
@@ -25,7 +25,7 @@
     Put(Entry),
     /// Make sure that this router leads still, and tell with [`Chair::confirmed`].
     Ask(u64),
-    Tell(Member, Told),
+    Tell(Member, Box<Told>),
     Say(String),
 }
 
@@ -154,7 +154,7 @@
     /// A router asks.
     pub fn hear(&mut self, now: Micros, register: &Register, of: Renew) -> Vec<Order> {
         if !register.members.contains_key(&of.member) {
-            return vec![Order::Tell(of.member, Told { stranger: true, ..Told::default() })];
+            return vec![Order::Tell(of.member, Box::new(Told { stranger: true, ..Told::default() }))];
         }
         // What came late or twice says less than what is known.
         let newer = |heard: &Heard| heard.incarnation != of.incarnation || heard.seq < of.seq;
@@ -240,7 +240,7 @@
                 self.leases.insert((member.clone(), waiting.incarnation), waiting.came);
             }
             let told = self.told(register, &member, grant);
-            orders.push(Order::Tell(member, told));
+            orders.push(Order::Tell(member, Box::new(told)));
         }
         orders
     }
@@ -389,7 +389,7 @@
         for member in there {
             let told = self.told(register, &member, None);
             if told.view.is_some() {
-                orders.push(Order::Tell(member, told));
+                orders.push(Order::Tell(member, Box::new(told)));
             }
         }
     }
@@ -425,7 +425,12 @@
                 over: !self.terms.serve_without && others(None),
             }
         };
-        register.members.keys().chain(gone.iter().filter(|of| !register.members.contains_key(*of))).map(of).collect()
+        register
+            .members
+            .keys()
+            .chain(gone.iter().filter(|of| !register.members.contains_key(*of)))
+            .map(of)
+            .collect()
     }
 
     /// When time alone may change something.
--- a/policy/src/council.rs
+++ b/policy/src/council.rs
@@ -373,7 +373,7 @@
                         seat.ask(term << 32 | number);
                     }
                 }
-                Order::Tell(to, told) => self.say(&to, Said::Told(told)),
+                Order::Tell(to, told) => self.say(&to, Said::Told(*told)),
                 Order::Say(line) => self.log(Level::Info, line),
             }
         }
--- a/policy/src/model.rs
+++ b/policy/src/model.rs
@@ -158,7 +158,7 @@
                         let lead = &mut self.leads[at];
                         orders.extend(lead.chair.confirmed(now, &lead.register, number));
                     }
-                    Order::Tell(to, told) => self.post(Letter::Tell(usize::from(to != member(0)), told)),
+                    Order::Tell(to, told) => self.post(Letter::Tell(usize::from(to != member(0)), *told)),
                     _ => {}
                 }
             }
--- a/router/src/fleet/cli.rs
+++ b/router/src/fleet/cli.rs
@@ -25,10 +25,10 @@
 pub struct Wait {
     /// How long an outcome is waited for; past it the outcome is open (exit status 3), never "failed"
     #[arg(long, default_value = "10s", value_parser = humantime::parse_duration)]
-    timeout: Duration,
+    pub(super) timeout: Duration,
     /// The number of this command; said again with the same one it is done once
     #[arg(long)]
-    op: Option<u64>,
+    pub(super) op: Option<u64>,
 }
 
 #[derive(Subcommand)]
@@ -160,14 +160,14 @@
     },
 }
 
-type Done = Result<ExitCode, String>;
+pub(super) type Done = Result<ExitCode, String>;
 
 fn text_of(file: &Path) -> Result<String, String> {
     std::fs::read_to_string(file).map_err(|e| format!("cannot read {}: {e}", file.display()))
 }
 
 /// Asks the router; one that stands still is given up a little after the time in which it was to answer.
-fn to_fleet(socket: &Socket, question: Value) -> Result<Value, String> {
+pub(super) fn to_fleet(socket: &Socket, question: Value) -> Result<Value, String> {
     let mut question = question;
     question["do"] = "fleet".into();
     let within = Duration::from_millis(question["wait_ms"].as_u64().unwrap_or(0)).saturating_add(SILENT);
@@ -180,7 +180,7 @@
 }
 
 /// Says how a command ended, and exits by it.
-fn finish(socket: &Socket, said: &Value, line: impl FnOnce() -> String) -> Done {
+pub(super) fn finish(socket: &Socket, said: &Value, line: impl FnOnce() -> String) -> Done {
     let code = match (said["ok"] == true, said["unknown"] == true) {
         (true, _) => ExitCode::SUCCESS,
         (_, true) => ExitCode::from(OPEN),
@@ -209,7 +209,7 @@
 }
 
 /// Words and numbers of a row, as a person reads them.
-fn word(of: &Value) -> String {
+pub(super) fn word(of: &Value) -> String {
     match of {
         Value::Null => "-".into(),
         Value::String(text) => text.clone(),
@@ -329,7 +329,7 @@
     println!("{member}: version {version}{next}; {}; {} leads", word(&of["admission"]), word(&of["leader"]));
 }
 
-fn nobody(socket: &Socket) -> Done {
+pub(super) fn nobody(socket: &Socket) -> Done {
     let said = json!({"ok": false, "unknown": true, "line": "nobody that leads is reached"});
     finish(socket, &said, String::new)
 }
--- a/router/src/fleet/commands.rs
+++ b/router/src/fleet/commands.rs
@@ -50,6 +50,9 @@
 /// What the one that leads says to a question; none: this one does not lead.
 pub fn look(council: &Council, what: &str, now: Micros) -> Option<String> {
     let (chair, register) = council.chair()?;
+    if let Some(answer) = council.annex.look(now, what) {
+        return Some(answer);
+    }
     let mut answer = policy(register);
     let mut seen = chair.members(now, register);
     let is_silent = |of: &ternpick_policy::Seen| of.heard.is_none_or(|ago| ago.0 > 1_000_000);
@@ -131,11 +134,12 @@
                 ),
             }
         }
-        _ => json!({"done": true, "ok": false, "line": "ask for status, show, check, look or do"}),
+        Some("works") => crate::fleet::works::answer(router, fleet, asked, op, wait).await,
+        _ => json!({"done": true, "ok": false, "line": "ask for status, show, check, look, do or works"}),
     }
 }
 
 /// Nobody can tell: neither done nor refused.
-fn unknown(words: &str) -> Value {
+pub fn unknown(words: &str) -> Value {
     json!({"done": true, "ok": false, "unknown": true, "line": words})
 }
--- a/router/src/fleet/drive.rs
+++ b/router/src/fleet/drive.rs
@@ -86,7 +86,8 @@
                 self.council.borrow_mut().checked(paper.number, verdict);
             }
             Effect::Use(paper) => self.put_in_force(router, &paper),
-            Effect::Members(_) | Effect::Outs(..) => {}
+            Effect::Members(_) => {}
+            Effect::Outs(index, outs) => self.goes_by(router, index, &outs),
             Effect::Say(line) => tracing::info!("{line}"),
         }
     }
@@ -108,6 +109,7 @@
 
     /// What has come, and what time has brought; when the next turn is due comes back.
     fn turn(&self, router: &Rc<Router>, me: &Rc<Fleet>) -> Micros {
+        let look = self.look_at_works(router);
         for _ in 0..MOST_TURNS {
             let now = router.clock.now();
             while let Some(parcel) = self.next_parcel() {
@@ -125,7 +127,8 @@
             self.changed.notify(usize::MAX);
         }
         self.close_posts();
-        self.council.borrow().next_due(router.clock.now())
+        let due = self.council.borrow().next_due(router.clock.now());
+        look.map_or(due, |look| due.min(look))
     }
 
     /// An operator's wish, until something is heard of it or its time is up.
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -10,6 +10,8 @@
 pub mod drive;
 pub mod parcel;
 pub mod post;
+pub mod works;
+pub mod works_cli;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -78,6 +80,8 @@
     /// What discovery last said of each node, by name; emptied by it.
     listed: RefCell<BTreeMap<String, Listing>>,
     drained: RefCell<BTreeSet<String>>,
+    /// Work on machines, where the settings have it.
+    pub works: Option<works::Works>,
     /// Bytes and parcels that went out and came in.
     pub traffic: Cell<(u64, u64, u64, u64)>,
     /// This router's ways to the others, by name; one ends when its member is no longer one.
@@ -156,6 +160,12 @@
         let mut council = Council::new(id, terms, seat_terms, keeper, founders(&settings), chance(), now);
         #[cfg(feature = "planted")]
         plant(&mut council);
+        let works = settings.works.as_ref().map(works::Works::new);
+        if let Some(works) = &works {
+            council.annex = Box::new(works.carrier.clone());
+            #[cfg(feature = "planted")]
+            works.plant();
+        }
         Rc::new(Fleet {
             id,
             folder: settings.folder.clone().into(),
@@ -174,6 +184,7 @@
             customers,
             listed: RefCell::default(),
             drained: RefCell::default(),
+            works,
             traffic: Cell::new((0, 0, 0, 0)),
             posts: RefCell::default(),
         })
@@ -268,7 +279,11 @@
         let drained: BTreeSet<String> = record.drained.iter().cloned().collect();
         let before = self.drained.replace(drained);
         let changed: Vec<String> = before.symmetric_difference(&self.drained.borrow()).cloned().collect();
-        // Nodes that operators drain reach the module as the roster's word does.
+        self.drains(router, &changed);
+    }
+
+    /// Nodes that operators drain, or take out, reach the module as the roster's word does.
+    fn drains(&self, router: &Router, changed: &[String]) {
         router.play(|brain, now, out| {
             let rows: Vec<Listing> = changed.iter().filter_map(|name| self.listing(name, out)).collect();
             brain.drains(now, &rows, out);
@@ -282,8 +297,9 @@
     }
 
     fn stricter(&self, name: &str, phase: Phase) -> Phase {
+        let out = self.works.as_ref().is_some_and(|works| works.is_out(name));
         match phase {
-            Phase::Ready if self.drained.borrow().contains(name) => Phase::Draining,
+            Phase::Ready if out || self.drained.borrow().contains(name) => Phase::Draining,
             phase => phase,
         }
     }
--- a/router/src/lifecycle/cli.rs
+++ b/router/src/lifecycle/cli.rs
@@ -7,6 +7,7 @@
 use ternpick::types::Micros;
 
 use crate::fleet::cli as fleet;
+use crate::fleet::works_cli;
 use crate::lifecycle::reload::Source;
 use crate::lifecycle::tls::Tls;
 use crate::lifecycle::{config, control, settings, start, takeover, tools};
@@ -58,6 +59,9 @@
     /// Tells and changes who belongs to the fleet, and who votes
     #[command(subcommand)]
     Fleet(fleet::FleetCommand),
+    /// Takes machines out for work, in an order that the routers settle, and back again
+    #[command(subcommand)]
+    Works(works_cli::Works),
     /// Tells what callers may do
     #[command(subcommand)]
     Rights(tools::RightsCommand),
@@ -113,6 +117,10 @@
             Ok(code) => return code,
             Err(what) => Err(what),
         },
+        Command::Works(command) => match works_cli::works(command) {
+            Ok(code) => return code,
+            Err(what) => Err(what),
+        },
         Command::Version => {
             println!("ternpick {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- a/router/src/lifecycle/settings.cue
+++ b/router/src/lifecycle/settings.cue
@@ -62,6 +62,29 @@
 	confirm: bool | *false
 	// Without a word of the one that leads for so long, and up to as much more by chance, another one is voted for.
 	election: duration & >=100ms & <=1min | *500ms
+	// Work on machines: off without.
+	works?: #Works
+}
+
+// What is never given up while machines are out for work.
+#Works: {
+	// Sound holders of each shard; never fewer than two where there are more, and never the last.
+	keep: int & >=1 & <=64 | *2
+	// The share of each zone's machines that stays, and the share of all that may be out at a time (one always may).
+	zone_share: number & >=0 & <=1 | *0.5
+	most_out: number & >=0 & <=1 | *0.2
+	// Part calls a second that one machine bears, if known; the measured load, so much more, and so many failures have room.
+	per_node?: number & >0
+	growth: number & >=0 & <=10 | *0.25
+	reserve: int & >=0 & <=64 | *1
+	// The longest deadline of any lookup: for so long a router without a lease may still act on what it admitted.
+	lingers: duration & >=100ms & <=10min | *10s
+	// A machine that was given back and does not bear load within this is kept out.
+	back_within: duration & >=1s & <=24h | *10min
+	// Nothing more goes out before all has been well for so long; held while more than this share of lookups is late,
+	// failed or refused, and on again below half of it.
+	calm: duration & >=100ms & <=1h | *10s
+	late_over: number & >0 & <=1 | *0.1
 }
 
 #Member: {
--- a/router/src/lifecycle/start.rs
+++ b/router/src/lifecycle/start.rs
@@ -99,6 +99,17 @@
     };
     let inherits = matches!(from, From::Process(..));
     let clock = Clock::start();
+    let lingers = settings.fleet.as_ref().and_then(|fleet| fleet.works.as_ref()).map(|works| works.lingers);
+    if let (Some(lingers), Some(longest)) = (lingers, bounds.longest_deadline) {
+        if lingers < longest.0 {
+            return Err(format!(
+                "fleet.works.lingers is {} ms, the longest deadline here is {} ms: a router without a lease could still act \
+                 on a machine under a permit",
+                lingers / 1000,
+                longest.0 / 1000
+            ));
+        }
+    }
     let fleet = settings.fleet.map(|terms| {
         Fleet::new(terms, &name, &tariff, &bounds.index_names, customers, inherits, clock.now())
     });
--- a/router/src/stages/book.rs
+++ b/router/src/stages/book.rs
@@ -23,6 +23,8 @@
     pub nacked: u64,
     pub aborted: u64,
     pub lapsed: u64,
+    /// Satisfied, and after their soft deadline.
+    pub late: u64,
     /// Beyond the most that may be held, before the module saw them.
     pub turned_away: u64,
     pub calls: u64,
@@ -130,6 +132,7 @@
         let Some(held) = self.ledger.close(id) else { return };
         let took = self.now.since(held.taken.at);
         held.taken.span.in_scope(|| tracing::debug!("book: {status} after {} us", took.0));
+        self.counts.late += u64::from(status == 200 && took > held.taken.soft);
         if let (Some(limits), Some(tenant)) = (&mut self.limits, held.taken.tenant) {
             limits.given_back(self.now, tenant, took, took > held.taken.soft);
         }
--- a/works/src/books.rs
+++ b/works/src/books.rs
@@ -380,7 +380,12 @@
         }
         self.note(
             at,
-            format!("request {number} by {}: {} machines, {}", request.by, request.machines.len(), request.why),
+            format!(
+                "request {number} by {}: {} machines, {}",
+                request.by,
+                request.machines.len(),
+                request.why
+            ),
         );
         self.requests.insert(number, request);
         Ok(number.0)
--- a/works/src/carrier.rs
+++ b/works/src/carrier.rs
@@ -59,6 +59,14 @@
     AnyWord,
 }
 
+/// A member, as it was heard at the last look.
+struct Heard {
+    member: Member,
+    word: Option<Word>,
+    alone: bool,
+    over: bool,
+}
+
 pub struct Carrier {
     pub terms: Terms,
     pub books: Books,
@@ -71,7 +79,7 @@
     /// When this one first saw a machine on its way back.
     returning: BTreeMap<(RequestNo, String), Micros>,
     /// Words of the last look, for people: who waits for whom.
-    attended: Vec<(Member, Option<Word>, bool, bool)>,
+    attended: Vec<Heard>,
     led_term: u64,
     pub planted: Option<Planted>,
 }
@@ -102,29 +110,36 @@
         let mut world = self.world.clone();
         let (unsound, working) = (unsound(words), self.books.active());
         for node in &mut world.nodes {
-            node.sound = !unsound.contains(node.name.as_str()) && !(active && working.contains(node.name.as_str()));
+            node.sound =
+                !(unsound.contains(node.name.as_str()) || active && working.contains(node.name.as_str()));
         }
         let calls: u64 = words.iter().map(|word| u64::from(word.calls)).sum();
         world.load = calls as f64;
         world
     }
 
+    /// Words of all that have been heard.
+    fn words(&self) -> Vec<&Word> {
+        self.attended.iter().filter_map(|of| of.word.as_ref()).collect()
+    }
+
     /// Whom a machine that went out at a place still waits for.
-    fn waits_for<'a>(&self, machine: &str, at: Index, of: impl Iterator<Item = &'a (Member, Option<Word>, bool, bool)>) -> Vec<&'a Member> {
-        let waits = |(_, word, alone, over): &&(Member, Option<Word>, bool, bool)| {
-            let quiet = word.as_ref().is_some_and(|word| {
+    fn waits_for(&self, machine: &str, at: Index) -> Vec<&Member> {
+        let waits = |of: &&Heard| {
+            let quiet = of.word.as_ref().is_some_and(|word| {
                 let knows = word.goes_by >= at || self.planted == Some(Planted::AnyWord);
                 knows && !word.busy.iter().any(|name| name == machine)
             });
-            let silent = word.is_none() && self.planted == Some(Planted::SilentIsQuiet);
-            !(quiet && *alone || *over || silent || self.planted == Some(Planted::NoWaiting))
+            let silent = of.word.is_none() && self.planted == Some(Planted::SilentIsQuiet);
+            !(quiet && of.alone || of.over || silent || self.planted == Some(Planted::NoWaiting))
         };
-        of.filter(waits).map(|(member, ..)| member).collect()
+        self.attended.iter().filter(waits).map(|of| &of.member).collect()
     }
 
     /// Requests in their order: by deadline, then by priority.
     fn ordered(&self) -> Vec<(RequestNo, &Request)> {
-        let mut all: Vec<(RequestNo, &Request)> = self.books.requests.iter().map(|(no, of)| (*no, of)).collect();
+        let mut all: Vec<(RequestNo, &Request)> =
+            self.books.requests.iter().map(|(no, of)| (*no, of)).collect();
         all.sort_by_key(|(no, of)| (of.by_when.unwrap_or(u64::MAX), u8::MAX - of.priority, *no));
         all
     }
@@ -160,7 +175,7 @@
 
     fn planned(&self, more: Option<&Request>) -> (Plan, Vec<Item>, World) {
         // What is out now will be there again; what fails without work may not.
-        let words: Vec<&Word> = self.attended.iter().filter_map(|(_, word, ..)| word.as_ref()).collect();
+        let words = self.words();
         let mut world = self.standing(&words, false);
         let working = self.books.active();
         for node in &mut world.nodes {
@@ -188,17 +203,20 @@
         self.returning.retain(|key, _| {
             self.books.jobs.get(key).is_some_and(|job| matches!(job.stage, Stage::Returns { .. }))
         });
-        let fresh: Vec<&Word> = self.attended.iter().filter_map(|(_, word, ..)| word.as_ref()).collect();
+        let fresh = self.words();
         let bad = unsound(&fresh);
         let mut since = Vec::new();
         for (key, job) in jobs {
             match job.stage {
-                Stage::Out if self.waits_for(&key.1, job.at, self.attended.iter()).is_empty() => {
+                Stage::Out if self.waits_for(&key.1, job.at).is_empty() => {
                     steps.push(Entry::Permit { fence, job: key, now: wall });
                 }
                 Stage::Returns { .. } => {
-                    let bears = fresh.iter().any(|word| word.bear.contains(&key.1));
                     let began = self.returning.get(&key).copied();
+                    // Nobody has anything for it: after a while discovery's word is all there is.
+                    let idle = !fresh.is_empty() && fresh.iter().all(|word| word.idle.contains(&key.1));
+                    let calm = began.is_some_and(|began| now.since(began).0 >= self.terms.calm);
+                    let bears = fresh.iter().any(|word| word.bear.contains(&key.1)) || idle && calm;
                     if bears && !bad.contains(key.1.as_str()) {
                         steps.push(Entry::Back { fence, job: key, now: wall });
                     } else if began.is_some_and(|began| now.since(began).0 > self.terms.back_within) {
@@ -216,7 +234,7 @@
     /// Whether the work is held, or goes on.
     fn hold(&mut self, now: Micros, steps: &mut Vec<Entry>) {
         let fence = self.books.fence;
-        let words: Vec<&Word> = self.attended.iter().filter_map(|(_, word, ..)| word.as_ref()).collect();
+        let words = self.words();
         let working = self.books.active();
         let failing: BTreeSet<String> = unsound(&words)
             .into_iter()
@@ -228,7 +246,7 @@
         let share = f64::from(late) / f64::from(answered.max(1));
         let says = answered >= LEAST_ANSWERED;
         let new: Vec<String> = failing.difference(&self.failing).cloned().collect();
-        let known = std::mem::replace(&mut self.failing, failing);
+        self.failing = failing;
         let held = self.books.hold.as_ref().map(|hold| hold.own);
         let limit = if held == Some(true) { self.terms.late_over / 2.0 } else { self.terms.late_over };
         let why = if !new.is_empty() {
@@ -238,7 +256,6 @@
         } else {
             None
         };
-        let _ = known;
         let active = !self.books.jobs.is_empty();
         match (why, held) {
             (Some(why), None) if active => {
@@ -261,7 +278,7 @@
         if self.books.hold.is_some() || !calm || self.world.nodes.is_empty() {
             return;
         }
-        let words: Vec<&Word> = self.attended.iter().filter_map(|(_, word, ..)| word.as_ref()).collect();
+        let words = self.words();
         if words.iter().filter(|word| word.more > 0).count() * ONE_IN >= words.len().max(1) {
             return;
         }
@@ -295,7 +312,7 @@
     fn row(&self, key: &(RequestNo, String), job: &Job, binds: &BTreeMap<String, Binds>) -> Value {
         let waits: Vec<String> = match job.stage {
             Stage::Out => {
-                let members = self.waits_for(&key.1, job.at, self.attended.iter());
+                let members = self.waits_for(&key.1, job.at);
                 members.iter().map(|member| member.0.clone()).collect()
             }
             _ => Vec::new(),
@@ -316,11 +333,13 @@
 
     /// What an operator sees: machines, states, since when, who waits for what; and the plan.
     fn table(&self) -> Value {
-        let words: Vec<&Word> = self.attended.iter().filter_map(|(_, word, ..)| word.as_ref()).collect();
+        let words = self.words();
         let world = self.standing(&words, true);
         let room = Room::of(&world, &self.terms.limits, self.books.active().len());
         let mut binds = BTreeMap::new();
-        for (_, machine) in self.books.jobs.iter().filter(|(_, job)| job.stage == Stage::Waits).map(|(key, _)| key) {
+        for (_, machine) in
+            self.books.jobs.iter().filter(|(_, job)| job.stage == Stage::Waits).map(|(key, _)| key)
+        {
             let said = match world.number(machine) {
                 Some(at) => room.may(at).err(),
                 None => Some(Binds::Unknown(machine.clone())),
@@ -345,7 +364,8 @@
             let machines: Vec<&str> = round.items.iter().flat_map(names).collect();
             json!({"machines": machines, "lasts_ms": round.lasts / 1000})
         });
-        let cannot = plan.cannot.iter().map(|(at, binds)| json!({"machines": names(at), "binds": binds.to_string()}));
+        let cannot =
+            plan.cannot.iter().map(|(at, binds)| json!({"machines": names(at), "binds": binds.to_string()}));
         let lasts: u64 = plan.rounds.iter().map(|round| round.lasts / 1000).sum();
         json!({"rounds": rounds.collect::<Vec<_>>(), "cannot": cannot.collect::<Vec<_>>(),
             "bound": plan.bound, "lasts_ms": lasts})
@@ -421,7 +441,8 @@
             return Err(format!("{} can never go out: {binds}", names.join(", ")));
         }
         if let Some(by_when) = request.by_when {
-            let last = plan.rounds.iter().rposition(|round| round.items.iter().any(own)).map_or(0, |at| at + 1);
+            let last =
+                plan.rounds.iter().rposition(|round| round.items.iter().any(own)).map_or(0, |at| at + 1);
             let lasts: u64 = plan.rounds[..last].iter().map(|round| round.lasts / 1000).sum();
             let begins = request.not_before.unwrap_or(0).max(self.wall);
             if begins + lasts > by_when {
@@ -446,7 +467,7 @@
         }
         let read = |of: &Attended| {
             let word = of.word.as_ref().and_then(|word| Word::read(word));
-            (of.member.clone(), word, of.alone, of.over)
+            Heard { member: of.member.clone(), word, alone: of.alone, over: of.over }
         };
         self.attended = attended.iter().map(read).collect();
         if self.books.requests.is_empty() && self.books.jobs.is_empty() && self.books.gone.is_empty() {
@@ -506,7 +527,8 @@
     }
 
     pub fn permit_of(&self, machine: &str) -> Option<PermitNo> {
-        let found = self.books.jobs.iter().find(|((_, of), job)| of == machine && job.stage.permit().is_some());
+        let found =
+            self.books.jobs.iter().find(|((_, of), job)| of == machine && job.stage.permit().is_some());
         found.and_then(|(_, job)| job.stage.permit())
     }
 }
--- a/works/src/model.rs
+++ b/works/src/model.rs
@@ -95,8 +95,7 @@
                 Word { goes_by: Index(goes_by), busy, ..Word::default() }.bytes()
             });
             let span = LEASE + LINGERS;
-            let over =
-                self.now > self.since + span && self.granted[at].is_none_or(|at| self.now > at + span);
+            let over = self.now > self.since + span && self.granted[at].is_none_or(|at| self.now > at + span);
             let member = if at == 0 { "a" } else { "b" }.into();
             Attended { member, fresh: word.is_some(), word, alone: true, over }
         };
@@ -109,7 +108,7 @@
         (carrier.books, carrier.planted) = (self.books.clone(), planted);
         let node = |at: u32| Node { name: format!("s{at}"), zone: 0, sets: vec![0], sound: true };
         carrier.sees(Fleet { nodes: (0..3).map(node).collect(), load: 0.0 }, 0);
-        let me = if self.term % 2 == 0 { "a" } else { "b" };
+        let me = if self.term.is_multiple_of(2) { "a" } else { "b" };
         let now = Micros(u64::from(self.now) * 1_000_000);
         let (steps, _) = carrier.steps(now, &me.into(), self.term, &self.attended());
         steps.iter().filter_map(|bytes| postcard::from_bytes(bytes).ok()).collect()
--- a/works/src/word.rs
+++ b/works/src/word.rs
@@ -16,6 +16,8 @@
     pub more: u32,
     /// Machines in work whose answers show that they bear load.
     pub bear: Vec<String>,
+    /// Those that would bear load, as far as discovery knows, and to which nothing has gone.
+    pub idle: Vec<String>,
     /// Of late: part calls a second; lookups that it answered, and those of them that were late, failed or refused.
     pub calls: u32,
     pub answered: u32,
--- a/works/tests/rounds.rs
+++ b/works/tests/rounds.rs
@@ -11,7 +11,11 @@
     let cells = (nodes as u32).div_ceil(2).max(1);
     let node = |at: usize, dead: bool| {
         let own = at as u32 % cells;
-        let sets = if ring { (0..reach.min(cells)).map(|j| (own + cells - j) % cells).collect() } else { vec![own / reach] };
+        let sets = if ring {
+            (0..reach.min(cells)).map(|j| (own + cells - j) % cells).collect()
+        } else {
+            vec![own / reach]
+        };
         Node { name: format!("s{at}"), zone: (at % 3) as u16, sets, sound: !dead }
     };
     let nodes = (0..nodes).map(|at| node(at, chance.generate_range(0u32..12) == 0)).collect();
@@ -53,7 +57,8 @@
                 room.take_all(&items[*at].nodes).unwrap_or_else(|binds| panic!("seed {seed}: {binds}"));
             }
         }
-        let least = exact_rounds(&items, &room, 2_000_000).unwrap_or_else(|| panic!("seed {seed}: too large"));
+        let least =
+            exact_rounds(&items, &room, 2_000_000).unwrap_or_else(|| panic!("seed {seed}: too large"));
         assert!(lower_bound(&items, &room) <= least && least <= of.rounds.len(), "seed {seed}");
         bound_met += usize::from(lower_bound(&items, &room) == least);
         match of.rounds.len() - least {
@@ -85,12 +90,8 @@
 
 #[test]
 fn twelve_thousand_machines_are_planned_in_seconds() {
-    let node = |at: u32| Node {
-        name: format!("s{at}"),
-        zone: (at % 3) as u16,
-        sets: vec![at / 3],
-        sound: true,
-    };
+    let node =
+        |at: u32| Node { name: format!("s{at}"), zone: (at % 3) as u16, sets: vec![at / 3], sound: true };
     let world = World { nodes: (0..12_000).map(node).collect(), load: 0.0 };
     let limits = Limits { most_out: 0.1, ..Limits::default() };
     let room = Room::of(&world, &limits, 0);
