--- a/lab/src/fleet/crew.rs
+++ b/lab/src/fleet/crew.rs
@@ -10,12 +10,15 @@
 use serde_json::Value;
 use ternpick_history::What;
 
-use super::plan::FleetPlan;
+use super::plan::{FleetPlan, Order};
 use super::History;
+use crate::standins::{Discovery, Fault, Node};
 
 const WAIT: &str = "2s";
 /// How long a machine is worked on.
 const WORK: Duration = Duration::from_millis(300);
+/// By hand, who drains a machine, or lets it back in, waits so long.
+const FIXED: Duration = Duration::from_millis(700);
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// What the crews came to.
@@ -34,6 +37,50 @@
     pub sockets: Vec<PathBuf>,
     pub history: &'a History,
     pub stop: &'a AtomicBool,
+    pub nodes: &'a [Node],
+}
+
+/// Machines go out by hand, through discovery: all routers' are told, then a fixed time is waited.
+pub fn by_hand(
+    plan: &FleetPlan, discoveries: &[(Discovery, Vec<std::net::SocketAddr>)], nodes: &[Node],
+    stop: &AtomicBool,
+) -> Worked {
+    let began = Instant::now();
+    let all: Vec<usize> = (0..plan.nodes).collect();
+    let rounds: Vec<&[usize]> = match plan.order {
+        Order::OneByOne => all.chunks(1).collect(),
+        Order::AtOnce => vec![&all[..]],
+        Order::Routers | Order::Nobody => Vec::new(),
+    };
+    let tell = |out: &[usize]| {
+        for (discovery, addresses) in discoveries {
+            let entry = |(at, address): (usize, &std::net::SocketAddr)| {
+                let status = if out.contains(&at) { "Terminating" } else { "Ready" };
+                crate::standins::entry_of(&format!("s{at}"), *address, status, at % plan.sets)
+            };
+            let list: Vec<String> = addresses.iter().enumerate().map(entry).collect();
+            discovery.set(|roster| {
+                roster.version += 1;
+                roster.changes = list.join(",");
+            });
+        }
+    };
+    let mut worked = Worked { machines: plan.nodes, ..Worked::default() };
+    for round in rounds {
+        if stop.load(Ordering::Relaxed) {
+            return worked;
+        }
+        tell(round);
+        std::thread::sleep(FIXED);
+        round.iter().for_each(|at| nodes[*at].suffers(Fault::Stall));
+        std::thread::sleep(WORK);
+        round.iter().for_each(|at| nodes[*at].recovers());
+        tell(&[]);
+        std::thread::sleep(FIXED);
+        worked.back += round.len();
+    }
+    worked.all_back_ms = u64::try_from(began.elapsed().as_millis()).ok();
+    worked
 }
 
 impl Crew<'_> {
@@ -91,7 +138,11 @@
             let begin = ["begin", &permit_word, "--by", name, "--timeout", WAIT, "--op", &op];
             let Some((_, 0)) = self.until_heard(number, &begin) else { continue };
             self.history.note(What::Permitted { machine: machine.clone(), permit, by: name.into() });
+            // While it is worked on it answers nothing.
+            let node = machine.strip_prefix('s').and_then(|at| self.nodes.get(at.parse::<usize>().ok()?));
+            node.into_iter().for_each(|node| node.suffers(Fault::Stall));
             std::thread::sleep(if std::mem::take(&mut vanishes) { WORK * 5 } else { WORK });
+            node.into_iter().for_each(Node::recovers);
             // From here on it may get work again.
             self.history.note(What::Returned { machine, permit });
             let op = format!("{op}0");
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod relay;
 pub mod report;
 mod routers;
+pub mod timeline;
 pub mod virt;
 
 use std::fs::File;
@@ -28,7 +29,7 @@
 pub use crew::Worked;
 use operator::Operator;
 pub use operator::Took;
-pub use plan::{Change, FleetPlan, Kind, Schedule, Step};
+pub use plan::{Change, FleetPlan, Kind, Order, Schedule, Step};
 use relay::Weather;
 use routers::{Disk, Routers};
 
@@ -88,6 +89,9 @@
     pub first_part: report::Spread,
     /// Lookups that were refused though their router was neither ended, stopped nor cut off; by status.
     pub refused_whole: u64,
+    /// Of the lookups that were asked, the share with an answer within the soft deadline.
+    #[serde(default)]
+    pub in_time: f64,
 }
 
 impl Outcome {
@@ -164,8 +168,18 @@
             sockets: sockets.clone(),
             history: &history,
             stop: &stop,
+            nodes: &nodes,
         };
-        if plan.works {
+        if plan.works && plan.order != Order::Routers {
+            let of = routers.all.iter();
+            let of: Vec<_> =
+                of.map(|router| (router.discovery.clone(), router.nodes_at(plan.nodes))).collect();
+            let (worked, nodes, stop) = (&worked, &nodes, &stop);
+            scope.spawn(move || {
+                let done = crew::by_hand(plan, &of, nodes, stop);
+                *worked.lock().unwrap_or_else(PoisonError::into_inner) = Some(done);
+            });
+        } else if plan.works {
             let (asks, worked) = (crew(), &worked);
             let crews: Vec<_> = (0..CREWS).map(|_| crew()).collect();
             scope.spawn(move || {
@@ -218,6 +232,7 @@
     history.finish()?;
     let verdict = check(BufReader::new(File::open(&path)?), Bounds::default());
     let (first_part, refused_whole) = report::first_parts(&path)?;
+    let in_time = report::in_time(&path)?;
     let took = took.into_inner().unwrap_or_else(PoisonError::into_inner);
     let worked = worked.into_inner().unwrap_or_else(PoisonError::into_inner);
     let worked = plan.works.then(|| worked.unwrap_or_default());
@@ -236,6 +251,7 @@
         seconds,
         first_part,
         refused_whole,
+        in_time,
     };
     let text = serde_json::to_vec_pretty(&outcome).map_err(std::io::Error::other)?;
     std::fs::write(folder.join("outcome.json"), text)?;
--- a/lab/src/fleet/plan.rs
+++ b/lab/src/fleet/plan.rs
@@ -64,6 +64,20 @@
     Quorum,
 }
 
+/// Who settles in which order machines go out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Order {
+    #[default]
+    Routers,
+    /// By hand, through discovery: one after the other, with fixed waits.
+    OneByOne,
+    /// By hand: all at once.
+    AtOnce,
+    /// Nothing goes out.
+    Nobody,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FleetPlan {
     pub name: String,
@@ -88,6 +102,9 @@
     /// Crews take every machine out and back once.
     #[serde(default)]
     pub works: bool,
+    /// Who settles the order.
+    #[serde(default)]
+    pub order: Order,
     /// A router whose own platform allows two calls for a part, where the others' allows four.
     pub stricter: Option<usize>,
 }
--- a/lab/src/fleet/report.rs
+++ b/lab/src/fleet/report.rs
@@ -100,6 +100,29 @@
     Ok((spread(took), refused))
 }
 
+/// The soft deadline of the rig's indexes, in microseconds.
+const SOFT: u64 = 600_000;
+
+/// Of the lookups that were asked, the share with an answer within the soft deadline.
+pub fn in_time(history: &Path) -> std::io::Result<f64> {
+    let (mut asked, mut all, mut good) = (HashMap::new(), 0u64, 0u64);
+    for line in std::io::BufReader::new(std::fs::File::open(history)?).lines() {
+        let event: Event = serde_json::from_str(&line?).map_err(std::io::Error::other)?;
+        match event.what {
+            What::Asked { lookup, .. } => {
+                all += 1;
+                asked.insert(lookup, event.at);
+            }
+            What::Answered { lookup, status, .. } => {
+                let took = asked.remove(&lookup).map(|at| event.at - at);
+                good += u64::from(status == 200 && took.is_some_and(|took| took <= SOFT));
+            }
+            _ => {}
+        }
+    }
+    Ok(good as f64 / all.max(1) as f64)
+}
+
 /// All runs together.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Sum {
--- a/lab/src/fleet/routers.rs
+++ b/lab/src/fleet/routers.rs
@@ -430,6 +430,11 @@
         Some(said["fleet"].clone()).filter(Value::is_object)
     }
 
+    /// Where it reaches the nodes.
+    pub fn nodes_at(&self, nodes: usize) -> Vec<SocketAddr> {
+        self.pipes.iter().take(nodes).map(|pipe| pipe.address).collect()
+    }
+
     /// Processor time so far, in microseconds.
     pub fn cpu(&mut self) -> u64 {
         let now = self.pid().and_then(|pid| Some((pid, process::sample(pid)?.0)));
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -145,6 +145,12 @@
     },
     /// Sums up the outcomes of a folder
     Report { out: PathBuf },
+    /// Draws the timeline of a work from its history, as SVG
+    Timeline {
+        history: PathBuf,
+        #[arg(long)]
+        to: PathBuf,
+    },
     /// Plays changes in a fleet of any size in virtual time, with the program's own council; figures are simulated
     Size {
         #[arg(long, default_value_t = 50)]
@@ -237,6 +243,11 @@
             }
             Ok(if of.broken.is_some() { ExitCode::from(2) } else { ExitCode::SUCCESS })
         }
+        FleetCommand::Timeline { history, to } => {
+            let of = fleet::timeline::write(history, to)?;
+            println!("{} machines over {:.1} s, {}", of.machines.len(), of.until, to.display());
+            Ok(ExitCode::SUCCESS)
+        }
         FleetCommand::Report { out } => {
             let outcomes = fleet::report::read(out)?;
             match json {
