--- a/lab/src/fleet/crew.rs
+++ b/lab/src/fleet/crew.rs
@@ -15,8 +15,6 @@
 use crate::standins::{Discovery, Fault, Node};
 
 const WAIT: &str = "2s";
-/// How long a machine is worked on.
-const WORK: Duration = Duration::from_millis(300);
 /// By hand, who drains a machine, or lets it back in, waits so long.
 const FIXED: Duration = Duration::from_millis(700);
 const PAUSE: Duration = Duration::from_millis(100);
@@ -38,6 +36,8 @@
     pub history: &'a History,
     pub stop: &'a AtomicBool,
     pub nodes: &'a [Node],
+    /// How long a machine is worked on.
+    pub work: Duration,
 }
 
 /// Machines go out by hand, through discovery: all routers' are told, then a fixed time is waited.
@@ -73,7 +73,7 @@
         tell(round);
         std::thread::sleep(FIXED);
         round.iter().for_each(|at| nodes[*at].suffers(Fault::Stall));
-        std::thread::sleep(WORK);
+        std::thread::sleep(Duration::from_micros(plan.work));
         round.iter().for_each(|at| nodes[*at].recovers());
         tell(&[]);
         std::thread::sleep(FIXED);
@@ -141,7 +141,7 @@
             // While it is worked on it answers nothing.
             let node = machine.strip_prefix('s').and_then(|at| self.nodes.get(at.parse::<usize>().ok()?));
             node.into_iter().for_each(|node| node.suffers(Fault::Stall));
-            std::thread::sleep(if std::mem::take(&mut vanishes) { WORK * 5 } else { WORK });
+            std::thread::sleep(if std::mem::take(&mut vanishes) { self.work * 5 } else { self.work });
             node.into_iter().for_each(Node::recovers);
             // From here on it may get work again.
             self.history.note(What::Returned { machine, permit });
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -169,6 +169,7 @@
             history: &history,
             stop: &stop,
             nodes: &nodes,
+            work: Duration::from_micros(plan.work),
         };
         if plan.works && plan.order != Order::Routers {
             let of = routers.all.iter();
--- a/lab/src/fleet/plan.rs
+++ b/lab/src/fleet/plan.rs
@@ -102,6 +102,9 @@
     /// Crews take every machine out and back once.
     #[serde(default)]
     pub works: bool,
+    /// How long a crew works on one machine; microseconds.
+    #[serde(default = "short_work")]
+    pub work: u64,
     /// Who settles the order.
     #[serde(default)]
     pub order: Order,
@@ -113,6 +116,10 @@
     1
 }
 
+fn short_work() -> u64 {
+    300_000
+}
+
 impl FleetPlan {
     pub fn shards(&self) -> usize {
         if self.sets > 1 {
--- a/lab/src/fleet/timeline.rs
+++ b/lab/src/fleet/timeline.rs
@@ -86,21 +86,24 @@
                 .margin(6)
                 .x_label_area_size(18)
                 .y_label_area_size(60)
-                .build_cartesian_2d(0.0..self.until, 0.0..rows as f64)?;
+                .build_cartesian_2d(0.0..self.until, -0.5..rows as f64 - 0.5)?;
             let name = |at: &f64| {
-                let row = rows as f64 - at;
-                let row = (row >= 0.0).then_some(row as usize);
+                let row = (rows as f64 - 1.0 - at).round();
+                let whole = (at - at.round()).abs() < 0.01;
+                let row = (row >= 0.0 && whole).then_some(row as usize);
                 row.and_then(|row| self.machines.get(row)).map_or(String::new(), |(name, _)| name.clone())
             };
-            chart.configure_mesh().disable_mesh().y_labels(rows + 1).y_label_formatter(&name).draw()?;
+            chart.configure_mesh().disable_mesh().y_labels(rows * 2).y_label_formatter(&name).draw()?;
             for (row, (_, spans)) in self.machines.iter().enumerate() {
                 let low = (rows - row - 1) as f64;
                 chart.draw_series(spans.iter().map(|(from, to)| {
-                    Rectangle::new([(*from, low + 0.15), (*to, low + 0.85)], BLUE.mix(0.6).filled())
+                    Rectangle::new([(*from, low - 0.35), (*to, low + 0.35)], BLUE.mix(0.6).filled())
                 }))?;
             }
             chart.draw_series(
-                self.ends.iter().map(|at| PathElement::new([(*at, 0.0), (*at, rows as f64)], RED.mix(0.6))),
+                self.ends
+                    .iter()
+                    .map(|at| PathElement::new([(*at, -0.5), (*at, rows as f64 - 0.5)], RED.mix(0.6))),
             )?;
             let most = self.fewest.iter().map(|(_, count)| *count).max().unwrap_or(1) as f64 + 0.5;
             let mut chart = ChartBuilder::on(&holders)
@@ -145,10 +148,14 @@
     }
 }
 
-/// Reads a history and writes its chart.
+/// Reads a history and writes its chart: as SVG, or as PNG where the name says so.
 pub fn write(history: &Path, to: &Path) -> Result<Timeline, Box<dyn std::error::Error>> {
     let of = Timeline::read(std::io::BufReader::new(std::fs::File::open(history)?))?;
-    std::fs::write(to, of.svg()?)?;
+    let svg = of.svg()?;
+    match to.extension().is_some_and(|of| of == "png") {
+        true => std::fs::write(to, crate::report::png("timeline", &svg)?)?,
+        false => std::fs::write(to, svg)?,
+    }
     Ok(of)
 }
 
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -393,14 +393,14 @@
 }
 
 /// A chart as a picture of dots, twice its size. Letters are those of a font that comes along.
-fn png(name: &str, svg: &str) -> Result<Vec<u8>, Failed> {
+pub fn png(name: &str, svg: &str) -> Result<Vec<u8>, Failed> {
     let failed = |what: String| Failed::Chart(name.to_owned(), what);
     let mut options = usvg::Options::default();
     options.fontdb_mut().load_font_data(dejavu::sans::regular().to_vec());
     options.fontdb_mut().set_sans_serif_family("DejaVu Sans");
     let tree = usvg::Tree::from_str(svg, &options).map_err(|error| failed(error.to_string()))?;
-    let mut dots =
-        tiny_skia::Pixmap::new(2 * SIZE.0, 2 * SIZE.1).ok_or_else(|| failed("too large".into()))?;
+    let (width, height) = (tree.size().width() as u32, tree.size().height() as u32);
+    let mut dots = tiny_skia::Pixmap::new(2 * width, 2 * height).ok_or_else(|| failed("too large".into()))?;
     resvg::render(&tree, tiny_skia::Transform::from_scale(2.0, 2.0), &mut dots.as_mut());
     dots.encode_png().map_err(|error| failed(error.to_string()))
 }
