--- a/works/src/carrier.rs
+++ b/works/src/carrier.rs
@@ -179,13 +179,11 @@
     }
 
     fn planned(&self, more: Option<&Request>) -> (Plan, Vec<Item>, World) {
-        // What is out now will be there again; what fails without work may not.
+        // What is out or fails now will be there again: what can never be is another matter than what cannot be now.
+        // Seen: a request was refused for good as a machine was doubted for a moment.
         let words = self.words();
         let mut world = self.standing(&words, false);
-        let working = self.books.active();
-        for node in &mut world.nodes {
-            node.sound |= working.contains(node.name.as_str());
-        }
+        world.nodes.iter_mut().for_each(|node| node.sound = true);
         let (mut items, _) = self.items(&world);
         if let Some(of) = more {
             let nodes: Vec<usize> = of.machines.iter().filter_map(|name| world.number(name)).collect();
@@ -863,6 +861,15 @@
         assert_eq!(order, ["router:n1", "router:n2", "router:n0"]);
     }
 
+    #[test]
+    fn a_machine_that_fails_for_a_moment_refuses_no_request() {
+        let mut fleet = Fleet::asked(&["s3"]);
+        let dead = Word { unsound: vec!["s1".into()], ..knows(100) };
+        fleet.run(2, &[says("n0", &dead)]);
+        let entry = postcard::to_stdvec(&Entry::Ask { request: ask(&["s0"]) }).expect("bytes");
+        assert_eq!(fleet.carrier.admits(Micros(0), &entry), Ok(()));
+    }
+
     #[test]
     fn nobody_puts_a_step_by_command() {
         let step = Entry::Carry { member: "n9".into(), term: 9 };
