--- a/deploy/fleet.cue
+++ b/deploy/fleet.cue
@@ -34,4 +34,13 @@
 	// "serve-and-mark" gives the rule up knowingly: status and each answer say so.
 	without_lease: "refuse"
 	confirm:       false
+	// Machines go out for work in an order that the routers settle (docs/ops/works.md); off without this.
+	works: {
+		keep:       2
+		zone_share: 0.5
+		most_out:   0.2
+		// The longest deadline of any lookup at least.
+		lingers: 10s
+		calm:    10s
+	}
 }
