--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod routers;
 pub mod timeline;
 pub mod virt;
+pub mod works_size;
 
 use std::fs::File;
 use std::io::{BufReader, BufWriter};
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -143,6 +143,23 @@
         #[arg(long)]
         program: Option<PathBuf>,
     },
+    /// Takes every machine of a fleet of any size out and back once, in virtual time, with a storm in the middle; simulated
+    WorksSize {
+        #[arg(long, default_value_t = 1200)]
+        nodes: usize,
+        #[arg(long, default_value_t = 50)]
+        routers: usize,
+        #[arg(long, default_value_t = 3)]
+        holders: usize,
+        /// Seconds of work on one machine
+        #[arg(long, default_value_t = 600)]
+        work: u64,
+        /// The share of machines that the storm strikes; 0: none
+        #[arg(long, default_value_t = 0.02)]
+        storm: f64,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Sums up the outcomes of a folder
     Report { out: PathBuf },
     /// Draws the timeline of a work from its history, as SVG
@@ -243,6 +260,18 @@
             }
             Ok(if of.broken.is_some() { ExitCode::from(2) } else { ExitCode::SUCCESS })
         }
+        FleetCommand::WorksSize { nodes, routers, holders, work, storm, seed } => {
+            let limits = ternpick_works::Limits { most_out: 0.1, ..ternpick_works::Limits::default() };
+            let (nodes, routers, holders, work) = (*nodes, *routers, (*holders).max(1), *work);
+            let site =
+                fleet::works_size::Site { nodes, routers, holders, work, storm: *storm, limits, seed: *seed };
+            let of = fleet::works_size::play(site);
+            match json {
+                true => println!("{}", serde_json::to_string(&of)?),
+                false => println!("{of:#?}"),
+            }
+            Ok(if of.breaches > 0 || of.minutes.is_none() { ExitCode::from(2) } else { ExitCode::SUCCESS })
+        }
         FleetCommand::Timeline { history, to } => {
             let of = fleet::timeline::write(history, to)?;
             println!("{} machines over {:.1} s, {}", of.machines.len(), of.until, to.display());
