A machine that fails for a moment does not go where a neighbour is out

Checked in the logs: s3 was out, s7 was held as failing without work, and 0.3 s later went out itself. Cause: a machine that bears nothing took of no limit but the count of those out (works/src/room.rs, Room::of), though it may be sound a moment later and is not under a permit. Change: sets and zones are counted twice, by what is sound and by what is in work; a failing machine takes of the second.

--- a/lab/src/fleet/works_size.rs
+++ b/lab/src/fleet/works_size.rs
@@ -59,6 +59,7 @@
         zone: (at % 3) as u16,
         sets: vec![(at / site.holders) as u32],
         sound: true,
+        out: false,
     };
     let nodes: Vec<Node> = (0..site.nodes).map(node).collect();
     let terms = Terms { limits: site.limits, ..Terms::default() };
--- a/router/src/fleet/works.rs
+++ b/router/src/fleet/works.rs
@@ -209,7 +209,7 @@
         let mut known = self.known.borrow_mut();
         for (name, listing) in listed {
             let sets = sets(listing, &brain.tariff);
-            let node = Node { name: name.clone(), zone: listing.zone.0, sets, sound: true };
+            let node = Node { name: name.clone(), zone: listing.zone.0, sets, sound: true, out: false };
             known.insert(name.clone(), (node, now));
         }
         known.retain(|name, (_, last)| now.since(*last) < FORGETS || self.is_out(name));
--- a/works/src/carrier.rs
+++ b/works/src/carrier.rs
@@ -115,6 +115,7 @@
         let mut world = self.world.clone();
         let (unsound, working) = (unsound(words), self.books.active());
         for node in &mut world.nodes {
+            node.out = active && working.contains(node.name.as_str());
             node.sound =
                 !(unsound.contains(node.name.as_str()) || active && working.contains(node.name.as_str()));
         }
@@ -606,7 +607,8 @@
             ..Terms::default()
         };
         let mut carrier = Carrier::new(terms);
-        let node = |at: u32| Node { name: format!("s{at}"), zone: 0, sets: vec![at / 3], sound: true };
+        let node =
+            |at: u32| Node { name: format!("s{at}"), zone: 0, sets: vec![at / 3], sound: true, out: false };
         carrier.sees(World { nodes: (0..6).map(node).collect(), load: 0.0 }, 1000);
         carrier
     }
@@ -761,7 +763,8 @@
     #[test]
     fn a_request_for_the_last_holder_is_refused_with_words() {
         let mut carrier = carrier();
-        let node = |at: u32| Node { name: format!("s{at}"), zone: 0, sets: vec![at], sound: true };
+        let node =
+            |at: u32| Node { name: format!("s{at}"), zone: 0, sets: vec![at], sound: true, out: false };
         carrier.sees(World { nodes: (0..2).map(node).collect(), load: 0.0 }, 0);
         let entry = postcard::to_stdvec(&Entry::Ask { request: ask(&["s0"]) }).expect("bytes");
         let words = carrier.admits(Micros(0), &entry).expect_err("refused");
--- a/works/src/model.rs
+++ b/works/src/model.rs
@@ -106,7 +106,7 @@
         let limits = Limits { zone_share: 0.0, most_out: 1.0, ..Limits::default() };
         let mut carrier = Carrier::new(Terms { limits, calm: 0, ..Terms::default() });
         (carrier.books, carrier.planted) = (self.books.clone(), planted);
-        let node = |at: u32| Node { name: format!("s{at}"), zone: 0, sets: vec![0], sound: true };
+        let node = |at: u32| Node { name: format!("s{at}"), zone: 0, sets: vec![0], sound: true, out: false };
         carrier.sees(Fleet { nodes: (0..3).map(node).collect(), load: 0.0 }, 0);
         let me = if self.term.is_multiple_of(2) { "a" } else { "b" };
         let now = Micros(u64::from(self.now) * 1_000_000);
--- a/works/src/room.rs
+++ b/works/src/room.rs
@@ -37,6 +37,8 @@
     /// The sets of shards that it holds.
     pub sets: Vec<u32>,
     pub sound: bool,
+    /// In work: out, or not back yet.
+    pub out: bool,
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -136,16 +138,23 @@
         let mut totals = Vec::<usize>::new();
         for (number, node) in world.nodes.iter().enumerate() {
             let sets = node.sets.iter().map(|set| (0, *set));
-            for key in sets.chain([(1, u32::from(node.zone))]) {
-                let limit = *at.entry(key).or_insert_with(|| {
+            // Each limit twice: of those that are sound, and of those that are not in work. One that fails just now
+            // takes nothing of the first, and all the same must not go where a neighbour is out: it may be sound in a
+            // moment, and under a permit it could not. Seen: two permits in a set of three, one for a doubted machine.
+            for (key, in_work) in
+                sets.chain([(1, u32::from(node.zone))]).flat_map(|key| [(key, false), (key, true)])
+            {
+                let limit = *at.entry((key, in_work)).or_insert_with(|| {
                     all.push(Limit { sound: 0, floor: 0 });
                     totals.push(0);
                     names.push(if key.0 == 0 { Name::Set(key.1) } else { Name::Zone(node.zone) });
                     all.len() - 1
                 });
                 totals[limit] += 1;
-                all[limit].sound += usize::from(node.sound);
-                of[number].push(limit);
+                all[limit].sound += usize::from(if in_work { !node.out } else { node.sound });
+                if in_work || node.sound {
+                    of[number].push(limit);
+                }
             }
         }
         for ((limit, name), total) in all.iter_mut().zip(&names).zip(&totals) {
@@ -166,13 +175,9 @@
         ] {
             names.push(name);
             all.push(limit);
-            of.iter_mut().for_each(|of| of.push(all.len() - 1));
-        }
-        for (node, of) in world.nodes.iter().zip(&mut of) {
-            if !node.sound {
-                // One that bears nothing takes nothing with it but its place among those out.
-                of.retain(|limit| matches!(names[*limit], Name::MostOut));
-            }
+            let takes = |node: &Node| node.sound || matches!(name, Name::MostOut);
+            let of = of.iter_mut().zip(&world.nodes).filter(|(_, node)| takes(node));
+            of.for_each(|(of, _)| of.push(all.len() - 1));
         }
         Room { limits: all, names, of, most_out }
     }
@@ -237,6 +242,7 @@
             zone: (at % 2) as u16,
             sets: (0..sets.len() as u32).filter(|set| sets[*set as usize].contains(&at)).collect(),
             sound: !dead.contains(&at),
+            out: false,
         };
         World { nodes: (0..nodes).map(node).collect(), load: 0.0 }
     }
@@ -265,6 +271,14 @@
         assert_eq!(Room::of(&world, &limits, out).may(0), said);
     }
 
+    #[test_case(true; "it fails just now")]
+    #[test_case(false; "it is sound")]
+    fn nobody_goes_where_a_neighbour_is_out(fails: bool) {
+        let mut world = world(6, &[&[0, 1, 2]], if fails { &[0] } else { &[] });
+        (world.nodes[1].sound, world.nodes[1].out) = (false, true);
+        assert_eq!(Room::of(&world, &open(), 1).may(0), Err(Binds::Holders { set: 0, sound: 2, floor: 2 }));
+    }
+
     #[test]
     fn together_means_all_or_none() {
         let world = world(6, &[&[0, 1, 2], &[3, 4, 5]], &[]);
--- a/works/tests/rounds.rs
+++ b/works/tests/rounds.rs
@@ -16,7 +16,7 @@
         } else {
             vec![own / reach]
         };
-        Node { name: format!("s{at}"), zone: (at % 3) as u16, sets, sound: !dead }
+        Node { name: format!("s{at}"), zone: (at % 3) as u16, sets, sound: !dead, out: false }
     };
     let nodes = (0..nodes).map(|at| node(at, chance.generate_range(0u32..12) == 0)).collect();
     let limits = Limits {
@@ -73,7 +73,7 @@
 
 #[test]
 fn urgent_ones_go_first_and_a_dead_machine_is_in_nobodys_way() {
-    let node = |at: u32, sound| Node { name: format!("s{at}"), zone: 0, sets: vec![0], sound };
+    let node = |at: u32, sound| Node { name: format!("s{at}"), zone: 0, sets: vec![0], sound, out: false };
     let world = World { nodes: (0..5).map(|at| node(at, at != 4)).collect(), load: 0.0 };
     let limits = Limits { keep: 3, zone_share: 0.0, most_out: 1.0, ..Limits::default() };
     let item = |node: usize, by_when| Item {
@@ -90,8 +90,13 @@
 
 #[test]
 fn twelve_thousand_machines_are_planned_in_seconds() {
-    let node =
-        |at: u32| Node { name: format!("s{at}"), zone: (at % 3) as u16, sets: vec![at / 3], sound: true };
+    let node = |at: u32| Node {
+        name: format!("s{at}"),
+        zone: (at % 3) as u16,
+        sets: vec![at / 3],
+        sound: true,
+        out: false,
+    };
     let world = World { nodes: (0..12_000).map(node).collect(), load: 0.0 };
     let limits = Limits { most_out: 0.1, ..Limits::default() };
     let room = Room::of(&world, &limits, 0);
