A fleet without work on machines gives leases as before

Seen: the whole test run, fleets in virtual time never admitted. Cause: the place from which routers have to know what is out began at 1, which only a router with fleet.works ever said it goes by (policy/src/register.rs, begins), so that a fleet without it got no lease at all. Change: it begins at 0, and only entries of the further matter move it.

--- a/policy/src/register.rs
+++ b/policy/src/register.rs
@@ -211,7 +211,8 @@
             done: VecDeque::new(),
             history: VecDeque::new(),
             outs: Vec::new(),
-            outs_at: Index(1),
+            // Nothing has to be known of it yet: a fleet without a further matter goes on without a word of one.
+            outs_at: Index(0),
             annex: Vec::new(),
         }
     }
