--- a/history/tests/checker.rs
+++ b/history/tests/checker.rs
@@ -74,6 +74,14 @@
     What::Started { router: "n0".into() }
 }
 
+fn permitted(machine: &str, permit: u64) -> What {
+    What::Permitted { machine: machine.into(), permit, by: "ann".into() }
+}
+
+fn returned(machine: &str, permit: u64) -> What {
+    What::Returned { machine: machine.into(), permit }
+}
+
 use Came::{InForce, Open, Refused, Withdrawn};
 
 #[test_case(vec![proposed("p"), asked("a"), answered("a", 1), asked("b"), answered("b", 0)], Rule::NoEarlierVersion; "decided under a version that another lookup had left behind")]
@@ -92,6 +100,13 @@
 #[test_case(vec![drains("p", "s", 2), settled("p", InForce(1)), asked("a"), part("s", "a"), answered("a", 1)], Rule::Drains; "work at a drained node")]
 #[test_case(vec![asked("a"), answer("a", Some(0), 1, false)], Rule::Honest; "less than the least share")]
 #[test_case(vec![asked("a"), answer("a", Some(0), 3, true)], Rule::Honest; "called whole and is not")]
+#[test_case(vec![permitted("s0", 4), asked("a"), part("s0", "a"), answered("a", 0)], Rule::Quiet; "a part begun under a permit")]
+#[test_case(vec![asked("a"), permitted("s0", 4), part("s0", "a"), answered("a", 0)], Rule::Quiet; "of a lookup that was in hand as the permit came")]
+#[test_case(vec![permitted("s0", 4), permitted("s1", 5)], Rule::Holders; "two of three holders under permits")]
+#[test_case(vec![permitted("s0", 4), returned("s0", 4), permitted("s1", 4)], Rule::OnePermit; "a permit that there was before")]
+#[test_case(vec![permitted("s0", 4), permitted("s0", 5)], Rule::OnePermit; "two permits for a machine")]
+#[test_case(vec![returned("s0", 4)], Rule::Sense; "given back and never had")]
+#[test_case(vec![permitted("s0", 4), returned("s0", 5)], Rule::Sense; "another than was had is given back")]
 fn a_bad_history_is_rejected_by_the_rule_that_it_breaks(events: Vec<What>, rule: Rule) {
     let all: Vec<What> = [vec![begins()], events].concat();
     match verdict(&all) {
@@ -108,6 +123,8 @@
 #[test_case(vec![drains("p", "s", 1), settled("p", InForce(1)), proposed("q"), asked("a"), part("s", "a"), answered("a", 2), settled("q", InForce(2))]; "a drain that may have been lifted")]
 #[test_case(vec![drains("p", "s", 1), asked("a"), settled("p", InForce(1)), part("s", "a"), answered("a", 0)]; "asked before the drain")]
 #[test_case(vec![asked("a"), answer("a", None, 0, false), says(0)]; "one that was turned away")]
+#[test_case(vec![asked("a"), part("s0", "a"), permitted("s0", 4), answered("a", 0), returned("s0", 4), asked("b"), part("s0", "b"), answered("b", 0)]; "work before a permit and after it")]
+#[test_case(vec![permitted("s0", 4), permitted("t0", 5), returned("s0", 4), permitted("s1", 6)]; "one of a set after the other, and another set beside it")]
 fn a_good_history_is_accepted(events: Vec<What>) {
     let all: Vec<What> = [vec![begins()], events].concat();
     assert!(matches!(verdict(&all), Verdict::Accepted(_)), "{:?}", verdict(&all));
