The works are looked at once a tick, not at each word of each router

Read over: the one that leads made the list of all members anew in each turn, also where nothing is asked for: a thousand times a second at 500 routers.

--- a/policy/src/council.rs
+++ b/policy/src/council.rs
@@ -95,6 +95,8 @@
     pub annex: Box<dyn Annex>,
     /// Entries of it that are on their way, and since when: one turn's at a time.
     annexing: Option<(Index, Micros)>,
+    /// When the further matter is looked at next: not at each word of each router.
+    next_annex: Micros,
     chair: Option<(u64, Chair)>,
     /// Who leads, as far as is known, and whom to ask next otherwise.
     leads: Option<Member>,
@@ -139,6 +141,7 @@
             register: None,
             annex: Box::new(Nothing),
             annexing: None,
+            next_annex: now,
             chair: None,
             leads: None,
             next_ask: 0,
@@ -594,10 +597,12 @@
     /// The further matter goes on: what it wants put, once what it put before is played, or lost.
     fn annex_steps(&mut self, now: Micros) {
         let (Some(register), Some((term, chair))) = (&self.register, &self.chair) else { return };
-        self.annexing.take_if(|(index, at)| *index < register.index || now.since(*at) > SAY_AGAIN);
-        if self.annexing.is_some() {
+        let played = self.annexing.take_if(|(index, _)| *index < register.index).is_some();
+        self.annexing.take_if(|(_, at)| now.since(*at) > SAY_AGAIN);
+        if self.annexing.is_some() || now < self.next_annex && !played {
             return;
         }
+        self.next_annex = now + TICK;
         let attended = chair.attended(now, register, &self.annex.gone());
         let (steps, lines) = self.annex.steps(now, &self.me, *term, &attended);
         if !steps.is_empty() {
