--- a/lab/plans/works-test.cue
+++ b/lab/plans/works-test.cue
@@ -5,6 +5,7 @@
 nodes:        9
 sets:         3
 works:        true
+fates:        true
 rate:         80
 clients:      64
 seconds:      8
--- a/lab/plans/works.cue
+++ b/lab/plans/works.cue
@@ -5,6 +5,7 @@
 nodes:        24
 sets:         8
 works:        true
+fates:        true
 work:         1500ms
 rate:         100
 clients:      96
--- a/lab/src/fleet/crew.rs
+++ b/lab/src/fleet/crew.rs
@@ -10,15 +10,44 @@
 use serde_json::Value;
 use ternpick_history::What;
 
+use super::listings::Listings;
 use super::plan::{FleetPlan, Order};
 use super::History;
-use crate::standins::{Discovery, Fault, Node};
+use crate::standins::{Fault, Node};
 
 const WAIT: &str = "2s";
 /// By hand, who drains a machine, or lets it back in, waits so long.
 const FIXED: Duration = Duration::from_millis(700);
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// How a machine comes back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Well,
+    /// Given back before it answers again.
+    Late,
+    /// Given back unfit, and mended.
+    Broken,
+    /// It has just started.
+    Cold,
+    /// At another address.
+    Moved,
+    /// Not until somebody looks after it.
+    Never,
+}
+
+/// A machine that is late answers so long after it was given back.
+const LATE: Duration = Duration::from_millis(1500);
+
+fn fate(plan: &FleetPlan, machine: usize) -> Fate {
+    let all = [Fate::Well, Fate::Late, Fate::Broken, Fate::Cold, Fate::Moved, Fate::Never];
+    if plan.fates {
+        all[machine % all.len()]
+    } else {
+        Fate::Well
+    }
+}
+
 /// What the crews came to.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Worked {
@@ -28,6 +57,9 @@
     pub all_back_ms: Option<u64>,
     /// The longest that nothing changed in the works while not all were back, in milliseconds.
     pub longest_still_ms: u64,
+    /// The most that were kept out at a time, as they had not come back.
+    #[serde(default)]
+    pub kept_out: usize,
 }
 
 pub struct Crew<'a> {
@@ -36,15 +68,13 @@
     pub history: &'a History,
     pub stop: &'a AtomicBool,
     pub nodes: &'a [Node],
+    pub listings: &'a Listings,
     /// How long a machine is worked on.
     pub work: Duration,
 }
 
 /// Machines go out by hand, through discovery: all routers' are told, then a fixed time is waited.
-pub fn by_hand(
-    plan: &FleetPlan, discoveries: &[(Discovery, Vec<std::net::SocketAddr>)], nodes: &[Node],
-    stop: &AtomicBool,
-) -> Worked {
+pub fn by_hand(plan: &FleetPlan, listings: &Listings, nodes: &[Node], stop: &AtomicBool) -> Worked {
     let began = Instant::now();
     let all: Vec<usize> = (0..plan.nodes).collect();
     let rounds: Vec<&[usize]> = match plan.order {
@@ -52,30 +82,17 @@
         Order::AtOnce => vec![&all[..]],
         Order::Routers | Order::Nobody => Vec::new(),
     };
-    let tell = |out: &[usize]| {
-        for (discovery, addresses) in discoveries {
-            let entry = |(at, address): (usize, &std::net::SocketAddr)| {
-                let status = if out.contains(&at) { "Terminating" } else { "Ready" };
-                crate::standins::entry_of(&format!("s{at}"), *address, status, at % plan.sets)
-            };
-            let list: Vec<String> = addresses.iter().enumerate().map(entry).collect();
-            discovery.set(|roster| {
-                roster.version += 1;
-                roster.changes = list.join(",");
-            });
-        }
-    };
     let mut worked = Worked { machines: plan.nodes, ..Worked::default() };
     for round in rounds {
         if stop.load(Ordering::Relaxed) {
             return worked;
         }
-        tell(round);
+        listings.change(round, |of| of.ready = false);
         std::thread::sleep(FIXED);
         round.iter().for_each(|at| nodes[*at].suffers(Fault::Stall));
         std::thread::sleep(Duration::from_micros(plan.work));
         round.iter().for_each(|at| nodes[*at].recovers());
-        tell(&[]);
+        listings.change(round, |of| of.ready = true);
         std::thread::sleep(FIXED);
         worked.back += round.len();
     }
@@ -117,37 +134,119 @@
         said["number"].as_u64()
     }
 
+    /// An operator asks for some of the same machines, and changes his mind.
+    pub fn changes_mind(&self) {
+        let ask = [
+            "ask",
+            "s0",
+            "s1",
+            "--why",
+            "a move",
+            "--by",
+            "bob",
+            "--in",
+            "1h",
+            "--timeout",
+            WAIT,
+            "--op",
+            "78",
+        ];
+        let Some((said, 0)) = self.until_heard(1, &ask) else { return };
+        std::thread::sleep(self.work);
+        let request = said["number"].to_string();
+        self.until_heard(
+            2,
+            &["change", &request, "--priority", "9", "--by", "bob", "--timeout", WAIT, "--op", "79"],
+        );
+        self.until_heard(0, &["cancel", &request, "--by", "bob", "--timeout", WAIT, "--op", "80"]);
+    }
+
     /// One of the crews: takes one machine after the other. `vanishes`: it goes away with its first permit in hand, and
     /// comes back for it after a while.
-    pub fn work(&self, name: &str, number: usize, request: u64, vanishes: bool) {
-        let request = request.to_string();
+    pub fn work(&self, plan: &FleetPlan, number: usize, request: u64, vanishes: bool) {
+        let (name, request) = (format!("crew{number}"), request.to_string());
         let mut vanishes = vanishes;
         while !self.stop.load(Ordering::Relaxed) {
             let words = ["next", "--request", &request, "--timeout", WAIT];
             let (said, status) = self.run(number, &words);
-            let (Some(permit), Some(machine)) = (said["permit"].as_u64(), said["machine"].as_str()) else {
+            let machine =
+                said["machine"].as_str().and_then(|name| name.strip_prefix('s')?.parse::<usize>().ok());
+            let (Some(permit), Some(machine)) = (said["permit"].as_u64(), machine) else {
                 if status == 3 && self.is_closed(number, &request) {
                     return;
                 }
                 std::thread::sleep(PAUSE);
                 continue;
             };
-            let (permit_word, machine) = (permit.to_string(), machine.to_owned());
-            let op = (number as u64 + 1) * 1_000_000_000 + permit;
+            let (op, permit_word) = ((number as u64 + 1) * 1_000_000_000 + permit, permit.to_string());
             let op = op.to_string();
-            let begin = ["begin", &permit_word, "--by", name, "--timeout", WAIT, "--op", &op];
+            let begin = ["begin", &permit_word, "--by", &name, "--timeout", WAIT, "--op", &op];
             let Some((_, 0)) = self.until_heard(number, &begin) else { continue };
-            self.history.note(What::Permitted { machine: machine.clone(), permit, by: name.into() });
+            let named = format!("s{machine}");
+            self.history.note(What::Permitted { machine: named.clone(), permit, by: name.clone() });
             // While it is worked on it answers nothing.
-            let node = machine.strip_prefix('s').and_then(|at| self.nodes.get(at.parse::<usize>().ok()?));
-            node.into_iter().for_each(|node| node.suffers(Fault::Stall));
+            self.nodes[machine].suffers(Fault::Stall);
             std::thread::sleep(if std::mem::take(&mut vanishes) { self.work * 5 } else { self.work });
-            node.into_iter().for_each(Node::recovers);
+            let fate = fate(plan, machine);
+            if fate == Fate::Broken {
+                let op = format!("{op}1");
+                let failed = [
+                    "done",
+                    &permit_word,
+                    "--by",
+                    &name,
+                    "--failed",
+                    "no disk",
+                    "--timeout",
+                    WAIT,
+                    "--op",
+                    &op,
+                ];
+                self.until_heard(number, &failed);
+                std::thread::sleep(self.work);
+            }
+            match fate {
+                Fate::Late | Fate::Never => self.listings.change(&[machine], |of| of.ready = false),
+                Fate::Cold => self.listings.change(&[machine], |of| of.starts()),
+                Fate::Moved => self.listings.change(&[machine], |of| {
+                    // Where there is no other address it stays where it was.
+                    let _ = of.moves(self.nodes[machine].address);
+                }),
+                Fate::Well | Fate::Broken => {}
+            }
+            if !matches!(fate, Fate::Late | Fate::Never) {
+                self.nodes[machine].recovers();
+            }
             // From here on it may get work again.
-            self.history.note(What::Returned { machine, permit });
-            let op = format!("{op}0");
-            let done = ["done", &permit_word, "--by", name, "--timeout", WAIT, "--op", &op];
-            self.until_heard(number, &done);
+            self.history.note(What::Returned { machine: named, permit });
+            self.gives_back(number, permit, &name, &format!("{op}0"));
+            if fate == Fate::Late {
+                std::thread::sleep(LATE);
+                self.mends(machine);
+            }
+        }
+    }
+
+    fn gives_back(&self, through: usize, permit: u64, by: &str, op: &str) {
+        let permit = permit.to_string();
+        self.until_heard(through, &["done", &permit, "--by", by, "--timeout", WAIT, "--op", op]);
+    }
+
+    fn mends(&self, machine: usize) {
+        self.nodes[machine].recovers();
+        self.listings.change(&[machine], |of| of.ready = true);
+    }
+
+    /// Looks after machines that were kept out: each is mended, and given back anew.
+    fn looks_after(&self, through: usize, rows: &[&Value]) {
+        for row in rows.iter().filter(|row| row["state"] == "kept out") {
+            let machine =
+                row["machine"].as_str().and_then(|name| name.strip_prefix('s')?.parse::<usize>().ok());
+            if let (Some(machine), Some(permit)) = (machine, row["permit"].as_u64()) {
+                self.mends(machine);
+                let (op, since) = (permit + 500_000_000, row["since_ms"].as_u64().unwrap_or(0));
+                self.gives_back(through, permit, "ann", &format!("{op}{}", since % 1_000_000));
+            }
         }
     }
 
@@ -167,6 +266,9 @@
             let (seen, status) = self.run(turn, &["list"]);
             if status == 0 {
                 let rows: Vec<&Value> = seen["rows"].as_array().into_iter().flatten().collect();
+                self.looks_after(turn, &rows);
+                let kept = rows.iter().filter(|row| row["state"] == "kept out").count();
+                worked.kept_out = worked.kept_out.max(kept);
                 let own = rows.iter().filter(|row| row["request"].as_u64() == Some(request));
                 let states: Vec<Value> =
                     own.map(|row| serde_json::json!([row["machine"], row["state"]])).collect();
--- a/lab/src/fleet/fleet.cue
+++ b/lab/src/fleet/fleet.cue
@@ -28,6 +28,8 @@
 	// Sets of shards, each held by its own machines; crews that take every machine out and back once.
 	sets: int & >=1 & <=64 | *1
 	works: bool | *false
+	// Machines come back late, broken, cold, at another address, or not by themselves.
+	fates: bool | *false
 	work: duration & >=10ms & <=10min | *300ms
 	order: "routers" | "one-by-one" | "at-once" | "nobody" | *"routers"
 	// A router whose own platform allows two calls for a part, where the others' allows four.
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 mod clients;
 mod crew;
+mod listings;
 mod operator;
 pub mod plan;
 pub mod relay;
@@ -28,6 +29,7 @@
 use crate::load::Failed;
 use crate::standins::{Act, Fault, Node};
 pub use crew::Worked;
+use listings::Listings;
 use operator::Operator;
 pub use operator::Took;
 pub use plan::{Change, FleetPlan, Kind, Order, Schedule, Step};
@@ -128,6 +130,7 @@
     if !plan.off {
         routers.admit()?;
     }
+    let listings = Listings::of(&routers, plan.nodes, plan.sets);
     let (stop, began) = (AtomicBool::new(false), Instant::now());
     let (took, worked) = (Mutex::new(Vec::new()), Mutex::new(None));
     let played: Result<Option<u64>, Failed> = std::thread::scope(|scope| {
@@ -170,15 +173,13 @@
             history: &history,
             stop: &stop,
             nodes: &nodes,
+            listings: &listings,
             work: Duration::from_micros(plan.work),
         };
         if plan.works && plan.order != Order::Routers {
-            let of = routers.all.iter();
-            let of: Vec<_> =
-                of.map(|router| (router.discovery.clone(), router.nodes_at(plan.nodes))).collect();
-            let (worked, nodes, stop) = (&worked, &nodes, &stop);
+            let (worked, nodes, stop, listings) = (&worked, &nodes, &stop, &listings);
             scope.spawn(move || {
-                let done = crew::by_hand(plan, &of, nodes, stop);
+                let done = crew::by_hand(plan, listings, nodes, stop);
                 *worked.lock().unwrap_or_else(PoisonError::into_inner) = Some(done);
             });
         } else if plan.works {
@@ -189,8 +190,10 @@
                 let Some(request) = asks.ask(plan) else { return };
                 std::thread::scope(|scope| {
                     for (number, crew) in crews.iter().enumerate() {
-                        let name = format!("crew{number}");
-                        scope.spawn(move || crew.work(&name, number, request, number == 1));
+                        scope.spawn(move || crew.work(plan, number, request, number == 1));
+                    }
+                    if plan.fates {
+                        scope.spawn(|| asks.changes_mind());
                     }
                     let of = asks.watch(plan, request, began);
                     *worked.lock().unwrap_or_else(PoisonError::into_inner) = Some(of);
--- a/lab/src/fleet/plan.rs
+++ b/lab/src/fleet/plan.rs
@@ -105,6 +105,10 @@
     /// How long a crew works on one machine; microseconds.
     #[serde(default = "short_work")]
     pub work: u64,
+    /// Machines come back late, broken, cold, at another address, or not until somebody looks; and an operator changes his
+    /// mind.
+    #[serde(default)]
+    pub fates: bool,
     /// Who settles the order.
     #[serde(default)]
     pub order: Order,
--- a/lab/src/fleet/routers.rs
+++ b/lab/src/fleet/routers.rs
@@ -86,14 +86,16 @@
             "ceilings":{{"attemptsCap":{},"cancel":true,"dialTimeout":250000,"idleClose":9000000,"mostHeld":2000,
                 "secondCopies":true,"streamsPerConn":64}},
             "extra":{{"bundleMax":8,"classNeed":[1,1,1],"minShare":[0.5,1,1],"positions":{},"reach":1,"shards":{}}},
-            "report":{{"via":"inline","columns":["depth"]}},"rules":{{"askWithin":60000000}}}}}}"#,
+            "report":{{"via":"inline","columns":["depth"]}},"rules":{{"askWithin":60000000,"warmWithin":{}}}}}}}"#,
         router.name,
         router.address,
         0x70 + router.address.port(),
         plan.routers,
         if plan.stricter.is_some_and(|at| router.name == format!("n{at}")) { 2 } else { 4 },
         plan.sets,
-        plan.shards()
+        plan.shards(),
+        // A machine that comes back from work is cold for a second.
+        if plan.fates { 1_000_000 } else { 0 }
     )
 }
 
@@ -113,7 +115,7 @@
         return format!("control: {{socket: {:?}, pid_file: {:?}}}\n", router.socket, router.pid_file);
     }
     let works = match plan.works {
-        true => "\tworks: {lingers: 1500ms, calm: 300ms, most_out: 0.5, zone_share: 0.3, back_within: 20s, late_over: 0.5}\n",
+        true => "\tworks: {lingers: 1500ms, calm: 300ms, most_out: 0.5, zone_share: 0.3, back_within: 3s, late_over: 0.5}\n",
         false => "",
     };
     let (socket, pid, folder) = (&router.socket, &router.pid_file, &router.folder);
@@ -145,7 +147,7 @@
             let listed: Vec<String> = pipes
                 .iter()
                 .enumerate()
-                .map(|(at, pipe)| entry_of(&format!("s{at}"), pipe.address, "Ready", at % plan.sets))
+                .map(|(at, pipe)| entry_of(&format!("s{at}"), pipe.address, "Ready", at % plan.sets, 0))
                 .collect();
             let listed = listed.join(",");
             discovery.set(|roster| (roster.version, roster.changes) = (1, listed.clone()));
@@ -430,11 +432,6 @@
         Some(said["fleet"].clone()).filter(Value::is_object)
     }
 
-    /// Where it reaches the nodes.
-    pub fn nodes_at(&self, nodes: usize) -> Vec<SocketAddr> {
-        self.pipes.iter().take(nodes).map(|pipe| pipe.address).collect()
-    }
-
     /// Processor time so far, in microseconds.
     pub fn cpu(&mut self) -> u64 {
         let now = self.pid().and_then(|pid| Some((pid, process::sample(pid)?.0)));
--- a/lab/src/standins.rs
+++ b/lab/src/standins.rs
@@ -360,12 +360,12 @@
 }
 
 pub fn entry(name: &str, address: SocketAddr, status: &str) -> String {
-    entry_of(name, address, status, 0)
+    entry_of(name, address, status, 0, 0)
 }
 
-/// The same, of a group.
-pub fn entry_of(name: &str, address: SocketAddr, status: &str, group: usize) -> String {
+/// The same, of a group, and with its last start.
+pub fn entry_of(name: &str, address: SocketAddr, status: &str, group: usize, since_ms: u64) -> String {
     format!(
-        r#"{{"name":"{name}","address":"{address}","zone":"a","group":{group},"status":"{status}","since_ms":0}}"#
+        r#"{{"name":"{name}","address":"{address}","zone":"a","group":{group},"status":"{status}","since_ms":{since_ms}}}"#
     )
 }
