--- a/router/src/fleet/works.rs
+++ b/router/src/fleet/works.rs
@@ -260,6 +260,14 @@
                 return Err(format!("discovery lists nobody in zone {zone}"));
             }
         }
+        if let Some(up_for) = of["up_for"].as_u64() {
+            // Of those named, or of all; one whose start is not known started long ago.
+            if names.is_empty() {
+                names.extend(listed.keys().cloned());
+            }
+            let now = router.clock.now();
+            names.retain(|name| listed.get(name).is_none_or(|of| now.since(of.started).0 >= up_for));
+        }
         if names.is_empty() || names.len() > MOST_MACHINES {
             return Err(format!("{} machines are asked for, it has to be 1 to {MOST_MACHINES}", names.len()));
         }
--- a/router/src/fleet/works_cli.rs
+++ b/router/src/fleet/works_cli.rs
@@ -25,6 +25,9 @@
     /// All machines of a zone
     #[arg(long)]
     zone: Vec<String>,
+    /// Of these, or of all, only machines that have been up for so long
+    #[arg(long, value_parser = humantime::parse_duration)]
+    up_for: Option<Duration>,
     /// How long the work on one machine takes
     #[arg(long, default_value = "30m", value_parser = humantime::parse_duration)]
     lasts: Duration,
@@ -188,7 +191,8 @@
     let request = json!({"machines": [], "why": why, "by": by, "lasts": micros(which.lasts),
         "not_before": which.after.map(from_now), "by_when": which.within.map(from_now), "priority": which.priority,
         "together": which.together});
-    json!({"ask": "works", "request": request, "machines": which.machines, "groups": which.group, "zones": which.zone})
+    json!({"ask": "works", "request": request, "machines": which.machines, "groups": which.group, "zones": which.zone,
+        "up_for": which.up_for.map(micros)})
 }
 
 fn put(socket: &Socket, wait: &Wait, mut question: Value) -> Result<Value, String> {
--- a/router/tests/works.rs
+++ b/router/tests/works.rs
@@ -241,6 +241,12 @@
     let request_of = |said: &Value| said["number"].to_string();
     assert_eq!(one.works(&["change", "77", "--priority", "3", "--by", "ann"]).1, Some(1), "no such request");
     assert_eq!(one.works(&["hold", "--by", "ann", "--why", "a storm"]).1, Some(0));
+    let (plan, ..) = one.works(&["plan", "--up-for", "1d"]);
+    assert_eq!(
+        plan["rounds"].as_array().map(Vec::len),
+        Some(3),
+        "whose start is not known started long ago: {plan}"
+    );
     let (said, ..) = one.works(&["ask", "--zone", "a", "--why", "disks", "--by", "ann"]);
     let request = request_of(&said);
     assert_eq!(
--- a/works/src/books.rs
+++ b/works/src/books.rs
@@ -185,6 +185,11 @@
     GoOn {
         fence: Fence,
     },
+    /// Part calls a second of all routers, as each has told them.
+    Load {
+        fence: Fence,
+        calls: u64,
+    },
     /// A member that left can surely act no more.
     Forget {
         fence: Fence,
@@ -201,6 +206,8 @@
     pub requests: BTreeMap<RequestNo, Request>,
     pub jobs: BTreeMap<(RequestNo, String), Job>,
     pub hold: Option<Hold>,
+    /// Part calls a second of all routers together, as last agreed.
+    pub load: u64,
     pub members: BTreeSet<Member>,
     /// Left, and may still act on what they admitted; emptied by [`Entry::Forget`].
     pub gone: BTreeSet<Member>,
@@ -308,6 +315,7 @@
             | Entry::Keep { fence, .. }
             | Entry::OwnHold { fence, .. }
             | Entry::GoOn { fence }
+            | Entry::Load { fence, .. }
             | Entry::Forget { fence, .. }
                 if fence != self.fence =>
             {
@@ -350,6 +358,10 @@
                 }
                 Ok(at.0)
             }
+            Entry::Load { calls, .. } => {
+                self.load = calls;
+                Ok(at.0)
+            }
             Entry::Forget { member, .. } => {
                 self.gone.remove(&member);
                 Ok(at.0)
@@ -571,6 +583,7 @@
             (fence(), job()).prop_map(|(fence, job)| Entry::Keep { fence, job, now: 0 }),
             fence().prop_map(|fence| Entry::OwnHold { fence, why: "late".into() }),
             fence().prop_map(|fence| Entry::GoOn { fence }),
+            (fence(), 0u64..9).prop_map(|(fence, calls)| Entry::Load { fence, calls }),
         ]
     }
 
--- a/works/src/carrier.rs
+++ b/works/src/carrier.rs
@@ -47,6 +47,11 @@
 const LEAST_ANSWERED: u32 = 10;
 /// A machine is unsound where one in so many routers says so, and at least one does.
 const ONE_IN: usize = 3;
+/// The load is agreed anew when it has moved by more than this part of it, and so many part calls a second; not more often
+/// than this.
+const LOAD_PART: u64 = 10;
+const LEAST_LOAD: u64 = 2;
+const LOAD_EVERY: Micros = Micros(1_000_000);
 /// Machines that one step takes out.
 const MOST_A_STEP: usize = 32;
 
@@ -80,6 +85,8 @@
     /// Machines that fail without having been taken out, and since when nothing has been wrong that holds the work.
     failing: BTreeSet<String>,
     well_since: Option<Micros>,
+    /// When the load was last put into the log.
+    told_load: Option<Micros>,
     /// When this one first saw a machine on its way back.
     returning: BTreeMap<(RequestNo, String), Micros>,
     /// The routers of the fleet.
@@ -100,6 +107,7 @@
             wall: 0,
             failing: BTreeSet::new(),
             well_since: None,
+            told_load: None,
             returning: BTreeMap::new(),
             members: BTreeMap::new(),
             attended: Vec::new(),
@@ -122,7 +130,7 @@
             node.out = working.contains(node.name.as_str());
             node.sound = !node.out && !unsound.contains(node.name.as_str());
         }
-        world.load = load(words);
+        world.load = self.books.load as f64;
         world
     }
 
@@ -186,7 +194,7 @@
         // What is out or fails now will be there again: what can never be is another matter than what cannot be now.
         // Seen: a request was refused for good as a machine was doubted for a moment.
         let mut world = self.world.clone();
-        world.load = load(&self.words());
+        world.load = self.books.load as f64;
         let mut items = self.items(&world);
         if let Some(of) = more {
             let nodes: Vec<usize> = of.machines.iter().filter_map(|name| world.number(name)).collect();
@@ -281,6 +289,17 @@
         }
     }
 
+    /// The load that routers tell, where it has moved from what is agreed: how much may be out rests on it.
+    fn tell_load(&mut self, now: Micros, steps: &mut Vec<Entry>) {
+        let calls: u64 = self.words().iter().map(|word| u64::from(word.calls)).sum();
+        let (known, told) = (self.books.load, self.told_load);
+        let moved = calls.abs_diff(known) > known / LOAD_PART + LEAST_LOAD;
+        if moved && told.is_none_or(|told| now.since(told) >= LOAD_EVERY) {
+            self.told_load = Some(now);
+            steps.push(Entry::Load { fence: self.books.fence, calls });
+        }
+    }
+
     /// What may go out now, in the order of the requests.
     fn take_out(&self, now: Micros, steps: &mut Vec<Entry>) {
         let calm = self.well_since.is_some_and(|since| now.since(since).0 >= self.terms.calm);
@@ -423,11 +442,6 @@
     }
 }
 
-/// Part calls a second of all together.
-fn load(words: &[&Word]) -> f64 {
-    words.iter().map(|word| f64::from(word.calls)).sum()
-}
-
 /// Machines that enough routers call unsound.
 fn unsound<'a>(words: &[&'a Word]) -> BTreeSet<&'a str> {
     let mut counts = BTreeMap::<&str, usize>::new();
@@ -528,7 +542,7 @@
     ) -> (Vec<Vec<u8>>, Vec<String>) {
         if self.led_term != term {
             // What an earlier time in the chair has seen says nothing.
-            (self.led_term, self.well_since) = (term, None);
+            (self.led_term, self.well_since, self.told_load) = (term, None, None);
             (self.failing, self.returning) = (BTreeSet::new(), BTreeMap::new());
         }
         let read = |of: &Attended| {
@@ -551,6 +565,7 @@
         }
         self.follow(now, &mut steps);
         self.hold(now, &mut steps);
+        self.tell_load(now, &mut steps);
         if steps.is_empty() {
             self.take_out(now, &mut steps);
         }
@@ -825,6 +840,7 @@
         let load = |calls| [says("n0", &Word { calls, ..knows(100) })];
         fleet.run(4, &load(30));
         fleet.run(10, &load(45));
+        assert_eq!(fleet.carrier.books.load, 45, "it is agreed before anything rests on it");
         assert!(fleet.out().is_empty(), "45 with a quarter more and one failure need seven");
         fleet.run(10, &load(28));
         assert_eq!(fleet.out().len(), 1, "28 need five of six: one may go");
