A watch shows its life by answers: calls wait 3 s at most, a look follows a silent one at once

To blame: lifecycle/watch.rs let a call wait for ask_within (10 s here), gave it up 1 s past that, and left what follows to parts that add up: the pause, the dial, the turn. Ruled out: dials (none failed), the module's stop (no part was sent once the list was in). By the term that a change counts as told 6 s after discovery had it, every watch under such settings would be late.

Change: src/cadence.rs, pure, bounds the sum: a call waits 2 to 3 s by chance, is given up 1 s past its wait, and one look (no wait) follows a silent one at once. Waits are drawn anew, so callers that were answered together come apart. A refused or broken call keeps the module's pause. Also: an answer of discovery's without a length is whole when its connection ends (it was refused as malformed, 14 calls in 10 s in the test, no list); a spoilt line in a whole list no longer says that its node is gone. The stand-in discovery keeps to wait_ms now, and falls silent where a test says so.

--- a/lab/src/standins.rs
+++ b/lab/src/standins.rs
@@ -275,6 +275,10 @@
     pub version: u64,
     pub changes: String,
     pub down: bool,
+    /// Calls that are open while this is set are never answered, nor once it is no longer: the way there has gone.
+    pub silent: bool,
+    /// Answers have no length and last until their connection ends.
+    pub endless: bool,
     /// The version that the last call asked after, and the number of calls.
     pub asked: u64,
     pub calls: usize,
@@ -302,16 +306,32 @@
         while let Some(head) = read_head(&mut stream) {
             let after = head.split("after=").nth(1).and_then(|rest| rest.split('&').next()?.parse().ok());
             let mut roster = lock(&self.0 .0);
+            let wait =
+                head.split("wait_ms=").nth(1).and_then(|rest| rest.split([' ', '&']).next()?.parse().ok());
+            let late = Instant::now() + Duration::from_millis(wait.unwrap_or(0));
             roster.asked = after.unwrap_or(0);
             roster.calls += 1;
             self.0 .1.notify_all();
-            while after.is_some_and(|after| roster.version <= after) && !roster.down {
-                roster = self.0 .1.wait(roster).unwrap_or_else(PoisonError::into_inner);
+            let mut silent = roster.silent;
+            while !silent && after.is_some_and(|after| roster.version <= after) && !roster.down {
+                let left = late.saturating_duration_since(Instant::now());
+                if left.is_zero() {
+                    break;
+                }
+                roster = self.0 .1.wait_timeout(roster, left).unwrap_or_else(PoisonError::into_inner).0;
+                silent |= roster.silent;
+            }
+            if silent {
+                drop(roster);
+                let _ = stream.read(&mut [0]);
+                return;
             }
             let (status, body) = match roster.down {
                 true => ("503 Down", String::new()),
                 false => {
-                    let (version, changes) = (roster.version, &roster.changes);
+                    // What the caller has already does not come again.
+                    let news = after.is_none_or(|after| roster.version > after);
+                    let (version, changes) = (roster.version, if news { &roster.changes[..] } else { "" });
                     (
                         "200 OK",
                         format!(
@@ -321,9 +341,12 @@
                     )
                 }
             };
-            let length = body.len();
-            let answer = format!("HTTP/1.1 {status}\r\nContent-Length: {length}\r\n\r\n{body}");
-            if stream.write_all(answer.as_bytes()).is_err() {
+            let length = match roster.endless {
+                true => "Connection: close".to_owned(),
+                false => format!("Content-Length: {}", body.len()),
+            };
+            let answer = format!("HTTP/1.1 {status}\r\n{length}\r\n\r\n{body}");
+            if stream.write_all(answer.as_bytes()).is_err() || roster.endless {
                 return;
             }
         }
--- a/router/src/lifecycle/fetch.rs
+++ b/router/src/lifecycle/fetch.rs
@@ -24,6 +24,8 @@
     while !answer.read(&mut input).map_err(|fault| format!("{fault:?}"))? {
         stream.readable().await.map_err(words)?;
         match stream.get_ref().read(input.free()) {
+            // An answer without a length is whole now. One that a reset cut off comes here as an error.
+            Ok(0) if answer.ended() => break,
             Ok(0) => return Err("the connection ended".into()),
             Ok(count) => input.filled_more(count),
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted) => {}
--- a/router/src/lifecycle/start.rs
+++ b/router/src/lifecycle/start.rs
@@ -12,6 +12,7 @@
 use rustix::process::{getrlimit, setrlimit, Resource, Rlimit};
 use serde_json::Value;
 use ternpick::brain::Brain;
+use ternpick::cadence::Cadence;
 
 use crate::fleet::{drive, Fleet};
 use crate::lifecycle::clock::Clock;
@@ -113,6 +114,7 @@
     let fleet = settings.fleet.map(|terms| {
         Fleet::new(terms, &name, &tariff, &bounds.index_names, customers, inherits, clock.now())
     });
+    let cadence = Cadence::new(bounds.ask_within, !seed);
     let (bounds, asked) = (Rc::new(bounds), tariff.roster_on_request);
     let office = Office { bounds: Rc::clone(&bounds), limits, ..Office::default() };
     let router = Rc::new(Router {
@@ -146,7 +148,7 @@
     let control = settings.control;
     let executor = Rc::clone(&router.executor);
     let heir = future::block_on(executor.run(async {
-        executor.spawn(watch::watch(Rc::clone(&router))).detach();
+        executor.spawn(watch::watch(Rc::clone(&router), cadence)).detach();
         executor.spawn(route::turns(Rc::clone(&router))).detach();
         // The tasks are to listen before they are called upon: taking a list in may ask for the watch at once.
         future::yield_now().await;
--- a/router/src/lifecycle/watch.rs
+++ b/router/src/lifecycle/watch.rs
@@ -7,20 +7,13 @@
 use async_io::{Async, Timer};
 use futures_lite::future;
 use serde_json::Value;
+use ternpick::cadence::Cadence;
 use ternpick::types::{Micros, Phase};
 
 use crate::lifecycle::fetch;
 use crate::stages::{send, Router};
 use ternpick_wire::discovery;
 
-/// The longest that a call may wait, by the protocol.
-const LONGEST_WAIT: Micros = Micros(60_000_000);
-/// Past its wait, a call has failed: from then on news counts as told.
-const OVERDUE: Micros = Micros(2_000_000);
-/// A watch that is silent so long past its wait has failed: the module asks anew half a second to a second later, by chance,
-/// and the whole list has to be here by the time at which news counts as told. Seen: 288 watches that fell silent at once
-/// were given up at that very time, their lists came a second later, and parts went to nodes that had begun to drain.
-const SILENT: Micros = Micros(1_000_000);
 /// Between an answer without news that came before its time and the next call: a watch goes on for 200 ms.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -44,7 +37,13 @@
                     }
                     listings.push(listing);
                 }
-                Err(what) => tracing::warn!("roster: an entry is skipped, {what}: {entry}"),
+                Err(what) => {
+                    tracing::warn!("roster: an entry is skipped, {what}: {entry}");
+                    // A whole list that names a node and spoils the rest does not say that it is gone: it stays as it was.
+                    let known = entry["name"].as_str().and_then(|name| out.nodes.number(name));
+                    let known = known.filter(|_| full).and_then(|node| brain.nodes.get(&node));
+                    listings.extend(known.map(|node| node.listing));
+                }
             }
         }
         if full {
@@ -65,8 +64,7 @@
 /// Watches whenever the module wants it, from the version that the router started with. Where discovery has
 /// moved, the call that is out at the old address is left at once, and the new one is asked for its whole list:
 /// its versions need not go on from the old one's, and what it does not list is gone.
-pub async fn watch(router: Rc<Router>) {
-    let wait = router.bounds.ask_within.unwrap_or(LONGEST_WAIT).min(LONGEST_WAIT);
+pub async fn watch(router: Rc<Router>, mut cadence: Cadence) {
     let (mut kept, mut failing, mut after) = (None::<Async<TcpStream>>, false, None);
     let mut first = true;
     let (mut at, mut watching, mut wanted) = (router.discovery.get(), false, router.watch.listen());
@@ -86,22 +84,23 @@
             continue;
         }
         let began = router.clock.now();
-        // A whole list is not waited for.
-        let longest = after.map_or(OVERDUE, |_| wait + SILENT);
+        let terms = cadence.next(after.is_some());
         let called = async {
-            let call = call(&router, &mut kept, discovery, after, wait);
-            let in_time = router.until(Some(began + longest), call).await;
-            Some(in_time.unwrap_or_else(|| Err("no answer in time".into())))
+            let call = call(&router, &mut kept, discovery, after, terms.wait);
+            Some(router.until(Some(began + terms.patience), call).await)
         };
         let leaves = async {
             moved.await;
             None
         };
         let Some(answered) = future::or(leaves, called).await else { continue };
+        let silent = answered.is_none();
+        let answered = answered.unwrap_or_else(|| Err("no answer in time".into()));
         match answered.and_then(|list| take_list(&router, &list).map_err(str::to_owned)) {
             Ok(newer) => {
+                cadence.answered();
                 router.roster_version.set(newer);
-                let early = after == Some(newer) && router.clock.now().since(began) < wait;
+                let early = after == Some(newer) && router.clock.now().since(began) < terms.wait;
                 (after, failing) = (Some(newer), false);
                 if early {
                     Timer::after(PAUSE).await;
@@ -113,7 +112,14 @@
                     true => tracing::debug!("roster: a call failed, {what}"),
                     false => tracing::info!("roster: a call failed, {what}"),
                 }
-                (kept, failing, watching) = (None, true, false);
+                (kept, failing) = (None, true);
+                // Given up and asked anew half a second to a second later, in turn behind all others whose watches fell
+                // silent at once, the list came after what it said counted as told: parts went to nodes that had begun to
+                // drain. The first look behind a silent watch follows at once.
+                if cadence.failed(silent) {
+                    continue;
+                }
+                watching = false;
                 // What the module wanted before it hears of this is out of date.
                 wanted = router.watch.listen();
                 router.play(|brain, now, out| brain.roster_failed(now, out));
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -52,13 +52,21 @@
     pub fn start_with(
         discovery: SocketAddr, known: &str, sockets: usize, memory_mb: u64, settings: &str,
         more: impl FnOnce(&mut Command),
+    ) -> Router {
+        Router::start_seeded(7, discovery, known, sockets, memory_mb, settings, more)
+    }
+
+    /// One of many, each with chance of its own.
+    pub fn start_seeded(
+        seed: usize, discovery: SocketAddr, known: &str, sockets: usize, memory_mb: u64, settings: &str,
+        more: impl FnOnce(&mut Command),
     ) -> Router {
         static NUMBER: AtomicUsize = AtomicUsize::new(0);
         let (port, pid, number) = (free(), std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed));
         let name = format!("ternpick-{pid}-{number}.json");
         let config = std::env::temp_dir().join(name);
         let text = format!(
-            r#"{{"name":"n0","listen":"{port}","discovery":"{discovery}","seed":"7","settings":{settings},
+            r#"{{"name":"n0","listen":"{port}","discovery":"{discovery}","seed":"{seed:x}","settings":{settings},
                 "limits":{{"sockets":{sockets},"memory_mb":{memory_mb}}},"known":{{"index":1,"snapshot":true,"endpoints":[{known}]}}}}"#
         );
         std::fs::write(&config, text).expect("a configuration");
@@ -76,6 +84,13 @@
         router
     }
 
+    /// Starts the program again in the place of one that has ended.
+    pub fn again(&mut self) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ternpick"));
+        command.args(["serve", "--config"]).arg(&self.config).env("RUST_LOG", "off");
+        self.child = command.spawn().expect("the router starts");
+    }
+
     /// A router of one or two nodes that are listed, each with what it does.
     pub fn with(nodes: &[Act]) -> (Router, Vec<Node>, Discovery) {
         let nodes: Vec<Node> = nodes.iter().map(|act| Node::start([*act; 2])).collect();
--- a/router/tests/sockets.rs
+++ b/router/tests/sockets.rs
@@ -154,7 +154,7 @@
 fn a_watch_that_falls_silent_is_opened_anew_before_its_news_counts_as_told() {
     let discovery = Discovery::default();
     // It is at the version that the router knows, and answers nothing.
-    discovery.set(|roster| roster.version = 1);
+    discovery.set(|roster| (roster.version, roster.silent) = (1, true));
     let settings = SETTINGS.replace("9000000}}", "1000000}}");
     assert_ne!(settings, SETTINGS);
     let _router = Router::start_with(discovery.start(), "", 1024, 1, &settings, |_| ());
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,9 @@
 //! The decisions of ternpick, the root node of a sharded search service, free of any protocol.
 //!
-//! [`brain::Brain`] is told what the router sees and acts through [`interface::Actions`].
+//! [`brain::Brain`] is told what the router sees and acts through [`interface::Actions`]. [`cadence::Cadence`] says how the
+//! roster's watch is kept.
 
 pub mod brain;
+pub mod cadence;
 pub mod interface;
 pub mod types;
--- a/wire/src/http.rs
+++ b/wire/src/http.rs
@@ -47,6 +47,8 @@
     Headers,
     /// So many bytes are to come, of the body or of a chunk.
     Body(usize),
+    /// All that comes until the connection ends.
+    Rest,
     Chunk(usize),
     ChunkEnd,
     ChunkSize,
@@ -60,7 +62,7 @@
     line: Vec<u8>,
     head_bytes: usize,
     body_bound: usize,
-    /// An answer without a length or chunks would last until its connection ends, which is not spoken here.
+    /// An answer without a length or chunks lasts until its connection ends.
     answers: bool,
     start: String,
     headers: Vec<(String, String)>,
@@ -100,6 +102,14 @@
                 return Ok(false);
             }
             match self.state {
+                State::Rest => {
+                    let taken = run.len();
+                    if taken > self.body_bound - self.body.len() {
+                        return Err(Fault::BodyTooLarge);
+                    }
+                    self.body.extend_from_slice(run);
+                    input.consume(taken);
+                }
                 State::Body(left) | State::Chunk(left) => {
                     let taken = run.len().min(left);
                     self.body.extend_from_slice(&run[..taken]);
@@ -134,6 +144,14 @@
         Ok(true)
     }
 
+    /// The connection has ended in order, which a reset is not; true if that makes the message whole.
+    pub fn ended(&mut self) -> bool {
+        if self.state == State::Rest {
+            self.state = State::Complete;
+        }
+        self.state == State::Complete
+    }
+
     fn line_ended(&mut self, line: &[u8]) -> Result<(), Fault> {
         let text =
             std::str::from_utf8(line).ok().filter(|text| !text.bytes().any(|b| b < b' ' && b != b'\t'));
@@ -172,7 +190,7 @@
             State::ChunkEnd if text.is_empty() => self.state = State::ChunkSize,
             State::ChunkEnd => return Err(Fault::Malformed("a chunk is longer than its size")),
             State::Trailer if text.is_empty() => self.state = State::Complete,
-            State::Trailer | State::Body(_) | State::Chunk(_) | State::Complete => {}
+            State::Trailer | State::Body(_) | State::Rest | State::Chunk(_) | State::Complete => {}
         }
         Ok(())
     }
@@ -196,7 +214,8 @@
         let all = |wanted: &'static str| self.headers.iter().filter(move |(name, _)| name == wanted);
         let length = match (all("content-length").count(), all("transfer-encoding").count()) {
             (0, 0) if self.answers && !matches!(self.status(), Some(204 | 304)) => {
-                return Err(Fault::Malformed("an answer has neither a length nor chunks"));
+                self.state = State::Rest;
+                return Ok(());
             }
             (0, 0) => 0,
             (1, 0) => {
@@ -264,7 +283,9 @@
         let version = self.start.split(' ').nth(if self.answers { 0 } else { 2 });
         let said = self.header("connection").unwrap_or_default();
         let says = |wanted: &str| said.split(',').any(|word| word.trim().eq_ignore_ascii_case(wanted));
-        says("close") || version == Some("HTTP/1.0") && !says("keep-alive")
+        let framed = !self.answers
+            || ["content-length", "transfer-encoding"].iter().any(|of| self.header(of).is_some());
+        says("close") || version == Some("HTTP/1.0") && !says("keep-alive") || !framed
     }
 }
 
@@ -302,105 +323,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use test_case::test_case;
-
-    const PLAIN: &str =
-        "\r\nPOST /a/b?c=1 HTTP/1.1\r\nHost: x\r\nReq-Id:  7 \r\nContent-Length: 4\r\n\r\nbody";
-    const CHUNKS: &str = "POST /a/b HTTP/1.1\r\nReq-Id: 7\r\nTransfer-Encoding: Chunked\r\n\r\n\
-                          2;x=y\r\nbo\r\n2\r\ndy\r\n0\r\nTrailer: t\r\n\r\n";
-
-    /// Feeds a message piece by piece.
-    fn read(reader: &mut Reader, pieces: &[&[u8]]) -> Result<bool, Fault> {
-        let mut ring = Ring::new(1 << 20);
-        let mut whole = false;
-        for piece in pieces {
-            assert!(ring.push(piece));
-            whole = reader.read(&mut ring)?;
-        }
-        Ok(whole)
-    }
-
-    #[test_case(PLAIN; "with a length")]
-    #[test_case(CHUNKS; "in chunks")]
-    fn reads_alike_wherever_the_input_is_split(message: &str) {
-        for at in 0..message.len() {
-            let (first, second) = message.as_bytes().split_at(at);
-            let mut reader = Reader::of_requests();
-            assert_eq!(read(&mut reader, &[first, second]), Ok(true), "split at {at}");
-            assert_eq!((reader.method(), reader.path()), ("POST", "/a/b"));
-            assert_eq!((reader.header("req-id"), reader.body()), (Some("7"), &b"body"[..]));
-        }
-        let bytes: Vec<&[u8]> = message.as_bytes().chunks(1).collect();
-        assert_eq!(read(&mut Reader::of_requests(), &bytes), Ok(true));
-    }
-
-    #[test]
-    fn leaves_what_follows_for_the_next_message() {
-        let (mut ring, mut reader) = (Ring::new(1 << 20), Reader::of_requests());
-        assert!(ring.push(format!("{PLAIN}{CHUNKS}GET /z HTTP/1.0\r\n\r\n").as_bytes()));
-        for path in ["/a/b", "/a/b", "/z"] {
-            assert_eq!(reader.read(&mut ring), Ok(true));
-            assert_eq!((reader.path(), reader.closes()), (path, path == "/z"));
-        }
-        assert!(reader.body().is_empty() && reader.header("req-id").is_none());
-        assert_eq!(reader.read(&mut ring), Ok(false));
-    }
-
-    #[test_case("GET /\r\n\r\n", 400; "no version")]
-    #[test_case("GET  / HTTP/1.1\r\n\r\n", 400; "two blanks")]
-    #[test_case("GET / HTTP/1.1 x\r\n\r\n", 400; "too many words")]
-    #[test_case("GET / HTTP/2.0\r\n\r\n", 505; "another version")]
-    #[test_case("GET / HTTP/1.1\nHost: x\n\n", 400; "bare line feeds")]
-    #[test_case("GET / HTTP/1.1\r\nHost x\r\n\r\n", 400; "no colon")]
-    #[test_case("GET / HTTP/1.1\r\nHost : x\r\n\r\n", 400; "a blank in a name")]
-    #[test_case("GET / HTTP/1.1\r\n: x\r\n\r\n", 400; "no name")]
-    #[test_case("GET / HTTP/1.1\r\nA: \x01\r\n\r\n", 400; "a control character")]
-    #[test_case("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400; "two lengths")]
-    #[test_case("POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400; "both")]
-    #[test_case("POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\n", 400; "a signed length")]
-    #[test_case("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413; "too long")]
-    #[test_case("POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n", 413; "endless")]
-    #[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501; "another coding")]
-    #[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", 400; "a bad chunk size")]
-    #[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n\r\n", 400; "no chunk size")]
-    #[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", 400; "a long chunk")]
-    #[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n", 413; "endless chunk")]
-    fn refuses_what_makes_no_sense(message: &str, status: u16) {
-        let fault = read(&mut Reader::of_requests(), &[message.as_bytes()]);
-        assert_eq!(fault.map_err(|fault| fault.status().0), Err(status));
-    }
-
-    #[test]
-    fn bounds_the_number_of_headers() {
-        let head = |count| format!("GET / HTTP/1.1\r\n{}\r\n", "a:\r\n".repeat(count));
-        assert_eq!(read(&mut Reader::of_requests(), &[head(HEADERS_BOUND).as_bytes()]), Ok(true));
-        let more = read(&mut Reader::of_requests(), &[head(HEADERS_BOUND + 1).as_bytes()]);
-        assert_eq!(more, Err(Fault::HeadTooLarge));
-    }
-
-    #[test_case("A: b\r\n"; "many short headers")]
-    #[test_case("no end of this line "; "one endless line")]
-    fn bounds_a_head(piece: &str) {
-        let message = format!("GET / HTTP/1.1\r\n{}", piece.repeat(HEAD_BOUND));
-        assert_eq!(read(&mut Reader::of_requests(), &[message.as_bytes()]), Err(Fault::HeadTooLarge));
-    }
-
-    #[test]
-    fn bounds_chunks_together() {
-        let chunk = format!("8000\r\n{}\r\n", "x".repeat(0x8000));
-        let message = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}{chunk}1\r\n");
-        assert_eq!(read(&mut Reader::of_requests(), &[message.as_bytes()]), Err(Fault::BodyTooLarge));
-    }
-
-    #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", Ok(Some(200)); "whole")]
-    #[test_case("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", Ok(Some(503)); "busy")]
-    #[test_case("HTTP/1.1 200 OK\r\n\r\n", Err(400); "as long as its connection")]
-    #[test_case("HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n", Ok(None); "no status")]
-    fn reads_answers(message: &str, status: Result<Option<u16>, u16>) {
-        let mut reader = Reader::of_answers(BODY_BOUND);
-        let read = read(&mut reader, &[message.as_bytes()]).map_err(|fault| fault.status().0);
-        assert_eq!(read.map(|whole| reader.status().filter(|_| whole)), status);
-    }
-}
+mod tests;
--- /dev/null
+++ b/wire/src/http/tests.rs
@@ -0,0 +1,117 @@
+use super::*;
+use test_case::test_case;
+
+const PLAIN: &str = "\r\nPOST /a/b?c=1 HTTP/1.1\r\nHost: x\r\nReq-Id:  7 \r\nContent-Length: 4\r\n\r\nbody";
+const CHUNKS: &str = "POST /a/b HTTP/1.1\r\nReq-Id: 7\r\nTransfer-Encoding: Chunked\r\n\r\n\
+                      2;x=y\r\nbo\r\n2\r\ndy\r\n0\r\nTrailer: t\r\n\r\n";
+
+/// Feeds a message piece by piece.
+fn read(reader: &mut Reader, pieces: &[&[u8]]) -> Result<bool, Fault> {
+    let mut ring = Ring::new(1 << 20);
+    let mut whole = false;
+    for piece in pieces {
+        assert!(ring.push(piece));
+        whole = reader.read(&mut ring)?;
+    }
+    Ok(whole)
+}
+
+#[test_case(PLAIN; "with a length")]
+#[test_case(CHUNKS; "in chunks")]
+fn reads_alike_wherever_the_input_is_split(message: &str) {
+    for at in 0..message.len() {
+        let (first, second) = message.as_bytes().split_at(at);
+        let mut reader = Reader::of_requests();
+        assert_eq!(read(&mut reader, &[first, second]), Ok(true), "split at {at}");
+        assert_eq!((reader.method(), reader.path()), ("POST", "/a/b"));
+        assert_eq!((reader.header("req-id"), reader.body()), (Some("7"), &b"body"[..]));
+    }
+    let bytes: Vec<&[u8]> = message.as_bytes().chunks(1).collect();
+    assert_eq!(read(&mut Reader::of_requests(), &bytes), Ok(true));
+}
+
+#[test]
+fn leaves_what_follows_for_the_next_message() {
+    let (mut ring, mut reader) = (Ring::new(1 << 20), Reader::of_requests());
+    assert!(ring.push(format!("{PLAIN}{CHUNKS}GET /z HTTP/1.0\r\n\r\n").as_bytes()));
+    for path in ["/a/b", "/a/b", "/z"] {
+        assert_eq!(reader.read(&mut ring), Ok(true));
+        assert_eq!((reader.path(), reader.closes()), (path, path == "/z"));
+    }
+    assert!(reader.body().is_empty() && reader.header("req-id").is_none());
+    assert_eq!(reader.read(&mut ring), Ok(false));
+}
+
+#[test_case("GET /\r\n\r\n", 400; "no version")]
+#[test_case("GET  / HTTP/1.1\r\n\r\n", 400; "two blanks")]
+#[test_case("GET / HTTP/1.1 x\r\n\r\n", 400; "too many words")]
+#[test_case("GET / HTTP/2.0\r\n\r\n", 505; "another version")]
+#[test_case("GET / HTTP/1.1\nHost: x\n\n", 400; "bare line feeds")]
+#[test_case("GET / HTTP/1.1\r\nHost x\r\n\r\n", 400; "no colon")]
+#[test_case("GET / HTTP/1.1\r\nHost : x\r\n\r\n", 400; "a blank in a name")]
+#[test_case("GET / HTTP/1.1\r\n: x\r\n\r\n", 400; "no name")]
+#[test_case("GET / HTTP/1.1\r\nA: \x01\r\n\r\n", 400; "a control character")]
+#[test_case("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400; "two lengths")]
+#[test_case("POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400; "both")]
+#[test_case("POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\n", 400; "a signed length")]
+#[test_case("POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413; "too long")]
+#[test_case("POST / HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n", 413; "endless")]
+#[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n", 501; "another coding")]
+#[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n", 400; "a bad chunk size")]
+#[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n\r\n", 400; "no chunk size")]
+#[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", 400; "a long chunk")]
+#[test_case("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n", 413; "endless chunk")]
+fn refuses_what_makes_no_sense(message: &str, status: u16) {
+    let fault = read(&mut Reader::of_requests(), &[message.as_bytes()]);
+    assert_eq!(fault.map_err(|fault| fault.status().0), Err(status));
+}
+
+#[test]
+fn bounds_the_number_of_headers() {
+    let head = |count| format!("GET / HTTP/1.1\r\n{}\r\n", "a:\r\n".repeat(count));
+    assert_eq!(read(&mut Reader::of_requests(), &[head(HEADERS_BOUND).as_bytes()]), Ok(true));
+    let more = read(&mut Reader::of_requests(), &[head(HEADERS_BOUND + 1).as_bytes()]);
+    assert_eq!(more, Err(Fault::HeadTooLarge));
+}
+
+#[test_case("A: b\r\n"; "many short headers")]
+#[test_case("no end of this line "; "one endless line")]
+fn bounds_a_head(piece: &str) {
+    let message = format!("GET / HTTP/1.1\r\n{}", piece.repeat(HEAD_BOUND));
+    assert_eq!(read(&mut Reader::of_requests(), &[message.as_bytes()]), Err(Fault::HeadTooLarge));
+}
+
+#[test]
+fn bounds_chunks_together() {
+    let chunk = format!("8000\r\n{}\r\n", "x".repeat(0x8000));
+    let message = format!("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}{chunk}1\r\n");
+    assert_eq!(read(&mut Reader::of_requests(), &[message.as_bytes()]), Err(Fault::BodyTooLarge));
+}
+
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", Ok(Some(200)); "whole")]
+#[test_case("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", Ok(Some(503)); "busy")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\n{}", Ok(None); "as long as its connection, which has not ended")]
+#[test_case("HTTP/1.1 2x0 OK\r\nContent-Length: 0\r\n\r\n", Ok(None); "no status")]
+fn reads_answers(message: &str, status: Result<Option<u16>, u16>) {
+    let mut reader = Reader::of_answers(BODY_BOUND);
+    let read = read(&mut reader, &[message.as_bytes()]).map_err(|fault| fault.status().0);
+    assert_eq!(read.map(|whole| reader.status().filter(|_| whole)), status);
+}
+
+/// Discovery's answers may have no length: whole once the connection ends in order, and not before; bounded like the others.
+#[test]
+fn an_answer_without_a_length_is_whole_when_its_connection_ends() {
+    let head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+    let mut reader = Reader::of_answers(BODY_BOUND);
+    assert_eq!(read(&mut reader, &[head.as_bytes(), b"{\"a\"", b":1}"]), Ok(false));
+    assert!(reader.closes() && reader.ended());
+    assert_eq!((reader.status(), reader.body()), (Some(200), &b"{\"a\":1}"[..]));
+    for cut in ["", "HTTP/1.1 200 OK\r\nConn", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfour"] {
+        let mut reader = Reader::of_answers(BODY_BOUND);
+        assert_eq!(read(&mut reader, &[cut.as_bytes()]), Ok(false));
+        assert!(!reader.ended(), "{cut:?} is no whole answer");
+    }
+    let endless = "x".repeat(BODY_BOUND + 1);
+    let read = read(&mut Reader::of_answers(BODY_BOUND), &[head.as_bytes(), endless.as_bytes()]);
+    assert_eq!(read, Err(Fault::BodyTooLarge));
+}
