Nothing is begun for a client that has left, and connections end in order, read to their end

Read in the code, shown by tests (router/tests/endings.rs), then mended: - A client that sent more ahead than the 16 KiB that were read was not seen to leave: `left` in stages/take_in.rs stopped reading a full buffer for good, and the end stands behind the bytes. Its parts were tried again 0.6 s after it had gone. What comes ahead is now kept up to one whole request (80 KiB); more is read, thrown away at a bounded pace, and the connection ends with its answer. Ruled out: asking the system for the peer's end alone (RDHUP): behind a shut window it has not arrived. - Requests that waited in the listener or behind others, whose clients had left, were sent on: nothing looked at the connection between a whole request and its admission. It is read up to what is there first; an end means that nothing is begun. - A connection was closed over bytes not read (stages/take_in.rs, end of `client`): a reset, and an answer on its way with it. Each close now shuts the way to the client, reads to the end within 1 s and 256 KiB, sends nothing of it on, and gives its descriptor up first when one is wanted. Before, only refused messages were read on. - A stop while another process takes over ended before whoever had asked for that was told ("the router has ended before it answered"): a race before, seen 4 times in 12 once connections take a moment to end. `when_done` waits for it, bounded as before. - Discovery's connections have TCP_NODELAY too. Confirmed and right as they were, with tests that hold it: a further attempt due in the very turn in which its client is seen to have left; a request in the buffer as resting connections are closed; what is taken late in a stop (ended by 0.7 s and the longest deadline: time counts from the first byte); descriptors full of resting clients while discovery is down; 20 processes restarted at once while discovery is silent or refuses: each ready and answering within 10 s.

--- a/router/src/lifecycle/stop.rs
+++ b/router/src/lifecycle/stop.rs
@@ -38,7 +38,9 @@
     let last = router.clock.now() + longest;
     router.accepts_no_more.set(true);
     router.clients.keep_idle(0);
-    while router.descriptors.clients() > 0 && router.clock.now() < last {
+    // One that hands over leaves when that is done: whoever asked for it is owed the word.
+    let owes = || router.descriptors.clients() > 0 || router.handing.get() && !router.gone.get();
+    while owes() && router.clock.now() < last {
         Timer::at(router.clock.instant(router.clock.now() + LOOK_AGAIN)).await;
     }
     let desk = router.desk.borrow();
--- a/router/src/stages/send.rs
+++ b/router/src/stages/send.rs
@@ -135,8 +135,6 @@
     let address = router.desk.borrow().office.nodes.connection(id).map(|connection| connection.address);
     let Some(address) = address else { return };
     if let Some(stream) = dial(&router, address).await {
-        // Frames are small, and each is wanted at once.
-        let _ = stream.get_ref().set_nodelay(true);
         let stream = Rc::new(stream);
         if let Some(connection) = router.desk.borrow_mut().office.nodes.connection_mut(id) {
             connection.stream = Some(Rc::clone(&stream));
@@ -153,7 +151,10 @@
 /// A new connection, if it comes up in time.
 pub async fn dial(router: &Router, address: SocketAddr) -> Option<Async<TcpStream>> {
     let limit = router.bounds.dial_timeout.map(|limit| router.clock.now() + limit);
-    router.until(limit, Async::<TcpStream>::connect(address)).await?.ok()
+    let stream = router.until(limit, Async::<TcpStream>::connect(address)).await?.ok()?;
+    // Frames and calls are small, and each is wanted at once.
+    let _ = stream.get_ref().set_nodelay(true);
+    Some(stream)
 }
 
 /// Ends what was out on a connection. What was not written whole has never run. A connection that the router
--- a/router/src/stages/take_in.rs
+++ b/router/src/stages/take_in.rs
@@ -19,7 +19,12 @@
 use ternpick_wire::http::{self, Fault, Reader, BODY_BOUND, HEAD_BOUND};
 use ternpick_wire::ring::Ring;
 
-const IN_BOUND: usize = HEAD_BOUND;
+/// Clients send one request at a time; a whole further one may stand behind it.
+const IN_BOUND: usize = HEAD_BOUND + BODY_BOUND;
+/// Reads in a row before others have their turn.
+const READS: usize = 64;
+/// Between the reads of what is thrown away.
+const FLOOD_PAUSE: Duration = Duration::from_millis(1);
 /// The longest answer: as long a body as the protocol knows, and its head.
 const OUT_BOUND: usize = BODY_BOUND + HEAD_BOUND;
 /// Before accepting is tried again after a failure that is not the peer's.
@@ -32,7 +37,7 @@
 /// kept, gets an error; a connection that has brought none by then is closed.
 const WHOLE_WITHIN: Micros = Micros(2_500_000);
 
-/// How much and how long is read on after a message that was refused.
+/// How much and how long is read on behind the last answer.
 const LINGER_BYTES: usize = 4 * BODY_BOUND;
 const LINGER: Duration = Duration::from_secs(1);
 
@@ -123,6 +128,10 @@
     accepted: Option<Micros>,
     /// It ends here and goes on in another process.
     handed: bool,
+    /// Its client has sent more ahead than may wait: that is read, thrown away, and the connection ends with the next answer.
+    floods: bool,
+    /// Its client has ended it, or takes nothing more: nobody is there to read on for.
+    gone: bool,
     _permit: Permit,
 }
 
@@ -133,6 +142,17 @@
         self.share.set(held + self.stream.size());
         held
     }
+
+    fn make_room(&mut self) {
+        if self.input.room() == 0 {
+            self.overrun();
+        }
+    }
+
+    fn overrun(&mut self) {
+        self.floods = true;
+        self.input.consume(usize::MAX);
+    }
 }
 
 /// A connection's whole life: one request after the other.
@@ -143,20 +163,30 @@
         return tracing::warn!("a connection that was handed over has sent more than its bound");
     }
     let (share, accepted) = (router.budget.share(), Some(router.clock.now()));
-    let mut line = Line { stream, input, output, share, accepted, handed: false, _permit: permit };
+    let mut line = Line {
+        stream,
+        input,
+        output,
+        share,
+        accepted,
+        handed: false,
+        floods: false,
+        gone: false,
+        _permit: permit,
+    };
     let mut request = Reader::of_requests();
     line.holds(0);
     while one_request(&router, &mut line, &mut request).await {}
-    let Line { mut stream, input, handed, .. } = line;
-    match stream {
-        // Whole requests that wait and idle connections go on in the new process. TLS has its state here, and ends.
-        Stream::Plain(socket) if handed => {
-            if let Ok(socket) = socket.into_inner() {
-                router.handed.borrow_mut().push_back((socket, input.to_vec()));
-                router.handed_more.notify(1);
-            }
+    // Whole requests that wait and idle connections go on in the new process. TLS has its state here, and ends.
+    if !(line.handed && matches!(line.stream, Stream::Plain(_))) {
+        return if line.gone { line.stream.finish() } else { linger(&router, &mut line).await };
+    }
+    let Line { stream, input, .. } = line;
+    if let Stream::Plain(socket) = stream {
+        if let Ok(socket) = socket.into_inner() {
+            router.handed.borrow_mut().push_back((socket, input.to_vec()));
+            router.handed_more.notify(1);
         }
-        _ => stream.finish(),
     }
 }
 
@@ -193,13 +223,18 @@
             if let Some(fleet) = &router.fleet {
                 fleet.settled(router).await;
             }
+            // Requests that were sent ahead, or waited to be accepted, may have lost their client meanwhile: nothing of
+            // theirs is begun.
+            if !is_there(line) {
+                return false;
+            }
             let (closes, admitted) =
                 (request.closes(), admit::admit(router, request, began, line.stream.certificate()));
             line.holds(request.body().len());
             request.forget_body();
             let answer = match admitted {
                 Admitted::Answer(answer) => answer,
-                Admitted::Held(id, reply) => match wait(line, &reply).await {
+                Admitted::Held(id, reply) => match wait(router, line, &reply).await {
                     Some(answer) => answer,
                     None => {
                         route::lapse(router, id);
@@ -213,7 +248,7 @@
     let (status, headers, body) = answer;
     // After a request that made no sense, what follows on its connection may make none either.
     let bad = matches!(status, 400..=499 | 501 | 505) && !matches!(status, 401 | 403 | 429);
-    last |= bad || router.is_stopping();
+    last |= bad || line.floods || router.is_stopping();
     let body = if request.method() == "HEAD" { String::new() } else { body };
     if !line.output.push(&http::answer(status, &headers, &body, last)) {
         tracing::warn!("an answer of {} bytes is longer than its bound", body.len());
@@ -223,19 +258,20 @@
     // After the longest time that any client waits, a slow one holds nothing up.
     let last_byte = router.bounds.longest_deadline.map(|longest| router.clock.now() + longest);
     let written = router.until(last_byte, write_all(line)).await.unwrap_or(false);
-    if written && bad {
-        linger(router, line).await;
-    }
+    line.gone |= !written;
     line.holds(0);
     written && !last
 }
 
-/// Reads on for a while after a refused message: closed at once, its connection would be reset, and the client
-/// might never see why.
+/// Ends a connection in order: shuts the way to the client, reads what still comes up to its end, and throws it away. Closed
+/// over bytes that were not read, a connection is reset, and an answer on its way goes with it. Nothing that is read here is
+/// sent on: whoever sees the end before an answer asks again elsewhere. It gives its descriptor up first when one is wanted.
 async fn linger(router: &Router, line: &mut Line) {
-    let place = router.clients.wait(router.clock.now(), true);
+    let place = router.clients.wait(Micros(0), true);
     let told = place.told.listen();
     line.stream.finish();
+    line.input.consume(usize::MAX);
+    line.holds(0);
     let mut left = LINGER_BYTES;
     let drained = async {
         while let Ok(some) = take_bytes(line) {
@@ -300,8 +336,7 @@
         return Ok(true);
     }
     match line.stream.read(free) {
-        Ok(0) => Err(Stop::Ended),
-        Ok(count) => {
+        Ok(count) if count > 0 => {
             line.input.filled_more(count);
             Ok(true)
         }
@@ -309,8 +344,24 @@
             line.input.rest();
             Ok(false)
         }
-        Err(_) => Err(Stop::Ended),
+        _ => {
+            line.gone = true;
+            Err(Stop::Ended)
+        }
+    }
+}
+
+/// Whether the client is still there, as far as what it has sent tells; that is read, and waits.
+fn is_there(line: &mut Line) -> bool {
+    for _ in 0..READS {
+        line.make_room();
+        match take_bytes(line) {
+            Ok(true) => {}
+            Ok(false) => return true,
+            Err(_) => return false,
+        }
     }
+    true
 }
 
 async fn read_request(
@@ -338,18 +389,32 @@
 }
 
 /// Waits for a lookup's answer; none if the client has left before it.
-async fn wait(line: &mut Line, reply: &Reply) -> Option<Answer> {
+async fn wait(router: &Router, line: &mut Line, reply: &Reply) -> Option<Answer> {
     let answer = async { Some(reply.wait().await) };
-    future::or(answer, left(line)).await
+    future::or(answer, left(router, line)).await
 }
 
-/// Ends when the client has left. What it sends ahead waits, and a full buffer is read no further.
-async fn left<T>(line: &mut Line) -> Option<T> {
+/// Ends when the client has left. What it sends ahead waits, within its bound and while there is memory. A client's end stands
+/// behind all that it has sent: one that sent much at once and went had its parts sent on for as long as its lookup lasted.
+async fn left<T>(router: &Router, line: &mut Line) -> Option<T> {
     loop {
-        if line.input.room() == 0 {
-            return future::pending().await;
+        line.make_room();
+        for _ in 0..READS {
+            match take_bytes(line) {
+                Ok(true) if line.input.room() > 0 => {}
+                Ok(_) => break,
+                Err(_) => return None,
+            }
+        }
+        if line.holds(0) > 0 && router.budget.is_over() {
+            line.overrun();
+        }
+        if line.floods {
+            // Whoever floods costs no more than a part of the time.
+            Timer::after(FLOOD_PAUSE).await;
         }
-        if line.stream.readable().await.is_err() || take_bytes(line).is_err() {
+        if line.stream.readable().await.is_err() {
+            line.gone = true;
             return None;
         }
     }
--- a/router/tests/endings.rs
+++ b/router/tests/endings.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -33,6 +35,15 @@
     fn calls_after(&self, then: Instant) -> usize {
         self.0.lock().unwrap().iter().filter(|(at, letter, _)| *letter == 'q' && *at > then).count()
     }
+
+    /// Waits for the first frame of a letter.
+    fn wait(&self, wanted: char) {
+        let late = Instant::now() + BOUND;
+        while !self.0.lock().unwrap().iter().any(|(_, letter, _)| *letter == wanted) {
+            assert!(Instant::now() < late, "a frame '{wanted}' in time");
+            thread::sleep(MS);
+        }
+    }
 }
 
 fn eventually(what: &str, mut is: impl FnMut() -> bool) {
@@ -43,6 +54,11 @@
     }
 }
 
+/// Whether the connection ends in order; what comes before its end is passed over.
+fn ends_in_order(stream: &mut TcpStream) -> bool {
+    stream.read_to_end(&mut Vec::new()).is_ok()
+}
+
 // Term 1: a change counts as told 6 s after discovery had it and could be reached.
 
 const TOLD: Duration = Duration::from_secs(6);
@@ -130,3 +146,210 @@
     new.wait_until(|roster| roster.asked == 7);
     assert_eq!(ask(&mut router.connect(), "whole", "r1").2, WHOLE);
 }
+
+// Term 2: a client that has gone. No attempt begins more than 0.1 s later, first or further.
+
+const GONE: Duration = Duration::from_millis(100);
+
+/// `ahead` bytes of further requests stand before the client's end, more than the router reads.
+#[test_case(0; "it has sent nothing more")]
+#[test_case(3; "it has sent some requests ahead")]
+#[test_case(2000; "it has sent more at once than is read")]
+fn nothing_is_begun_for_a_client_that_has_left(ahead: usize) {
+    let (router, nodes, _discovery) = Router::with(&[Act::Silent, Act::Silent]);
+    let record = Record::of(&nodes);
+    let mut client = router.connect();
+    client.write_all(request("whole", "r").as_bytes()).expect("written");
+    record.wait('q');
+    client.set_nonblocking(true).expect("a socket");
+    for id in 0..ahead {
+        // What the way there does not hold is not sent.
+        if client.write(request("whole", &format!("a{id}")).as_bytes()).is_err() {
+            break;
+        }
+    }
+    drop(client);
+    let left = Instant::now();
+    // Past the time at which its parts would be tried again.
+    thread::sleep(1500 * MS);
+    assert_eq!(record.calls_after(left + GONE), 0);
+}
+
+/// The router stands still while its client leaves and the time comes to try again: both wake it at once.
+#[test]
+fn a_further_attempt_that_is_due_as_its_client_has_left_is_not_made() {
+    let (router, nodes, _discovery) = Router::with(&[Act::Silent, Act::Silent]);
+    let record = Record::of(&nodes);
+    let mut client = router.connect();
+    client.write_all(request("whole", "r").as_bytes()).expect("written");
+    record.wait('q');
+    router.signal("-STOP");
+    drop(client);
+    let left = Instant::now();
+    thread::sleep(800 * MS);
+    router.signal("-CONT");
+    thread::sleep(700 * MS);
+    assert_eq!(record.calls_after(left + GONE), 0);
+}
+
+/// Requests that waited to be accepted, or behind another on their connection, whose clients left meanwhile.
+#[test_case(1; "one request each")]
+#[test_case(4; "requests sent ahead")]
+fn a_request_whose_client_left_while_it_waited_is_not_sent_on(requests: usize) {
+    let (router, nodes, _discovery) = Router::with(&[Act::Serve, Act::Serve]);
+    let record = Record::of(&nodes);
+    assert_eq!(ask(&mut router.connect(), "whole", "first").0, 200);
+    let open = router.connect();
+    router.signal("-STOP");
+    for (at, mut client) in [open, router.connect(), router.connect()].into_iter().enumerate() {
+        for id in 0..requests {
+            client.write_all(request("whole", &format!("r{at}-{id}")).as_bytes()).expect("written");
+        }
+    }
+    let left = Instant::now();
+    thread::sleep(GONE + 50 * MS);
+    router.signal("-CONT");
+    assert_eq!(ask(&mut router.connect(), "whole", "last").0, 200);
+    thread::sleep(100 * MS);
+    let calls = record.0.lock().unwrap().clone();
+    let calls: Vec<_> = calls.into_iter().filter(|(at, letter, _)| *letter == 'q' && *at > left).collect();
+    assert!(calls.iter().all(|(_, _, text)| text.starts_with("last.")), "{calls:?}");
+}
+
+// Closing connections, and the stop.
+
+/// Closed over bytes that were not read, a connection is reset.
+#[test]
+fn an_answer_before_an_end_arrives_whole_whatever_its_client_sends_behind_its_request() {
+    let (router, nodes, _discovery) = Router::with(&[Act::Silent]);
+    let mut client = router.connect();
+    let last = request("whole", "r").replace("Host: x", "Host: x\r\nConnection: close");
+    client.write_all(last.as_bytes()).expect("written");
+    nodes[0].frame('q');
+    // More than the router reads ahead.
+    client.write_all("x".repeat(150_000).as_bytes()).expect("written");
+    ["r.0", "r.1"].iter().for_each(|id| nodes[0].answer(id));
+    thread::sleep(200 * MS);
+    let (status, head, _) = answer(&mut client);
+    assert_eq!((status, head.contains("Connection: close")), (200, true));
+    assert!(ends_in_order(&mut client));
+    // A reset is seen by who writes: the first meets it, the second is told.
+    client.write_all(b"x").expect("no reset behind it");
+    thread::sleep(20 * MS);
+    client.write_all(b"x").expect("no reset behind it");
+}
+
+/// A request that stands in the socket's buffer as the router closes what rests is answered.
+#[test]
+fn a_request_that_comes_as_resting_connections_are_closed_is_answered() {
+    let (router, nodes, _discovery) = Router::with(&[Act::Serve]);
+    let record = Record::of(&nodes);
+    let mut resting = router.connect();
+    assert_eq!(ask(&mut resting, "whole", "r1").0, 200);
+    router.signal("-TERM");
+    let told = Instant::now();
+    eventually("the signal is heard", || health(&router) == 503);
+    thread::sleep((500 * MS).saturating_sub(told.elapsed()));
+    // It stands still over the moment in which it closes.
+    router.signal("-STOP");
+    resting.write_all(request("whole", "r2").as_bytes()).expect("written");
+    thread::sleep((900 * MS).saturating_sub(told.elapsed()));
+    let then = Instant::now();
+    router.signal("-CONT");
+    let (status, head, _) = answer(&mut resting);
+    assert_eq!((status, head.contains("Connection: close")), (200, true));
+    assert!(record.calls_after(then) > 0 && ends_in_order(&mut resting));
+}
+
+/// Behind the shutdown nothing is sent on: its client sees the end and asks again elsewhere.
+#[test]
+fn a_request_behind_the_end_of_a_resting_connection_is_not_sent_on() {
+    let (mut router, nodes, _discovery) = Router::with(&[Act::Serve]);
+    let record = Record::of(&nodes);
+    let mut resting = router.connect();
+    assert_eq!(ask(&mut resting, "whole", "r1").0, 200);
+    router.signal("-TERM");
+    assert_eq!(resting.read(&mut [0]).expect("an end in order"), 0);
+    let then = Instant::now();
+    // Half a request, then the rest: the router reads to the end, so neither write meets a reset.
+    let text = request("whole", "r2");
+    let (first, rest) = text.as_bytes().split_at(40);
+    resting.write_all(first).expect("written");
+    thread::sleep(20 * MS);
+    resting.write_all(rest).expect("written");
+    thread::sleep(20 * MS);
+    resting.shutdown(Shutdown::Write).expect("the connection still stands");
+    assert!(ends_in_order(&mut resting) && router.ended());
+    assert_eq!(record.calls_after(then), 0);
+}
+
+/// The longest deadline here is 3 s, and 0.7 s more may pass until a router that stops is killed.
+#[test]
+fn what_is_taken_late_in_a_stop_is_answered_before_the_router_may_be_killed() {
+    let (mut router, nodes, _discovery) = Router::with(&[Act::Silent]);
+    let mut slow = router.connect();
+    slow.write_all(b"GET /_health HTTP/1.1\r\n\r\n").expect("written");
+    assert_eq!(answer(&mut slow).0, 200);
+    let text = request("whole", "r1").replace("Deadline-Ms: 2000", "Deadline-Ms: 3000");
+    let (first, rest) = text.as_bytes().split_at(40);
+    router.signal("-TERM");
+    let told = Instant::now();
+    thread::sleep(600 * MS);
+    slow.write_all(first).expect("written");
+    thread::sleep((2500 * MS).saturating_sub(told.elapsed()));
+    slow.write_all(rest).expect("written");
+    let status = answer(&mut slow).0;
+    assert!(told.elapsed() < 3700 * MS, "after {:?}", told.elapsed());
+    assert_eq!(status, 503);
+    assert!(router.ended() && nodes.len() == 1);
+}
+
+// Term 4: idle clients may fill the descriptors while discovery is down.
+
+#[test]
+fn clients_that_rest_on_every_descriptor_keep_neither_discovery_nor_requests_out() {
+    let (node, discovery) = (Node::start([Act::Serve; 2]), Discovery::default());
+    discovery.set(|roster| roster.down = true);
+    let router = Router::start(discovery.start(), "", 64);
+    discovery.wait_until(|roster| roster.calls >= 1);
+    // Some say nothing, some half of something, some rest behind an answer.
+    let mut resting: Vec<TcpStream> = (0..150).map(|_| router.connect()).collect();
+    for (at, stream) in resting.iter_mut().enumerate() {
+        let text = ["", "POST /whole HTTP/1.1\r\n", "GET /_health HTTP/1.1\r\n\r\n"][at % 3];
+        // Those that gave way already are gone.
+        let _ = stream.write_all(text.as_bytes());
+    }
+    let change = entry("s0", node.address, "Ready");
+    discovery.set(|roster| (roster.version, roster.changes, roster.down) = (5, change, false));
+    let had = Instant::now();
+    discovery.wait_until(|roster| roster.asked == 5);
+    assert!(had.elapsed() < TOLD, "known after {:?}", had.elapsed());
+    assert_eq!(ask(&mut router.connect(), "whole", "r1").2, WHOLE);
+}
+
+// Term 5: nine in ten restarted processes are ready within 10 s.
+
+#[test_case("silent"; "discovery takes calls and answers none")]
+#[test_case("down"; "discovery refuses all")]
+fn restarted_processes_are_ready_while_discovery_is_not(how: &str) {
+    let (node, discovery) = (Node::start([Act::Serve; 2]), Discovery::default());
+    discovery.set(|roster| (roster.silent, roster.down) = (how == "silent", how == "down"));
+    let (address, known) = (discovery.start(), entry("s0", node.address, "Ready"));
+    let mut routers: Vec<Router> = (0..20).map(|_| Router::start(address, &known, 256)).collect();
+    for router in &mut routers {
+        router.signal("-KILL");
+        router.child.wait().expect("it ends");
+    }
+    let began = Instant::now();
+    let started: Vec<_> = routers.iter_mut().map(Router::again).collect();
+    assert_eq!(started.len(), 20);
+    let mut ready = Vec::new();
+    for (at, router) in routers.iter().enumerate() {
+        eventually("a restarted router is ready", || TcpStream::connect(router.address).is_ok());
+        assert_eq!(health(router), 200);
+        assert_eq!(ask(&mut router.connect(), "whole", &format!("r{at}")).2, WHOLE);
+        ready.push(began.elapsed());
+    }
+    ready.sort();
+    assert!(ready[17] < Duration::from_secs(10), "{ready:?}");
+}
--- a/router/tests/upgrade.rs
+++ b/router/tests/upgrade.rs
@@ -403,7 +403,8 @@
         }
         served(of.router.address, "n2");
         assert_eq!(common::answer(&mut first).0, 502, "by its own rules, at its own time");
-        assert!(upgrade.join().expect("it ends").0);
+        let (done, text) = upgrade.join().expect("it ends");
+        assert!(done, "{text}");
     });
     of.settled();
     served(of.router.address, "n3");
