--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -504,12 +504,11 @@
         let mut sent: Vec<u64> = Vec::new();
         for step in 0..400u64 {
             let now = told + ms(step * 10);
-            for at in 0..brains.len() {
+            for (at, brain) in brains.iter_mut().enumerate() {
                 if restart && step == 30 + at as u64 * 60 / routers as u64 {
-                    brains[at] = of();
-                    brains[at].born = None;
+                    *brain = of();
+                    brain.born = None;
                 }
-                let brain = &mut brains[at];
                 if node(brain, 1).listing.started != began {
                     let survey = brain.survey;
                     brain.roster(now, &[listing], true, &mut Tape::default());
