--- a/router/src/stages/admit.rs
+++ b/router/src/stages/admit.rs
@@ -23,6 +23,11 @@
     (status, String::new(), format!("{what}\n"))
 }
 
+/// Whether a request begins nothing.
+pub fn is_health(request: &Reader) -> bool {
+    request.path() == "/_health"
+}
+
 /// Takes a request whose first byte came at `began`, on a connection that has shown `certificate`.
 pub fn admit(
     router: &Router, request: &Reader, began: Micros, certificate: Option<Rc<Certificate>>,
--- a/router/src/stages/take_in.rs
+++ b/router/src/stages/take_in.rs
@@ -224,8 +224,8 @@
                 fleet.settled(router).await;
             }
             // Requests that were sent ahead, or waited to be accepted, may have lost their client meanwhile: nothing of
-            // theirs is begun.
-            if !is_there(line) {
+            // theirs is begun. Whoever asks for health alone may have shut its way here and still listen.
+            if !is_there(line) && !admit::is_health(request) {
                 return false;
             }
             let (closes, admitted) =
--- a/router/tests/endings.rs
+++ b/router/tests/endings.rs
@@ -236,6 +236,15 @@
     assert_eq!(record.calls_after(left + GONE), 0);
 }
 
+#[test]
+fn a_probe_that_half_closes_is_answered() {
+    let (router, _nodes, _discovery) = Router::with(&[Act::Serve]);
+    let mut probe = router.connect();
+    probe.write_all(b"GET /_health HTTP/1.1\r\n\r\n").expect("written");
+    probe.shutdown(Shutdown::Write).expect("shut");
+    assert_eq!(answer(&mut probe).0, 200);
+}
+
 // Time-outs. What has come by the moment in which the router looks is taken before what that moment ends.
 
 #[test]
