--- a/router/src/lifecycle/snapshot.rs
+++ b/router/src/lifecycle/snapshot.rs
@@ -53,6 +53,22 @@
     (json!({"index": router.roster_version.get(), "snapshot": true, "endpoints": entries}), names)
 }
 
+/// Whose beliefs these are: the names that numbers of indexes and tenants stand for.
+fn owners(router: &Router) -> String {
+    let tenants =
+        router.gate.as_ref().map_or_else(|| router.bounds.customer_names.clone(), |gate| gate.customers());
+    format!(" of {:?}", (&router.bounds.index_names, tenants))
+}
+
+/// What beliefs rest on without whose they are, and whether they are this router's own. Under other names a number means
+/// somebody else: what was learnt of one customer's index would be held against another's.
+fn own_terms(terms: Option<&str>, owners: &str) -> (String, bool) {
+    match terms.and_then(|terms| terms.strip_suffix(owners)) {
+        Some(own) => (own.to_owned(), true),
+        None => ("somebody else's".to_owned(), false),
+    }
+}
+
 impl Snapshot {
     pub fn take(router: &Router) -> Snapshot {
         let (roster, names) = roster(router);
@@ -60,7 +76,8 @@
         let [keys, revocations] = router.gate.as_ref().map_or([None, None], |gate| gate.kept(router));
         let mut desk = router.desk.borrow_mut();
         let limits = desk.office.limits.as_mut().map(|limits| limits.counted(now));
-        let beliefs = desk.brain.beliefs(now);
+        let mut beliefs = desk.brain.beliefs(now);
+        beliefs.terms = beliefs.terms.map(|terms| terms + &owners(router));
         Snapshot { form: FORM, roster: roster.to_string(), names, beliefs, limits, keys, revocations }
     }
 
@@ -96,8 +113,10 @@
             let count = nodes.len();
             self.beliefs.nodes =
                 nodes.into_iter().filter_map(|(id, belief)| Some((known(&id)?.0, belief))).collect();
+            let (terms, own) = own_terms(self.beliefs.terms.as_deref(), &owners(router));
+            self.beliefs.terms = Some(terms);
             let taken = brain.believe(now, &self.beliefs);
-            if let (Some(limits), Some(counted)) = (&mut office.limits, &self.limits) {
+            if let (Some(limits), Some(counted), true) = (&mut office.limits, &self.limits, own) {
                 limits.go_on(now, counted);
             }
             (count, taken)
@@ -125,56 +144,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use ternpick::brain::NodeBelief;
-    use test_case::test_case;
-
-    fn snapshot(nodes: u64) -> Snapshot {
-        let entries: Vec<Value> = (0..nodes)
-            .map(|at| {
-                json!({"name": format!("s-{at:08x}"), "address": format!("10.{}.{}.7:9101", at / 250, at % 250),
-                    "zone": "north", "group": at % 97, "status": "Ready", "since_ms": 1_790_000_000_000u64 + at})
-            })
-            .collect();
-        let roster = json!({"index": 7, "snapshot": true, "endpoints": entries}).to_string();
-        let belief = NodeBelief {
-            started: 1_790_000_000_000_000,
-            report: Some(3.25),
-            best_rate: 41.5,
-            latency: Some(90_210.0),
-            seen: 12_000,
-            standings: vec![(0.5, 10_000.0, 70_000, 12_000); 3],
-            pace: Some(31_000.0),
-            doubted: None,
-            sends: Vec::new(),
-            out: vec![(1, 40_000, 1.0, 2.0)],
-        };
-        let beliefs =
-            Beliefs { nodes: (0..nodes).map(|at| (at, belief.clone())).collect(), ..Beliefs::default() };
-        let names = (0..nodes).map(|at| (at, format!("s-{at:08x}"))).collect();
-        Snapshot { form: FORM, roster, names, beliefs, limits: None, keys: None, revocations: None }
-    }
-
-    #[test_case(12; "twelve")]
-    #[test_case(1_200; "twelve hundred")]
-    #[test_case(12_000; "twelve thousand")]
-    fn a_snapshot_grows_with_nodes_alone_and_is_soon_read(nodes: u64) {
-        let bytes = snapshot(nodes).bytes();
-        let began = std::time::Instant::now();
-        let read = Snapshot::parse(&bytes).expect("read");
-        println!("{nodes} nodes: {} bytes, read in {:?}", bytes.len(), began.elapsed());
-        assert_eq!(read.beliefs.nodes.len() as u64, nodes);
-        assert!(bytes.len() as u64 / nodes < 400, "{} bytes", bytes.len());
-    }
-
-    #[test]
-    fn a_snapshot_cut_at_any_length_or_of_another_form_is_not_read() {
-        let whole = snapshot(3);
-        let bytes = whole.bytes();
-        for length in 0..bytes.len() {
-            assert!(Snapshot::parse(&bytes[..length]).is_err(), "cut at {length}");
-        }
-        assert!(Snapshot::parse(&Snapshot { form: FORM + 1, ..whole }.bytes()).is_err());
-    }
-}
+mod tests;
--- /dev/null
+++ b/router/src/lifecycle/snapshot/tests.rs
@@ -0,0 +1,59 @@
+use super::*;
+use ternpick::brain::NodeBelief;
+use test_case::test_case;
+
+fn snapshot(nodes: u64) -> Snapshot {
+    let entries: Vec<Value> = (0..nodes)
+        .map(|at| {
+            json!({"name": format!("s-{at:08x}"), "address": format!("10.{}.{}.7:9101", at / 250, at % 250),
+                "zone": "north", "group": at % 97, "status": "Ready", "since_ms": 1_790_000_000_000u64 + at})
+        })
+        .collect();
+    let roster = json!({"index": 7, "snapshot": true, "endpoints": entries}).to_string();
+    let belief = NodeBelief {
+        started: 1_790_000_000_000_000,
+        report: Some(3.25),
+        best_rate: 41.5,
+        latency: Some(90_210.0),
+        seen: 12_000,
+        standings: vec![(0.5, 10_000.0, 70_000, 12_000); 3],
+        pace: Some(31_000.0),
+        doubted: None,
+        sends: Vec::new(),
+        out: vec![(1, 40_000, 1.0, 2.0)],
+    };
+    let beliefs =
+        Beliefs { nodes: (0..nodes).map(|at| (at, belief.clone())).collect(), ..Beliefs::default() };
+    let names = (0..nodes).map(|at| (at, format!("s-{at:08x}"))).collect();
+    Snapshot { form: FORM, roster, names, beliefs, limits: None, keys: None, revocations: None }
+}
+
+#[test_case(12; "twelve")]
+#[test_case(1_200; "twelve hundred")]
+#[test_case(12_000; "twelve thousand")]
+fn a_snapshot_grows_with_nodes_alone_and_is_soon_read(nodes: u64) {
+    let bytes = snapshot(nodes).bytes();
+    let began = std::time::Instant::now();
+    let read = Snapshot::parse(&bytes).expect("read");
+    println!("{nodes} nodes: {} bytes, read in {:?}", bytes.len(), began.elapsed());
+    assert_eq!(read.beliefs.nodes.len() as u64, nodes);
+    assert!(bytes.len() as u64 / nodes < 400, "{} bytes", bytes.len());
+}
+
+#[test]
+fn a_snapshot_cut_at_any_length_or_of_another_form_is_not_read() {
+    let whole = snapshot(3);
+    let bytes = whole.bytes();
+    for length in 0..bytes.len() {
+        assert!(Snapshot::parse(&bytes[..length]).is_err(), "cut at {length}");
+    }
+    assert!(Snapshot::parse(&Snapshot { form: FORM + 1, ..whole }.bytes()).is_err());
+}
+
+#[test_case(Some("soft 5 of a, b"), "soft 5", true; "the same names")]
+#[test_case(Some("soft 5 of b, a"), "somebody else's", false; "in another order")]
+#[test_case(Some("soft 5"), "somebody else's", false; "from a program that did not say whose they are")]
+#[test_case(None, "somebody else's", false; "nothing said")]
+fn beliefs_by_number_hold_for_the_same_names_alone(terms: Option<&str>, own: &str, ours: bool) {
+    assert_eq!(own_terms(terms, " of a, b"), (own.to_owned(), ours));
+}
--- a/router/tests/upgrade.rs
+++ b/router/tests/upgrade.rs
@@ -460,6 +460,28 @@
     assert_eq!(heard(&of), 0, "a repeat of it meets no node");
 }
 
+/// Another customer's index stands at the same number, of the same shape: what brought nodes down there is not held against it.
+#[test]
+fn what_was_learnt_of_one_index_is_not_held_against_another_at_its_place() {
+    let of = Upgradable::start(&[Act::Reset, Act::Reset, Act::Reset], "");
+    let ask = |text: &str| {
+        let mut stream = of.router.connect();
+        stream.write_all(text.as_bytes()).expect("written");
+        common::answer(&mut stream).0
+    };
+    assert_eq!(ask(&request("whole", "k1")), 503);
+    let text = std::fs::read_to_string(&of.router.config).expect("a configuration");
+    let other = of.router.config.with_extension("other.json");
+    std::fs::write(&other, text.replace(r#""name":"whole""#, r#""name":"other""#)).expect("a configuration");
+    assert!(of.upgrade(&["--config", other.to_str().expect("a path")]).0);
+    of.nodes.iter().for_each(|node| node.frames.lock().unwrap().try_iter().for_each(drop));
+    let repeat = request("other", "k2").replace("Req-Kind", "Req-Retry: 1\r\nReq-Kind");
+    assert_eq!(ask(&repeat), 503);
+    let calls = of.nodes.iter().map(|node| node.frames.lock().unwrap().try_iter().count()).sum::<usize>();
+    let _ = std::fs::remove_file(&other);
+    assert!(calls > 0, "it is tried");
+}
+
 /// What a node that has just started bears in a second at this age, of parts of 100 ms: 1.5 times its own pace.
 const COLD: &str = r#""rules":{"coldFrom":0.3,"warmWithin":60000000,"fallMultiple":1.5,"fall":1000000,"#;
 
