--- a/router/src/lifecycle/stop.rs
+++ b/router/src/lifecycle/stop.rs
@@ -11,6 +11,7 @@
 use rustix::process::{kill_process, Pid, Signal};
 use ternpick::types::Micros;
 
+use crate::memory::clients::State;
 use crate::stages::Router;
 
 /// New connections may go on coming for so long after the signal, by the protocol.
@@ -24,14 +25,34 @@
 pub async fn stop(router: &Router, accepting: Task<()>) {
     let now = router.clock.now();
     router.stopping.set(Some(now));
-    let lookups = router.desk.borrow().office.ledger.lookups();
-    tracing::info!("stopping: {lookups} lookups in hand");
+    tracing::info!("stopping: {}", what_is_out(router));
     Timer::at(router.clock.instant(now + STILL_ACCEPTS)).await;
     router.closing.notify(usize::MAX);
     accepting.await;
+    tracing::info!("stopping: the listener is gone, {}", what_is_out(router));
     when_done(router).await;
 }
 
+/// What is in hand and which connections are open, by state, each with the age of the oldest.
+fn what_is_out(router: &Router) -> String {
+    let now = router.clock.now();
+    let aged = |(count, since): (usize, Option<Micros>), what: &str| {
+        let age = since.map(|since| format!(" (oldest {} ms)", now.since(since).0 / 1000));
+        format!("{count} {what}{}", age.unwrap_or_default())
+    };
+    let of = |state| router.clients.count(state);
+    let desk = router.desk.borrow();
+    let ledger = &desk.office.ledger;
+    let lookups = aged((ledger.lookups(), ledger.oldest()), "lookups in hand");
+    let clients = [
+        aged(of(State::New), "without a request yet"),
+        aged(of(State::Partial), "with a part of one"),
+        aged(of(State::Resting), "resting"),
+        format!("{} closing", of(State::Closing).0),
+    ];
+    format!("{lookups}, {} part calls out; {} clients: {}", ledger.calls(), router.descriptors.clients(), clients.join(", "))
+}
+
 /// Closes idle connections and waits until none is busy, or until no client waits any more.
 async fn when_done(router: &Router) {
     let longest = router.bounds.longest_deadline.unwrap_or_default();
@@ -43,6 +64,7 @@
     while owes() && router.clock.now() < last {
         Timer::at(router.clock.instant(router.clock.now() + LOOK_AGAIN)).await;
     }
+    tracing::info!("stopping: leaves, {}", what_is_out(router));
     let desk = router.desk.borrow();
     let (office, counts) = (&desk.office, &desk.office.counts);
     tracing::info!(
--- a/router/src/memory/clients.rs
+++ b/router/src/memory/clients.rs
@@ -35,9 +35,29 @@
     }
 }
 
+/// What a client's connection without a request in hand stands at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum State {
+    /// It rests behind an answer.
+    Resting,
+    /// It is shut, and read to its end.
+    Closing,
+    /// It has brought no byte yet.
+    New,
+    /// Its request is not whole.
+    Partial,
+}
+
+impl State {
+    /// Nothing is owed on it: such give way first.
+    pub fn is_idle(self) -> bool {
+        matches!(self, State::Resting | State::Closing)
+    }
+}
+
 /// A connection that may give way: it stands idle, or its request is not whole.
 struct Waiting {
-    idle: bool,
+    state: State,
     since: Micros,
     bytes: usize,
     told: Rc<Event>,
@@ -46,6 +66,7 @@
 #[derive(Default)]
 pub struct Clients {
     next: Cell<u64>,
+    connections: Cell<u64>,
     /// An entry goes when its request is whole, or its connection is closed or told to close.
     waiting: RefCell<BTreeMap<u64, Waiting>>,
 }
@@ -58,14 +79,19 @@
 }
 
 impl Clients {
-    pub fn wait(self: &Rc<Self>, now: Micros, idle: bool) -> Place {
+    pub fn wait(self: &Rc<Self>, now: Micros, state: State) -> Place {
         let key = self.next.replace(self.next.get() + 1);
         let told = Rc::new(Event::new());
-        let waiting = Waiting { idle, since: now, bytes: 0, told: Rc::clone(&told) };
+        let waiting = Waiting { state, since: now, bytes: 0, told: Rc::clone(&told) };
         self.waiting.borrow_mut().insert(key, waiting);
         Place { of: Rc::clone(self), key, told }
     }
 
+    /// A number of its own for each connection.
+    pub fn number(&self) -> u64 {
+        self.connections.replace(self.connections.get() + 1) + 1
+    }
+
     /// Has the one give way that is first by `order`; false if there is none.
     fn give_way<T: Ord>(&self, order: impl Fn(&Waiting) -> Option<T>) -> bool {
         let mut waiting = self.waiting.borrow_mut();
@@ -76,7 +102,7 @@
 
     /// For want of a descriptor: the connection idle longest, else the request that is longest in coming.
     pub fn close_longest(&self) -> bool {
-        self.give_way(|of| Some((!of.idle, of.since)))
+        self.give_way(|of| Some((!of.state.is_idle(), of.since)))
     }
 
     /// For want of memory: the request not whole that holds the most.
@@ -87,13 +113,22 @@
     /// Some clients ask once and keep their connection: those idle longest give way until no more than `most` are.
     /// What clients may hold is bounded on their side too, and used up by such connections nobody else gets in.
     pub fn keep_idle(&self, most: usize) {
-        let idle = self.waiting.borrow().values().filter(|of| of.idle).count();
+        let idle = self.waiting.borrow().values().filter(|of| of.state.is_idle()).count();
         for _ in most..idle {
-            self.give_way(|of| of.idle.then_some(of.since));
+            self.give_way(|of| of.state.is_idle().then_some(of.since));
         }
     }
 }
 
+impl Clients {
+    /// How many connections stand at a state, and since when the first of them does.
+    pub fn count(&self, state: State) -> (usize, Option<Micros>) {
+        let waiting = self.waiting.borrow();
+        let of = waiting.values().filter(|of| of.state == state);
+        (of.clone().count(), of.map(|of| of.since).min())
+    }
+}
+
 impl Place {
     /// Says how much it holds.
     pub fn holds(&self, bytes: usize) {
@@ -116,8 +151,9 @@
     #[test]
     fn the_idle_give_way_first_then_what_is_longest_in_coming() {
         let clients = Rc::new(Clients::default());
-        let at = |at, idle| clients.wait(Micros(at), idle);
-        let places = [at(1, false), at(3, true), at(2, true), at(0, false)];
+        let at = |at, state| clients.wait(Micros(at), state);
+        let places =
+            [at(1, State::Partial), at(3, State::Resting), at(2, State::Closing), at(0, State::New)];
         let mut told: Vec<_> = places.iter().map(|place| place.told.listen()).collect();
         for first in [2, 1, 3, 0] {
             assert!(clients.close_longest());
@@ -134,8 +170,8 @@
     #[test]
     fn only_so_many_stay_idle() {
         let clients = Rc::new(Clients::default());
-        let _places = [5, 3, 4].map(|at| clients.wait(Micros(at), true));
-        let _whole = clients.wait(Micros(0), false);
+        let _places = [5, 3, 4].map(|at| clients.wait(Micros(at), State::Resting));
+        let _whole = clients.wait(Micros(0), State::Partial);
         clients.keep_idle(2);
         let left: Vec<u64> = clients.waiting.borrow().values().map(|of| of.since.0).collect();
         assert_eq!(left, [5, 4, 0]);
@@ -144,7 +180,7 @@
     #[test]
     fn the_largest_request_gives_way_and_no_lookup_in_hand() {
         let clients = Rc::new(Clients::default());
-        let (small, large) = (clients.wait(Micros(0), false), clients.wait(Micros(1), false));
+        let (small, large) = (clients.wait(Micros(0), State::Partial), clients.wait(Micros(1), State::Partial));
         small.holds(10);
         large.holds(20);
         assert!(clients.close_largest());
--- a/router/src/memory/ledger.rs
+++ b/router/src/memory/ledger.rs
@@ -98,6 +98,16 @@
         self.lookups.len()
     }
 
+    /// When the lookup in hand longest was taken.
+    pub fn oldest(&self) -> Option<Micros> {
+        self.lookups.values().map(|held| held.taken.at).min()
+    }
+
+    /// Part calls out.
+    pub fn calls(&self) -> usize {
+        self.calls.len()
+    }
+
     pub fn knows(&self, name: &str) -> bool {
         self.names.contains(name)
     }
--- a/router/src/stages/book.rs
+++ b/router/src/stages/book.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use ternpick::interface::Actions;
-use ternpick::types::{CallNo, Ending, LookupId, Micros, NodeId, PartId, TimerId};
+use ternpick::types::{CallNo, Ending, LookupId, Micros, NodeId, PartId, Reason, TimerId};
 use ternpick_limits::Limits;
 use ternpick_tariff::Bounds;
 
@@ -198,6 +198,12 @@
         self.timers.insert((self.now + delay, timer));
     }
 
+    fn reason(&mut self, lookup: LookupId, why: Reason) {
+        if let Some(held) = self.ledger.lookup(lookup) {
+            held.taken.span.in_scope(|| tracing::debug!("decided: {why:?}"));
+        }
+    }
+
     fn log(&mut self, line: &str) {
         tracing::info!("{line}");
     }
--- a/router/src/stages/take_in.rs
+++ b/router/src/stages/take_in.rs
@@ -11,7 +11,7 @@
 
 use crate::lifecycle::tls::Tls;
 use crate::memory::budget::Share;
-use crate::memory::clients::{Answer, Reply};
+use crate::memory::clients::{Answer, Reply, State};
 use crate::memory::descriptors::{Peer, Permit};
 use crate::stages::admit::{self, Admitted};
 use crate::stages::stream::Stream;
@@ -126,6 +126,12 @@
     share: Share,
     /// From when on its next request is awaited, until it has brought one.
     accepted: Option<Micros>,
+    /// What its lines in the log are known by, when it was accepted, and how many requests it has brought.
+    number: u64,
+    opened: Micros,
+    requests: u64,
+    /// Why it ends.
+    ends: &'static str,
     /// It ends here and goes on in another process.
     handed: bool,
     /// Its client has sent more ahead than may wait: that is read, thrown away, and the connection ends with the next answer.
@@ -162,13 +168,17 @@
     if !input.push(&unread) {
         return tracing::warn!("a connection that was handed over has sent more than its bound");
     }
-    let (share, accepted) = (router.budget.share(), Some(router.clock.now()));
+    let (share, opened) = (router.budget.share(), router.clock.now());
     let mut line = Line {
         stream,
         input,
         output,
         share,
-        accepted,
+        accepted: Some(opened),
+        number: router.clients.number(),
+        opened,
+        requests: 0,
+        ends: "",
         handed: false,
         floods: false,
         gone: false,
@@ -176,7 +186,15 @@
     };
     let mut request = Reader::of_requests();
     line.holds(0);
+    tracing::debug!("client {}: accepted", line.number);
     while one_request(&router, &mut line, &mut request).await {}
+    let age = router.clock.now().since(line.opened).0 / 1000;
+    tracing::debug!(
+        "client {}: ends, {}, after {} requests, {age} ms old",
+        line.number,
+        line.ends,
+        line.requests
+    );
     // Whole requests that wait and idle connections go on in the new process. TLS has its state here, and ends.
     if !(line.handed && matches!(line.stream, Stream::Plain(_))) {
         return if line.gone { line.stream.finish() } else { linger(&router, &mut line).await };
@@ -202,7 +220,7 @@
 /// Reads and answers one request; false if the connection ends with it.
 async fn one_request(router: &Rc<Router>, line: &mut Line, request: &mut Reader) -> bool {
     if router.handing.get() {
-        line.handed = true;
+        (line.handed, line.ends) = (true, "it goes to the new process");
         return false;
     }
     if line.input.is_empty() && !idle(router, line).await {
@@ -214,18 +232,31 @@
     let read = router.until(Some(from + whole), read_request(router, line, request, from)).await;
     let read = read.unwrap_or(Err(Stop::Fault(Fault::TooSlow)));
     let (answer, mut last) = match read {
-        Err(Stop::Ended) => return false,
+        Err(Stop::Ended) => {
+            line.ends = "the client left in the middle of a request";
+            return false;
+        }
         Err(Stop::Fault(fault)) => {
             let (status, what) = fault.status();
+            line.ends = what;
             (admit::line(status, what), true)
         }
         Ok(()) => {
             if let Some(fleet) = &router.fleet {
                 fleet.settled(router).await;
             }
+            line.requests += 1;
+            let (id, age) =
+                (request.header("req-id").unwrap_or("-"), router.clock.now().since(line.opened).0 / 1000);
+            tracing::debug!(
+                "client {}: request {} is whole, id {id}, connection {age} ms old",
+                line.number,
+                line.requests
+            );
             // Requests that were sent ahead, or waited to be accepted, may have lost their client meanwhile: nothing of
             // theirs is begun. Whoever asks for health alone may have shut its way here and still listen.
             if !is_there(line) && !admit::is_health(request) {
+                line.ends = "the client left before its request was begun";
                 return false;
             }
             let (closes, admitted) =
@@ -238,6 +269,7 @@
                     Some(answer) => answer,
                     None => {
                         route::lapse(router, id);
+                        line.ends = "the client left before its answer";
                         return false;
                     }
                 },
@@ -252,6 +284,7 @@
     let body = if request.method() == "HEAD" { String::new() } else { body };
     if !line.output.push(&http::answer(status, &headers, &body, last)) {
         tracing::warn!("an answer of {} bytes is longer than its bound", body.len());
+        line.ends = "an answer longer than its bound";
         return false;
     }
     line.holds(0);
@@ -260,6 +293,8 @@
     let written = router.until(last_byte, write_all(line)).await.unwrap_or(false);
     line.gone |= !written;
     line.holds(0);
+    tracing::debug!("client {}: answered {status}, written whole: {written}", line.number);
+    line.ends = if written { "its answer was the last" } else { "the answer could not be written" };
     written && !last
 }
 
@@ -267,7 +302,7 @@
 /// over bytes that were not read, a connection is reset, and an answer on its way goes with it. Nothing that is read here is
 /// sent on: whoever sees the end before an answer asks again elsewhere. It gives its descriptor up first when one is wanted.
 async fn linger(router: &Router, line: &mut Line) {
-    let place = router.clients.wait(Micros(0), true);
+    let place = router.clients.wait(Micros(0), State::Closing);
     let told = place.told.listen();
     line.stream.finish();
     line.input.consume(usize::MAX);
@@ -292,13 +327,14 @@
 async fn idle(router: &Router, line: &mut Line) -> bool {
     // One that has brought nothing yet stands with the requests that are not whole, by its age.
     let since = line.accepted.unwrap_or_else(|| router.clock.now());
-    let place = router.clients.wait(since, line.accepted.is_none());
+    let state = if line.accepted.is_none() { State::Resting } else { State::New };
+    let place = router.clients.wait(since, state);
     let mut told = place.told.listen();
     router.clients.keep_idle(router.descriptors.kept_idle());
     loop {
         let hands = router.handing_changed.listen();
         if router.handing.get() {
-            line.handed = true;
+            (line.handed, line.ends) = (true, "it goes to the new process");
             return false;
         }
         let waits_on = !router.accepts_no_more.get() && {
@@ -318,7 +354,10 @@
         // A request that has come meanwhile is still served; a wake-up without bytes begins none.
         match take_bytes(line) {
             Ok(false) if waits_on => {}
-            taken => return taken.unwrap_or(false),
+            taken => {
+                line.ends = if line.gone { "the client left" } else { "it rested, and gave way" };
+                return taken.unwrap_or(false);
+            }
         }
     }
 }
@@ -367,7 +406,7 @@
 async fn read_request(
     router: &Router, line: &mut Line, request: &mut Reader, since: Micros,
 ) -> Result<(), Stop> {
-    let place = router.clients.wait(since, false);
+    let place = router.clients.wait(since, State::Partial);
     let mut told = place.told.listen();
     loop {
         if request.read(&mut line.input).map_err(Stop::Fault)? {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -439,6 +439,7 @@
     fn answer(&mut self, case: Case, out: &mut dyn Actions) {
         let id = case.lookup;
         let whole = self.lookups.get(&id).is_some_and(|lk| self.whole(lk) && (!lk.second || lk.first_whole));
+        out.reason(id, if whole { Reason::Whole } else { Reason::Partial });
         out.answer(id, whole);
         let Some(lookup) = self.lookups.get_mut(&id) else { return };
         let second_step = lookup.row.second_step;
@@ -476,6 +477,9 @@
         while self.fatal.len() > MOST_FATAL {
             self.fatal.pop_front();
         }
+        let over = self.lookups.get(&case.lookup).is_some_and(|lk| self.soon(lk.end));
+        let why = if over { Reason::Deadline } else { Reason::Exhausted };
+        out.reason(case.lookup, if come_back.0 > 0 { Reason::Deadly } else { why });
         self.refuse(case.lookup, come_back, out);
     }
 
@@ -547,6 +551,7 @@
                 let (slowest, left, placed) = (plan.slowest / 1e3, left / 1e3, plan.places.len());
                 out.log(&format!("shedding: {placed} parts in {slowest:.0} ms, allowed {left:.0}"));
             }
+            out.reason(id, Reason::Shed);
             let excess = Micros((plan.slowest - left).max(BEAT.0 as f64) as u64);
             return self.refuse(id, excess, out);
         }
@@ -876,6 +881,9 @@
     }
 
     fn call_again(&mut self, case: Case, out: &mut dyn Actions) {
+        let part = self.lookups.get(&case.lookup).and_then(|lk| lk.parts.get(case.at));
+        let hedges = part.is_some_and(|part| part.calls_out() > 0);
+        out.reason(case.lookup, if hedges { Reason::Hedge } else { Reason::Retry });
         self.call(case.lookup, case.at, case.node, out);
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,7 +1,7 @@
 //! The one way in which the decision module acts on the world. Every front (sockets, the bench's wire)
 //! implements [`Actions`]; nothing here decides.
 
-use crate::types::{CallNo, LookupId, Micros, NodeId, PartId, TimerId};
+use crate::types::{CallNo, LookupId, Micros, NodeId, PartId, Reason, TimerId};
 
 pub trait Actions {
     /// Sends a part to a node; the node need not begin it once `limit` has passed.
@@ -22,6 +22,8 @@
     fn watch_roster(&mut self);
     /// Asks to be woken after `delay`.
     fn timer(&mut self, delay: Micros, timer: TimerId);
+    /// Says why a lookup's next call or its end comes, for who follows that lookup; nothing rests on it.
+    fn reason(&mut self, _lookup: LookupId, _why: Reason) {}
     /// Writes one line for the people on call.
     fn log(&mut self, line: &str);
 }
--- a/src/types.rs
+++ b/src/types.rs
@@ -112,6 +112,27 @@
     Unsent,
 }
 
+/// Why the module calls again or ends a lookup.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// A part without a call out is called again.
+    Retry,
+    /// A late part is called at a second node.
+    Hedge,
+    /// Predicted to be late: refused at admission.
+    Shed,
+    /// Its time is nearly up.
+    Deadline,
+    /// What may still come is too little.
+    Exhausted,
+    /// It brings nodes down.
+    Deadly,
+    /// Whole.
+    Whole,
+    /// Answered with what is in.
+    Partial,
+}
+
 /// A node's standing in the roster.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
