--- a/router/src/lifecycle/stop.rs
+++ b/router/src/lifecycle/stop.rs
@@ -50,7 +50,12 @@
         aged(of(State::Resting), "resting"),
         format!("{} closing", of(State::Closing).0),
     ];
-    format!("{lookups}, {} part calls out; {} clients: {}", ledger.calls(), router.descriptors.clients(), clients.join(", "))
+    format!(
+        "{lookups}, {} part calls out; {} clients: {}",
+        ledger.calls(),
+        router.descriptors.clients(),
+        clients.join(", ")
+    )
 }
 
 /// Closes idle connections and waits until none is busy, or until no client waits any more.
--- a/router/src/memory/clients.rs
+++ b/router/src/memory/clients.rs
@@ -152,8 +152,7 @@
     fn the_idle_give_way_first_then_what_is_longest_in_coming() {
         let clients = Rc::new(Clients::default());
         let at = |at, state| clients.wait(Micros(at), state);
-        let places =
-            [at(1, State::Partial), at(3, State::Resting), at(2, State::Closing), at(0, State::New)];
+        let places = [at(1, State::Partial), at(3, State::Resting), at(2, State::Closing), at(0, State::New)];
         let mut told: Vec<_> = places.iter().map(|place| place.told.listen()).collect();
         for first in [2, 1, 3, 0] {
             assert!(clients.close_longest());
@@ -180,7 +179,8 @@
     #[test]
     fn the_largest_request_gives_way_and_no_lookup_in_hand() {
         let clients = Rc::new(Clients::default());
-        let (small, large) = (clients.wait(Micros(0), State::Partial), clients.wait(Micros(1), State::Partial));
+        let (small, large) =
+            (clients.wait(Micros(0), State::Partial), clients.wait(Micros(1), State::Partial));
         small.holds(10);
         large.holds(20);
         assert!(clients.close_largest());
