--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -207,6 +207,11 @@
         ternpick_policy::platform(&self.own, &self.indexes, &self.customers)
     }
 
+    /// Has those that wait to be taken look again.
+    pub fn look_again(&self) {
+        self.changed.notify(usize::MAX);
+    }
+
     /// Waits while a change takes hold; what then may be said is for [`Fleet::admit`], in the same turn.
     pub async fn settled(&self, router: &Router) {
         loop {
@@ -214,6 +219,11 @@
             let Admission::Hold(until) = self.council.borrow().keeper.admission(router.clock.now()) else {
                 return;
             };
+            // In a stop the refusal that follows is owed in time too.
+            let until = router.in_time(Some(until), |of| of.answers_by).unwrap_or(until);
+            if until <= router.clock.now() {
+                return;
+            }
             let held = async {
                 async_io::Timer::at(router.clock.instant(until)).await;
             };
--- a/router/src/lifecycle/stop.rs
+++ b/router/src/lifecycle/stop.rs
@@ -9,13 +9,12 @@
 use async_signal::Signals;
 use futures_lite::{future, StreamExt};
 use rustix::process::{kill_process, Pid, Signal};
+use ternpick::shutdown::Shutdown;
 use ternpick::types::Micros;
 
 use crate::memory::clients::State;
 use crate::stages::Router;
 
-/// New connections may go on coming for so long after the signal, by the protocol.
-const STILL_ACCEPTS: Micros = Micros(700_000);
 /// How often a parent looks whether its heir lives.
 const LOOK_AT_HEIR: Duration = Duration::from_millis(100);
 /// How often it is looked whether all is answered.
@@ -23,14 +22,18 @@
 
 /// From the signal on: accepts for as long as connections still come, then answers what is in hand.
 pub async fn stop(router: &Router, accepting: Task<()>) {
-    let now = router.clock.now();
-    router.stopping.set(Some(now));
+    let of = Shutdown::new(router.clock.now(), router.bounds.longest_deadline);
+    router.stopping.set(Some(of));
+    router.play(|brain, now, out| brain.stops(now, of.answers_by, out));
+    if let Some(fleet) = &router.fleet {
+        fleet.look_again();
+    }
     tracing::info!("stopping: {}", what_is_out(router));
-    Timer::at(router.clock.instant(now + STILL_ACCEPTS)).await;
+    Timer::at(router.clock.instant(of.accepts_until)).await;
     router.closing.notify(usize::MAX);
     accepting.await;
     tracing::info!("stopping: the listener is gone, {}", what_is_out(router));
-    when_done(router).await;
+    when_done(router, of).await;
 }
 
 /// What is in hand and which connections are open, by state, each with the age of the oldest.
@@ -58,16 +61,22 @@
     )
 }
 
-/// Closes idle connections and waits until none is busy, or until no client waits any more.
-async fn when_done(router: &Router) {
-    let longest = router.bounds.longest_deadline.unwrap_or_default();
-    let last = router.clock.now() + longest;
+/// Closes connections without a request and waits until nothing is owed, or until the process may be killed.
+async fn when_done(router: &Router, of: Shutdown) {
     router.accepts_no_more.set(true);
     router.clients.keep_idle(0);
-    // One that hands over leaves when that is done: whoever asked for it is owed the word.
-    let owes = || router.descriptors.clients() > 0 || router.handing.get() && !router.gone.get();
-    while owes() && router.clock.now() < last {
-        Timer::at(router.clock.instant(router.clock.now() + LOOK_AGAIN)).await;
+    loop {
+        let now = router.clock.now();
+        let (clients, waiting) = (router.descriptors.clients(), router.clients.waiting());
+        // One that hands over leaves when that is done: whoever asked for it is owed the word.
+        let hands = usize::from(router.handing.get() && !router.gone.get());
+        if of.leaves(now, clients + hands, clients.saturating_sub(waiting)) {
+            break;
+        }
+        // Connections that had brought no request yet were left open, and got first requests up to the kill.
+        router.clients.end(State::New, |accepted| of.closes_new(accepted) <= now);
+        router.clients.end(State::Partial, |_| of.answers_by <= now);
+        Timer::at(router.clock.instant(now + LOOK_AGAIN)).await;
     }
     tracing::info!("stopping: leaves, {}", what_is_out(router));
     let desk = router.desk.borrow();
--- a/router/src/memory/clients.rs
+++ b/router/src/memory/clients.rs
@@ -121,6 +121,17 @@
 }
 
 impl Clients {
+    /// Tells those at a state to end that have been there since a time for which `wanted` holds.
+    pub fn end(&self, state: State, wanted: impl Fn(Micros) -> bool) {
+        let ends = |of: &Waiting| of.state == state && wanted(of.since);
+        while self.give_way(|of| ends(of).then_some(of.since)) {}
+    }
+
+    /// How many connections have no whole request and are owed no answer; a part of one is owed.
+    pub fn waiting(&self) -> usize {
+        self.waiting.borrow().values().filter(|of| of.state != State::Partial).count()
+    }
+
     /// How many connections stand at a state, and since when the first of them does.
     pub fn count(&self, state: State) -> (usize, Option<Micros>) {
         let waiting = self.waiting.borrow();
--- a/router/src/stages/mod.rs
+++ b/router/src/stages/mod.rs
@@ -20,6 +20,7 @@
 use event_listener::Event;
 use futures_lite::future;
 use ternpick::brain::Brain;
+use ternpick::shutdown::Shutdown;
 use ternpick::types::Micros;
 use ternpick_tariff::Bounds;
 
@@ -57,8 +58,8 @@
     /// Where discovery is, and told when it has moved.
     pub discovery: Cell<SocketAddr>,
     pub moved: Event,
-    /// When the router was told to stop.
-    pub stopping: Cell<Option<Micros>>,
+    /// By when what is owed, once the router was told to stop.
+    pub stopping: Cell<Option<Shutdown>>,
     /// Whether clients are accepted, and told when that changes.
     pub accepts: Cell<bool>,
     pub accepts_changed: Event,
@@ -76,7 +77,7 @@
     pub told_to_stop: Event,
     /// Told when the listener is to go.
     pub closing: Event,
-    /// The listener is gone: a connection ends with the request on it.
+    /// The listener is gone: a connection ends with the request on it, at once if it has none.
     pub accepts_no_more: Cell<bool>,
 }
 
@@ -106,6 +107,11 @@
         future::or(async { Some(what.await) }, late).await
     }
 
+    /// A time that the process may not be there to keep: sooner in a stop.
+    pub fn in_time(&self, at: Option<Micros>, by: impl Fn(Shutdown) -> Micros) -> Option<Micros> {
+        at.into_iter().chain(self.stopping.get().map(by)).min()
+    }
+
     pub fn is_stopping(&self) -> bool {
         self.stopping.get().is_some()
     }
--- a/router/src/stages/take_in.rs
+++ b/router/src/stages/take_in.rs
@@ -290,6 +290,7 @@
     line.holds(0);
     // After the longest time that any client waits, a slow one holds nothing up.
     let last_byte = router.bounds.longest_deadline.map(|longest| router.clock.now() + longest);
+    let last_byte = router.in_time(last_byte, |of| of.leaves_by);
     let written = router.until(last_byte, write_all(line)).await.unwrap_or(false);
     line.gone |= !written;
     line.holds(0);
@@ -337,7 +338,9 @@
             (line.handed, line.ends) = (true, "it goes to the new process");
             return false;
         }
-        let waits_on = !router.accepts_no_more.get() && {
+        // In a stop, one that has brought no request yet is told when it is to end.
+        let rests = line.accepted.is_none();
+        let waits_on = !(rests && router.accepts_no_more.get()) && {
             let more = async { line.stream.readable().await.is_ok() };
             let ends = async {
                 (&mut told).await;
--- a/router/tests/stop.rs
+++ b/router/tests/stop.rs
@@ -185,3 +185,23 @@
     let ended = kill_at(&mut router, told, kill);
     assert!(ended.is_some_and(|at| at < 2200 * MS), "ended {ended:?}");
 }
+
+/// Held up from before the instant by which all is answered to long after it would have left, and not killed: it still answers.
+#[test]
+fn a_process_held_up_over_its_last_instants_still_answers_what_it_took() {
+    let (mut router, nodes, _discovery) = router(1900, &[Act::Silent]);
+    let mut stream = router.connect();
+    router.signal("-TERM");
+    let (told, kill) = (Instant::now(), ACCEPTS + 1900 * MS);
+    until(told, 600 * MS);
+    stream.write_all(text("r", 1900).as_bytes()).expect("written");
+    nodes[0].frame('q');
+    let client = thread::spawn(move || send(stream, told, &[]));
+    until(told, kill - 300 * MS);
+    router.signal("-STOP");
+    until(told, kill + 200 * MS);
+    router.signal("-CONT");
+    let fate = client.join().expect("a client");
+    assert!(matches!(fate, Fate::Answered(503, _)), "{fate:?}");
+    assert!(router.ended());
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -93,6 +93,8 @@
     chance: Chance,
     now: Micros,
     born: Option<Micros>, // Its first list.
+    /// All lookups end by then: the process stops.
+    answers_by: Option<Micros>,
     beating: bool,
     /// Emptied by the roster: a node that is gone and owes nothing is dropped.
     pub nodes: BTreeMap<NodeId, Node>,
@@ -197,6 +199,8 @@
         self.take();
         let row = &mut self.tariff.indexes[index.at()];
         row.seen = true;
+        // In a stop nobody is given longer than the process may live.
+        let left = self.answers_by.map_or(left, |by| left.min(by.since(now)));
         let (soft, end, row) = (now + row.soft.min(left), now + left, row.clone());
         let partly = row.partly_at.map_or(soft, |at| soft.min(now + at));
         let of = Lookup { id, query, repeat, index, row, customer, expected, ..Lookup::default() };
@@ -254,6 +258,19 @@
         self.settle(out);
     }
 
+    /// The process stops: whatever is in hand, or is taken from here on, ends by then. Trouble at nodes frees nothing that was
+    /// taken from its final answer.
+    pub fn stops(&mut self, now: Micros, answers_by: Micros, out: &mut dyn Actions) {
+        self.now = now;
+        self.answers_by = Some(answers_by);
+        for lookup in self.lookups.values_mut() {
+            lookup.end = lookup.end.min(answers_by);
+            lookup.soft = lookup.soft.min(answers_by);
+            lookup.partly = lookup.partly.min(answers_by);
+        }
+        self.settle(out);
+    }
+
     pub fn lapsed(&mut self, now: Micros, id: LookupId, out: &mut dyn Actions) {
         self.now = now;
         self.close(id, out);
