--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -4,6 +4,7 @@
 // Each test program uses a part of them.
 #![allow(dead_code)]
 
+pub mod faulty;
 pub mod guarded;
 
 pub use ternpick_lab::standins::{entry, read_head, Act, Discovery, Node};
--- /dev/null
+++ b/router/tests/faults.rs
@@ -0,0 +1,161 @@
+//! System calls that fail in the ways that Linux documents, clocks that step, a process that is held up: the program as it
+//! ships, under plans that a preloaded library carries out. All rules hold.
+
+mod common;
+
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use ternpick_faults::{Call, Effect, Plan, Role, Rule};
+use test_case::test_case;
+
+use common::faulty::Faulty;
+use common::*;
+
+const MS: Duration = Duration::from_millis(1);
+
+fn plan(rules: Vec<Rule>) -> Plan {
+    Plan { seed: 1, rules, ..Plan::default() }
+}
+
+/// How many requests 16 clients have answered in a second, each on a connection of its own, and how many were not.
+fn served(of: &Faulty) -> (usize, usize) {
+    let (served, lost, over) = (AtomicUsize::new(0), AtomicUsize::new(0), AtomicBool::new(false));
+    let address = of.router.address;
+    thread::scope(|scope| {
+        for client in 0..16 {
+            let (served, lost, over) = (&served, &lost, &over);
+            scope.spawn(move || {
+                for number in 0.. {
+                    if over.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let mut stream = TcpStream::connect(address).expect("a connection");
+                    stream.set_read_timeout(Some(BOUND)).expect("a time-out");
+                    let whole = ask(&mut stream, "whole", &format!("c{client}x{number}")).0 == 200;
+                    if whole { served } else { lost }.fetch_add(1, Ordering::Relaxed);
+                }
+            });
+        }
+        thread::sleep(1000 * MS);
+        over.store(true, Ordering::Relaxed);
+    });
+    (served.into_inner(), lost.into_inner())
+}
+
+/// Each failure stopped all accepting for 50 ms: 24 lookups a second instead of 2,100.
+#[test]
+fn every_second_accept_that_fails_costs_no_more_than_the_call() {
+    // What concerns one peer or nobody, then what concerns this machine.
+    accepts_fail(&["ECONNABORTED", "EPROTO", "EINTR", "ENETDOWN"]);
+    accepts_fail(&["ENFILE", "EMFILE", "ENOBUFS", "ENOMEM"]);
+}
+
+fn accepts_fail(errors: &[&str]) {
+    let well = Faulty::start(SETTINGS, &[Act::Serve, Act::Serve], &plan(Vec::new()));
+    let rules = vec![Rule::fails(Call::Accept, Role::Listener, 2, errors)];
+    let ill = Faulty::start(SETTINGS, &[Act::Serve, Act::Serve], &plan(rules));
+    let ((usual, lost), (under, lost_too)) = (served(&well), served(&ill));
+    ill.all_struck();
+    assert_eq!((lost, lost_too), (0, 0));
+    assert!(under * 2 > usual, "{under} served, {usual} without faults, {} struck", ill.strikes.of(0));
+    let lines = ill.log().lines().filter(|line| line.contains("cannot accept")).count();
+    assert!(lines <= 3, "{lines} lines of one fault");
+}
+
+/// A failure that lasts is met again and again, and costs no more than a part of a core.
+#[test]
+fn accepts_that_fail_for_a_while_are_tried_again_soon_after() {
+    let rules = vec![Rule::fails(Call::Accept, Role::Listener, 1, &["ENFILE"]).between(500, 1500)];
+    let of = Faulty::start(SETTINGS, &[Act::Serve, Act::Serve], &plan(rules));
+    thread::sleep(700 * MS);
+    let began = Instant::now();
+    assert_eq!(ask(&mut of.router.connect(), "whole", "r").0, 200);
+    assert!(began.elapsed() < 1100 * MS, "after {:?}", began.elapsed());
+    of.all_struck();
+    assert!(of.strikes.of(0) < 200, "{} tries in a second", of.strikes.of(0));
+}
+
+/// The signal's bytes came in parts, with failed reads between: SIGTERM was not obeyed.
+#[test]
+fn interrupted_and_short_calls_lose_nothing_and_a_signal_is_heard_once() {
+    let cases = [(2, 0), (3, 0), (2, 1), (3, 3)];
+    together(cases.map(|(every, short)| move || interrupted(every, short)));
+}
+
+/// Cases beside each other; all of them are played, whatever one shows.
+fn together<T: FnOnce() + Send + 'static>(cases: impl IntoIterator<Item = T>) {
+    let played: Vec<_> = cases.into_iter().map(thread::spawn).collect();
+    let failed = played.into_iter().map(thread::JoinHandle::join).filter(Result::is_err).count();
+    assert_eq!(failed, 0, "cases that failed");
+}
+
+/// Every so many calls are interrupted, and only so many bytes move at a time, where that is not 0.
+fn interrupted(every: u64, short: usize) {
+    let mut rules = vec![
+        Rule::fails(Call::Receive, Role::Any, every, &["EINTR"]),
+        Rule::fails(Call::Send, Role::Any, every, &["EINTR"]),
+        Rule::fails(Call::Wait, Role::Any, every, &["EINTR"]),
+        Rule::fails(Call::Accept, Role::Any, every, &["EINTR"]),
+    ];
+    if short > 0 {
+        rules.push(Rule::new(Call::Receive, Role::Any, 1, Effect::Short(short)));
+        rules.push(Rule::new(Call::Send, Role::Any, 1, Effect::Short(short)));
+    }
+    let mut of = Faulty::start(SETTINGS, &[Act::Serve, Act::Serve], &plan(rules));
+    for id in 0..20 {
+        assert_eq!(ask(&mut of.router.connect(), "whole", &format!("r{id}")).2, WHOLE);
+    }
+    of.router.signal("-TERM");
+    let told = Instant::now();
+    assert_eq!(ask(&mut of.router.connect(), "whole", "late").2, WHOLE);
+    assert!(of.router.ended() && told.elapsed() < 3700 * MS, "after {:?}", told.elapsed());
+    of.all_struck();
+    let log = of.log();
+    let lines = |what: &str| log.lines().filter(|line| line.contains(what)).count();
+    assert_eq!(lines("stopping: "), 3, "{log}");
+    assert_eq!((lines("passed over"), lines("could not be read")), (0, 0), "{log}");
+}
+
+/// Dials that fail at once, for 0.4 s: a lookup's attempts were gone within a millisecond.
+#[test]
+fn dials_that_fail_for_a_moment_lose_no_lookup_and_blame_no_node() {
+    let connects = ["EADDRNOTAVAIL", "ENETUNREACH", "EHOSTUNREACH", "ENOBUFS", "EINTR"];
+    let connects = connects.map(|error| (Call::Connect, error));
+    let sockets = ["EMFILE", "ENFILE", "ENOBUFS"].map(|error| (Call::Socket, error));
+    together(connects.into_iter().chain(sockets).map(|(call, error)| move || dials_fail(call, error)));
+}
+
+fn dials_fail(call: Call, error: &'static str) {
+    let on = if call == Call::Socket { Role::Any } else { Role::Node };
+    let rules = vec![Rule::fails(call, on, 1, &[error]).between(800, 1200)];
+    let of = Faulty::start(SETTINGS, &[Act::Serve, Act::Serve], &plan(rules));
+    thread::sleep(900 * MS);
+    let clients: Vec<_> = (0..10)
+        .map(|id| {
+            let mut stream = of.router.connect();
+            thread::spawn(move || ask(&mut stream, "whole", &format!("r{id}")))
+        })
+        .collect();
+    let answers: Vec<_> = clients.into_iter().map(|client| client.join().expect("a client")).collect();
+    of.all_struck();
+    let statuses: Vec<u16> = answers.iter().map(|answer| answer.0).collect();
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}\n{}", of.log());
+    assert!(!of.log().contains("doubted"), "{}", of.log());
+}
+
+/// A connection to a node that breaks under a call, as a time-out or as no way there.
+#[test_case("ETIMEDOUT")]
+#[test_case("EHOSTUNREACH")]
+#[test_case("ENETUNREACH")]
+#[test_case("ECONNRESET")]
+fn connections_that_break_while_they_are_read_lose_no_lookup(error: &str) {
+    let rules = vec![Rule::fails(Call::Receive, Role::Node, 7, &[error])];
+    let of = Faulty::start(SETTINGS, &[Act::Serve, Act::Serve], &plan(rules));
+    for id in 0..40 {
+        assert_eq!(ask(&mut of.router.connect(), "whole", &format!("r{id}")).2, WHOLE, "r{id}");
+    }
+    of.all_struck();
+}
