--- a/router/src/fleet/works.rs
+++ b/router/src/fleet/works.rs
@@ -150,10 +150,11 @@
         let node = |name: &str| office.nodes.number(name).and_then(|id| brain.nodes.get(&id));
         let out = self.out.borrow();
         let busy = |name: &&String| node(name).is_some_and(|node| node.out(now).next().is_some());
-        let cold = |of: &Listing| of.started.0 != 0 && now.since(of.started) < brain.tariff.warm_within;
+        // By this router's own clock: what discovery claims is another's.
+        let cold = |of: &Seen| of.started.at.0 != 0 && now.since(of.started.at) < brain.tariff.warm_within;
         let sound = |name: &str, seen: Option<&Seen>| {
-            let of = listed.get(name).filter(|of| of.phase == Phase::Ready && !cold(of));
-            of.is_some() && seen.is_none_or(|seen| seen.doubted.is_none())
+            let of = listed.get(name).filter(|of| of.phase == Phase::Ready);
+            of.is_some() && seen.is_none_or(|seen| seen.doubted.is_none() && !cold(seen))
         };
         let known = self.known.borrow();
         let mut unsound = known.keys().filter(|name| !sound(name, node(name)));
--- a/router/src/lifecycle/snapshot.rs
+++ b/router/src/lifecycle/snapshot.rs
@@ -32,7 +32,7 @@
 }
 
 fn roster(router: &Router) -> (Value, Vec<(u64, String)>) {
-    let desk = router.desk.borrow();
+    let (now, desk) = (router.clock.now(), router.desk.borrow());
     let (mut entries, mut names) = (Vec::new(), Vec::new());
     for (id, name, address) in desk.office.nodes.all() {
         let Some(node) = desk.brain.nodes.get(&id) else { continue };
@@ -45,9 +45,11 @@
             Phase::Draining => "Terminating",
             Phase::Gone => continue,
         };
+        // How long it has been up by this process's clock: the next one's may read another wall clock.
+        let age = Some(node.started.at).filter(|at| at.0 > 0).map(|at| now.since(at).0 / 1000);
         let zone = desk.office.bounds.zone_names.get(usize::from(listing.zone.0));
         entries.push(json!({"name": name, "address": address.to_string(), "zone": zone,
-            "group": listing.cell.0, "status": status, "since_ms": listing.started.0 / 1000}));
+            "group": listing.cell.0, "status": status, "since_ms": listing.started.0 / 1000, "age_ms": age}));
         names.push((id.0, name.to_owned()));
     }
     (json!({"index": router.roster_version.get(), "snapshot": true, "endpoints": entries}), names)
@@ -108,6 +110,13 @@
         let (nodes, taken) = {
             let mut desk = router.desk.borrow_mut();
             let crate::stages::Desk { brain, office } = &mut *desk;
+            for entry in roster["endpoints"].as_array().into_iter().flatten() {
+                let of = entry["name"].as_str().and_then(|name| office.nodes.number(name));
+                let node = of.and_then(|id| brain.nodes.get_mut(&id));
+                if let (Some(node), Some(age)) = (node, entry["age_ms"].as_u64()) {
+                    node.started.at = now.since(Micros(age.saturating_mul(1000)));
+                }
+            }
             let known = |id: &u64| office.nodes.number(names.get(id)?);
             let nodes = std::mem::take(&mut self.beliefs.nodes);
             let count = nodes.len();
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -4,6 +4,7 @@
 // Each test program uses a part of them.
 #![allow(dead_code)]
 
+pub mod cold;
 pub mod faulty;
 pub mod guarded;
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -96,6 +96,8 @@
     chance: Chance,
     now: Micros,
     born: Option<Micros>, // Its first list.
+    /// When the roster was last told.
+    heard: Option<Micros>,
     /// All lookups end by then: the process stops.
     answers_by: Option<Micros>,
     beating: bool,
@@ -286,6 +288,7 @@
     pub fn roster(&mut self, now: Micros, list: &[Listing], full: bool, out: &mut dyn Actions) {
         self.now = now;
         self.born = self.born.or(Some(now));
+        let heard = self.heard.replace(now);
         if full {
             self.nodes.values_mut().for_each(|n| n.listing.phase = Phase::Gone);
         }
@@ -293,14 +296,15 @@
             let (lot, known) = (self.chance.0.generate(), self.nodes.contains_key(&listing.node));
             let node = self.nodes.entry(listing.node).or_insert_with(|| Node { lot, ..Node::default() });
             // Gone without a drain, or back before it was missed: it fell. A new process is not known.
-            let anew = listing.started > node.listing.started;
+            let anew = node.started.told(listing.started, now, heard);
             let fell = known && node.listing.phase == Phase::Ready;
             self.alarm_at = (fell && (anew || listing.phase == Phase::Gone)).then_some(now).or(self.alarm_at);
             if anew || !known {
                 // What it was sent since its start counts, though this router hears of the start only now.
                 let (mut sends, owed) = (std::mem::take(&mut node.sends), std::mem::take(&mut node.owed));
-                drop_front(&mut sends, |(at, _)| *at < listing.started);
-                *node = Node { lot: node.lot, told: now, owed, sends, ..Node::default() };
+                drop_front(&mut sends, |(at, _)| *at < node.started.at);
+                *node =
+                    Node { lot: node.lot, told: now, started: node.started, owed, sends, ..Node::default() };
             }
             node.listing = *listing;
         }
@@ -987,8 +991,8 @@
 
     /// The share of its capacity that a node surely had when the window up to a time began.
     fn warmth(&self, node: &Node, at: Micros) -> f64 {
-        let (t, age) = (&self.tariff, at.since(node.listing.started));
-        if node.listing.started.0 == 0 || age >= t.warm_within {
+        let (t, age) = (&self.tariff, at.since(node.started.at));
+        if node.started.at.0 == 0 || age >= t.warm_within {
             return 1.0;
         }
         t.cold_share + (1.0 - t.cold_share) * age.since(t.fall_window).over(t.warm_within)
@@ -1011,7 +1015,7 @@
             return more <= LARGE && earned > part;
         }
         let sent: f64 = node.sends.iter().filter(|of| self.now.since(of.0) <= window).map(|of| of.1).sum();
-        let fresh = |born| born > node.listing.started && self.now.since(born) <= window;
+        let fresh = |born| born > node.started.at && self.now.since(born) <= window;
         !self.born.is_some_and(fresh) && sent + more <= share.max(LARGE)
     }
 
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -206,7 +206,7 @@
 fn a_cold_node_gets_its_allowance(routers: u32, parts: u32, room: bool) {
     let mut brain = router(Tariff { routers: routers.into(), ..tariff() }, 1);
     let now = brain.now;
-    node(&mut brain, 1).listing.started = now;
+    node(&mut brain, 1).started.at = now;
     node(&mut brain, 1).sends = (1..parts).map(|_| (now, 1.0)).collect();
     assert_eq!(brain.has_room(&brain.nodes[&NodeId(1)], 1.0), room);
 }
@@ -215,7 +215,7 @@
 fn a_warm_node_has_room() {
     let mut brain = router(tariff(), 1);
     let now = brain.now;
-    node(&mut brain, 1).listing.started = Micros(now.0 - ms(10_000).0 + 1);
+    node(&mut brain, 1).started.at = Micros(now.0 - ms(10_000).0 + 1);
     brain.now += ms(1);
     node(&mut brain, 1).sends = (1..100).map(|_| (now, 1.0)).collect();
     assert!(brain.has_room(&brain.nodes[&NodeId(1)], 1.0));
@@ -225,7 +225,7 @@
 fn a_reported_rate_raises_the_allowance() {
     let mut brain = router(tariff(), 2);
     let now = brain.now;
-    (node(&mut brain, 1).listing.started, node(&mut brain, 2).best_rate) = (now, 20.0);
+    (node(&mut brain, 1).started.at, node(&mut brain, 2).best_rate) = (now, 20.0);
     let brain = fresh(brain);
     assert!(brain.has_room(&brain.nodes[&NodeId(1)], 8.0));
 }
@@ -473,7 +473,7 @@
 #[test_case(2, true; "its turn")]
 fn many_routers_take_turns_at_a_cold_node(seconds: u64, room: bool) {
     let mut brain = router(Tariff { routers: 10.0, ..tariff() }, 1);
-    (node(&mut brain, 1).listing.started, node(&mut brain, 1).lot) = (brain.now, u32::MAX / 2);
+    (node(&mut brain, 1).started.at, node(&mut brain, 1).lot) = (brain.now, u32::MAX / 2);
     node(&mut brain, 1).told = brain.now;
     brain.now += ms(seconds * 1000);
     assert_eq!(brain.has_room(&brain.nodes[&NodeId(1)], 1.0), room);
@@ -623,7 +623,7 @@
 fn a_warming_node_is_predicted_slower_than_the_middle() {
     let mut brain = router(tariff(), 2);
     let now = brain.now;
-    (node(&mut brain, 1).listing.started, node(&mut brain, 2).pace) = (now, Some(50_000.0));
+    (node(&mut brain, 1).started.at, node(&mut brain, 2).pace) = (now, Some(50_000.0));
     let brain = fresh(brain);
     let predicted = brain.predicted(&brain.nodes[&NodeId(1)], IndexNo(0), 1.0);
     assert_eq!(predicted, 50_000.0 / 0.25 * (1.0 + FREE_DEPTH));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod interface;
 pub mod io_errors;
 pub mod shutdown;
+pub mod slow_start;
 pub mod types;
--- /dev/null
+++ b/src/slow_start.rs
@@ -0,0 +1,37 @@
+//! Slow start: when a node started, by this router's own clock. What discovery says of it is a claim of another clock, and the wall
+//! clock that it is compared with may have been stepped: by an hour forward a cold node counted as warm, by an hour back a warm
+//! one as cold for that hour, and a start told after a step back was none.
+
+use crate::types::Micros;
+
+#[cfg(test)]
+mod tests;
+
+/// A node's starts as this router knows them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Started {
+    /// As last claimed, microseconds of Unix time; 0: long ago. It tells one start from another, and is no time.
+    pub claimed: Micros,
+    /// By the router's own clock, never before it really was as far as can be told; 0: long ago.
+    pub at: Micros,
+    /// The claim of the start before this one: a list that comes late still makes it.
+    before: Option<Micros>,
+}
+
+impl Started {
+    /// Takes a claim in; true if it is another start. `heard` is when discovery last told, without this start: it came after.
+    /// Without it (the first list there is) the claim alone counts, as far as it is not in the future. The later of the two is the
+    /// safer: a node that is held to be younger than it is gets less for a while, one held to be older falls.
+    pub fn told(&mut self, claimed: Micros, now: Micros, heard: Option<Micros>) -> bool {
+        if claimed == self.claimed || Some(claimed) == self.before {
+            return false;
+        }
+        if claimed.0 == 0 {
+            *self = Started { before: Some(self.claimed), ..Started::default() };
+            return false;
+        }
+        let at = claimed.min(now).max(heard.unwrap_or_default());
+        *self = Started { claimed, at, before: Some(self.claimed).filter(|of| of.0 > 0) };
+        true
+    }
+}
--- /dev/null
+++ b/src/slow_start/tests.rs
@@ -0,0 +1,63 @@
+use super::*;
+use proptest::prelude::*;
+use test_case::test_case;
+
+const S: u64 = 1_000_000;
+const HOUR: u64 = 3600 * S;
+const NOW: Micros = Micros(100_000 * S);
+
+fn at(ago: u64) -> Micros {
+    Micros(NOW.0 - ago)
+}
+
+/// This router last heard of the roster 2 s ago; the node really started 1 s ago.
+#[test_case(at(S), at(S); "clocks agree")]
+#[test_case(at(HOUR), at(2 * S); "this machine's clock is an hour ahead")]
+#[test_case(Micros(NOW.0 + HOUR), NOW; "this machine's clock is an hour behind")]
+#[test_case(at(10 * S), at(2 * S); "some seconds ahead")]
+fn a_start_that_was_seen_is_no_older_than_the_last_list_without_it(claimed: Micros, started: Micros) {
+    let mut of = Started::default();
+    assert!(of.told(claimed, NOW, Some(at(2 * S))));
+    assert_eq!(of.at, started);
+}
+
+#[test]
+fn the_first_list_is_believed_but_for_the_future() {
+    let (mut old, mut ahead) = (Started::default(), Started::default());
+    assert!(old.told(at(HOUR), NOW, None) && ahead.told(Micros(NOW.0 + HOUR), NOW, None));
+    assert_eq!((old.at, ahead.at), (at(HOUR), NOW));
+}
+
+/// After a step back at the node a new start is claimed to be earlier than the one before.
+#[test]
+fn another_start_is_one_whichever_way_its_claim_lies() {
+    let mut of = Started::default();
+    assert!(of.told(at(60 * S), at(59 * S), None));
+    assert!(of.told(at(HOUR), NOW, Some(at(2 * S))));
+    assert_eq!(of.at, at(2 * S));
+}
+
+/// Lists come late and by turns; the start before is old news.
+#[test]
+fn a_late_list_does_not_start_a_node_again() {
+    let mut of = Started::default();
+    assert!(of.told(at(60 * S), at(59 * S), None) && of.told(at(5 * S), at(4 * S), Some(at(6 * S))));
+    let known = of;
+    assert!(!of.told(at(60 * S), NOW, Some(at(S))) && !of.told(at(5 * S), NOW, Some(at(S))));
+    assert_eq!(of, known);
+}
+
+proptest! {
+    /// Whatever is claimed: never older than seen, never from the future, and the same claim changes nothing.
+    #[test]
+    fn no_claim_makes_a_start_older_than_it_was_seen_to_be(
+        claimed in 1..200_000 * S, later in 0..HOUR, gap in 0..60 * S,
+    ) {
+        let mut of = Started::default();
+        of.told(Micros(claimed), NOW, Some(at(gap)));
+        prop_assert!(of.at >= at(gap) && of.at <= NOW);
+        let known = of;
+        prop_assert!(!of.told(Micros(claimed), NOW + Micros(later), Some(NOW)));
+        prop_assert_eq!(of, known);
+    }
+}
--- a/src/types.rs
+++ b/src/types.rs
@@ -1,5 +1,6 @@
 //! Ids, times and the plain state that the decision module keeps. No value that tunes a decision lives here.
 
+use crate::slow_start::Started;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::ops::{Add, AddAssign};
 
@@ -239,6 +240,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Node {
     pub listing: Listing,
+    /// Its start as claimed, and by this router's clock.
+    pub started: Started,
     /// When this router heard of its last start.
     pub told: Micros,
     /// Breaks ties between equal costs.
