--- a/history/src/lib.rs
+++ b/history/src/lib.rs
@@ -13,6 +13,7 @@
 
 mod check;
 mod event;
+pub mod requests;
 mod write;
 
 pub use check::{check, Bounds, Broken, Counts, Rule, Verdict};
--- a/router/src/stages/send.rs
+++ b/router/src/stages/send.rs
@@ -111,7 +111,8 @@
         for (_, call) in calls() {
             let Some((held, part)) = ledger.part(call) else { continue };
             held.taken.span.in_scope(|| tracing::debug!("send: part {} to node {:x}", call.id, call.node.0));
-            let wait_ms = call.due.since(*now).0.div_ceil(1000).max(1);
+            // Rounded down: a node is never told more than is left.
+            let wait_ms = (call.due.since(*now).0 / 1000).max(1);
             frames::add_part(
                 &mut rest,
                 &call.id,
--- a/router/src/stages/take_in.rs
+++ b/router/src/stages/take_in.rs
@@ -186,6 +186,9 @@
     ends: &'static str,
     /// It ends here and goes on in another process.
     handed: bool,
+    /// Since when the first of the bytes that were sent ahead wait: a client's time counts from when it sent them, and a
+    /// request behind a slow one was passed on with the whole of it.
+    ahead: Option<Micros>,
     /// Its client has sent more ahead than may wait: that is read, thrown away, and the connection ends with the next answer.
     floods: bool,
     /// Its client has ended it, or takes nothing more: nobody is there to read on for.
@@ -232,6 +235,7 @@
         requests: 0,
         ends: "",
         handed: false,
+        ahead: None,
         floods: false,
         gone: false,
         _permit: permit,
@@ -275,11 +279,12 @@
         (line.handed, line.ends) = (true, "it goes to the new process");
         return false;
     }
+    let ahead = line.ahead.take().filter(|_| !line.input.is_empty());
     if line.input.is_empty() && !idle(router, line).await {
         return false;
     }
-    let began = router.clock.now();
-    let from = line.accepted.take().unwrap_or(began);
+    let now = router.clock.now();
+    let (from, began) = (line.accepted.take().unwrap_or(now), ahead.unwrap_or(now));
     let whole = router.bounds.longest_deadline.map_or(WHOLE_WITHIN, |longest| longest.min(WHOLE_WITHIN));
     let read = router.until(Some(from + whole), read_request(router, line, request, from)).await;
     let read = read.unwrap_or(Err(Stop::Fault(Fault::TooSlow)));
@@ -298,6 +303,7 @@
                 fleet.settled(router).await;
             }
             line.requests += 1;
+            line.ahead = Some(began).filter(|_| !line.input.is_empty());
             let (id, age) =
                 (request.header("req-id").unwrap_or("-"), router.clock.now().since(line.opened).0 / 1000);
             tracing::debug!(
@@ -307,7 +313,11 @@
             );
             // Requests that were sent ahead, or waited to be accepted, may have lost their client meanwhile: nothing of
             // theirs is begun. Whoever asks for health alone may have shut its way here and still listen.
-            if !is_there(line) && !admit::is_health(request) {
+            let there = is_there(line);
+            if !line.input.is_empty() {
+                line.ahead = line.ahead.or(Some(now));
+            }
+            if !there && !admit::is_health(request) {
                 line.ends = "the client left before its request was begun";
                 return false;
             }
@@ -503,6 +513,9 @@
                 Err(_) => return None,
             }
         }
+        if !line.input.is_empty() {
+            line.ahead = line.ahead.or(Some(router.clock.now()));
+        }
         if line.holds(0) > 0 && router.budget.is_over() {
             line.overrun();
         }
