--- a/router/tests/drawn.rs
+++ b/router/tests/drawn.rs
@@ -32,7 +32,9 @@
 impl Draw {
     fn new(seed: u64) -> Draw {
         let mut of = Draw(seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ 0x2545_f491_4f6c_dd1d);
-        (0..8).for_each(|_| drop(of.below(2)));
+        for _ in 0..8 {
+            of.below(2);
+        }
         of
     }
 
@@ -257,11 +259,12 @@
         rules.extend(more);
         steps.extend(step);
     }
-    let hangs = draw.below(2) == 0;
+    // How many nodes hang, from when on.
+    let (hangs, hang_at) = (draw.one(&[0, 1, 1, 3]), draw.between(400, 1800));
     let outage = (draw.below(2) == 0).then(|| draw.between(200, 1500));
     let drains = (draw.below(2) == 0).then(|| draw.between(100, 1000));
     let stop = (draw.below(4) > 0).then(|| draw.between(600, 1600));
-    let said = format!("seed {seed}: {routers} routers, hangs {hangs}, discovery down {outage:?}, drains {drains:?}, stop {stop:?}, {rules:?}, {steps:?}");
+    let said = format!("seed {seed}: {routers} routers, {hangs} hang at {hang_at}, discovery down {outage:?}, drains {drains:?}, stop {stop:?}, {rules:?}, {steps:?}");
     let settings = SETTINGS.replace("\"deadline\":3000000", &format!("\"deadline\":{}", LONGEST * 1000));
 
     let record = Record { began: Instant::now(), events: Arc::default() };
@@ -280,7 +283,8 @@
     let mut all: Vec<Faulty> = (0..routers)
         .map(|_| Faulty::with(&settings, Vec::new(), discovery.clone(), address, &ready, &plan))
         .collect();
-    let acts: Arc<Mutex<[Act; 2]>> = Arc::clone(&nodes[2].acts);
+    let acts: Vec<Arc<Mutex<[Act; 2]>>> =
+        nodes.iter().rev().take(hangs).map(|node| Arc::clone(&node.acts)).collect();
     let began = Instant::now();
     thread::scope(|scope| {
         for (at, of) in all.iter().enumerate() {
@@ -292,8 +296,8 @@
         let until = |ms: u64| thread::sleep(Duration::from_millis(ms).saturating_sub(began.elapsed()));
         let (writes, discovery) = (record.clone(), discovery.clone());
         scope.spawn(move || {
-            if hangs {
-                until(400);
+            until(hang_at);
+            for acts in acts {
                 *acts.lock().unwrap() = [Act::Silent; 2];
             }
         });
