--- a/router/tests/common/fleets.rs
+++ b/router/tests/common/fleets.rs
@@ -57,7 +57,12 @@
 }
 
 pub fn judged(schedule: &Schedule, folder: &Path) -> (Outcome, Counts) {
-    let outcome = play(schedule, &program(), folder, false).expect("the rig runs");
+    judged_of(schedule, &program(), folder)
+}
+
+/// The same with another program in the place of the router, which starts it under a plan of faults.
+pub fn judged_of(schedule: &Schedule, program: &Path, folder: &Path) -> (Outcome, Counts) {
+    let outcome = play(schedule, program, folder, false).expect("the rig runs");
     let Verdict::Accepted(counts) = outcome.verdict.clone() else {
         let logs = std::env::temp_dir().join(format!("ternpick-fleet-{}", std::process::id()));
         let kept = std::fs::rename(folder, &logs);
--- a/router/tests/fleet.rs
+++ b/router/tests/fleet.rs
@@ -6,7 +6,8 @@
 
 use std::sync::PoisonError;
 
-use fleets::{change, judged, plan, played, program, step, turn, TURNS};
+use fleets::{change, judged, judged_of, plan, played, program, step, turn, TURNS};
+use ternpick_faults::{Call, Effect, Plan, Role, Rule, VARIABLE};
 use ternpick_lab::fleet::{Change, FleetPlan, Kind, Schedule, Step};
 use test_case::test_case;
 
@@ -179,3 +180,39 @@
     assert_eq!(done.status.code(), Some(3), "{words}");
     assert!(words.contains("nobody") || words.contains("does not answer"), "{words}");
 }
+
+/// For two seconds writes to each router's folder end halfway or find no room, and what is synced may not last; the leader is
+/// killed in the middle of it. What was said to be in force stays so, and the fleet is well again.
+#[test_case(0; "and nobody is killed")]
+#[test_case(1; "and the leader is killed meanwhile")]
+fn files_that_fail_for_a_while_lose_nothing_that_was_taken_on(kills: usize) {
+    let _turn = turn();
+    let folder = tempfile::tempdir().expect("a folder");
+    let below = folder.path().join("fleet");
+    std::fs::create_dir(&below).expect("a folder");
+    let rules = vec![
+        Rule::new(Call::Send, Role::File, 3, Effect::Half("ENOSPC".into())).between(1500, 3500),
+        Rule::fails(Call::Sync, Role::File, 2, &["EIO", "ENOSPC"]).between(1500, 3500),
+    ];
+    // The rig keeps the routers' folders in memory.
+    let faults = Plan { seed: 1, rules: rules.clone(), folder: Some("/dev/shm/".into()), ..Plan::default() };
+    let ((_, path), strikes) = faults.write(folder.path(), "faults").expect("a plan");
+    let preload = program().parent().expect("a folder").join("examples/libpreload.so");
+    assert!(preload.exists(), "cargo build -p ternpick-faults --examples builds {}", preload.display());
+    let script = folder.path().join("program");
+    let text = format!(
+        "#!/bin/sh\nexport {VARIABLE}={} LD_PRELOAD={}\nexec {} \"$@\"\n",
+        path.display(),
+        preload.display(),
+        program().display()
+    );
+    std::fs::write(&script, text).expect("written");
+    let mode = std::os::unix::fs::PermissionsExt::from_mode(0o700);
+    std::fs::set_permissions(&script, mode).expect("a program");
+    let steps = (0..kills).map(|_| step(1900, 800, Kind::LeadKill, 0)).collect();
+    let changes = vec![change(500, 0), change(1300, 1), change(2200, 2), change(7000, 0), change(8200, 1)];
+    let schedule = Schedule { plan: plan("seconds: 10"), seed: 1, steps, changes };
+    let (_, counts) = judged_of(&schedule, &script, &below);
+    assert!(strikes.all_struck(rules.len()), "{} and {}", strikes.of(0), strikes.of(1));
+    assert!(counts.in_force >= 2, "{counts:?}");
+}
