--- a/router/tests/faults.rs
+++ b/router/tests/faults.rs
@@ -171,11 +171,13 @@
 
 /// A node that starts while the router's wall clock reads another time than discovery's: the cold node gets what it bears, from the
 /// first moment, and is warm when its time is over.
-#[test_case(0; "the clocks agree")]
-#[test_case(HOUR; "an hour ahead")]
-#[test_case(-HOUR; "an hour behind")]
-#[test_case(8000; "some seconds ahead")]
-fn a_cold_node_is_known_to_be_cold_whatever_the_wall_clock_reads(by_ms: i64) {
+#[test_case(0, false; "the clocks agree")]
+#[test_case(HOUR, false; "an hour ahead")]
+#[test_case(-HOUR, false; "an hour behind")]
+#[test_case(8000, false; "some seconds ahead")]
+#[test_case(HOUR, true; "an hour ahead, and it started before the router")]
+#[test_case(-HOUR, true; "an hour behind, and it started before the router")]
+fn a_cold_node_is_known_to_be_cold_whatever_the_wall_clock_reads(by_ms: i64, before: bool) {
     let settings = SETTINGS.replace(r#""rules":{"#, RAMP).replace(r#""positions":1"#, r#""positions":2"#);
     let nodes = vec![Node::start([Act::Serve; 2]), Node::start([Act::Serve; 2])];
     let addresses = [nodes[0].address, nodes[1].address];
@@ -185,14 +187,21 @@
             .replace(r#""group":0"#, &format!(r#""group":{at}"#))
             .replace(r#""since_ms":0"#, &format!(r#""since_ms":{since}"#))
     };
-    let (discovery, known) = (Discovery::default(), listed(0, 0));
+    let unix = || {
+        let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        unix.expect("a time").as_millis()
+    };
+    let discovery = Discovery::default();
     discovery.set(|roster| roster.version = 1);
     let address = discovery.start();
+    let (mut started, mut since) = (Instant::now(), unix());
+    let known = if before { [listed(0, 0), listed(1, since)].join(",") } else { listed(0, 0) };
     let steps = vec![ternpick_faults::Step { at_ms: 0, by_ms }];
     let of = Faulty::with(&settings, nodes, discovery, address, &known, &Plan { steps, ..plan(Vec::new()) });
     of.discovery.wait_until(|roster| roster.asked == 1);
-    let (started, unix) = (Instant::now(), std::time::SystemTime::now());
-    let unix = unix.duration_since(std::time::UNIX_EPOCH).expect("a time").as_millis();
+    if !before {
+        (started, since) = (Instant::now(), unix());
+    }
     let sent = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
     let into = sent.clone();
     of.nodes[1].watch(Some(std::sync::Arc::new(move |letter, _: &str| {
@@ -201,7 +210,7 @@
         }
     })));
     of.discovery
-        .set(|roster| (roster.version, roster.changes) = (2, [listed(0, 0), listed(1, unix)].join(",")));
+        .set(|roster| (roster.version, roster.changes) = (2, [listed(0, 0), listed(1, since)].join(",")));
     let address = of.router.address;
     thread::scope(|scope| {
         for client in 0..8 {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,6 +20,7 @@
 use nanorand::Rng;
 
 use crate::interface::Actions;
+use crate::slow_start;
 use crate::types::*;
 
 mod snapshot;
@@ -289,6 +290,7 @@
         self.now = now;
         self.born = self.born.or(Some(now));
         let heard = self.heard.replace(now);
+        let newest = list.iter().map(|listing| listing.started).max().unwrap_or_default();
         if full {
             self.nodes.values_mut().for_each(|n| n.listing.phase = Phase::Gone);
         }
@@ -296,7 +298,8 @@
             let (lot, known) = (self.chance.0.generate(), self.nodes.contains_key(&listing.node));
             let node = self.nodes.entry(listing.node).or_insert_with(|| Node { lot, ..Node::default() });
             // Gone without a drain, or back before it was missed: it fell. A new process is not known.
-            let anew = node.started.told(listing.started, now, heard);
+            let not_before = slow_start::not_before(heard, now, listing.started, newest);
+            let anew = node.started.told(listing.started, now, not_before);
             let fell = known && node.listing.phase == Phase::Ready;
             self.alarm_at = (fell && (anew || listing.phase == Phase::Gone)).then_some(now).or(self.alarm_at);
             if anew || !known {
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -7,6 +7,13 @@
 #[cfg(test)]
 mod tests;
 
+/// Before when a start that is told now did not come. `heard` is when the roster was last told, without it. The first list has nothing
+/// before it; there the newest claim is one by the same clock, and is over by now: a node that claims to have started so
+/// much earlier is at least so old, whatever this machine's clock reads. No more can be known, as after a restart.
+pub fn not_before(heard: Option<Micros>, now: Micros, claimed: Micros, newest: Micros) -> Micros {
+    heard.unwrap_or(now.since(newest.since(claimed)))
+}
+
 /// A node's starts as this router knows them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Started {
@@ -19,10 +26,9 @@
 }
 
 impl Started {
-    /// Takes a claim in; true if it is another start. `heard` is when discovery last told, without this start: it came after.
-    /// Without it (the first list there is) the claim alone counts, as far as it is not in the future. The later of the two is the
-    /// safer: a node that is held to be younger than it is gets less for a while, one held to be older falls.
-    pub fn told(&mut self, claimed: Micros, now: Micros, heard: Option<Micros>) -> bool {
+    /// Takes a claim in; true if it is another start. It came no earlier than `not_before`, and not in the future. The later
+    /// reading is the safer: a node that is held to be younger than it is gets less for a while, one held to be older falls.
+    pub fn told(&mut self, claimed: Micros, now: Micros, not_before: Micros) -> bool {
         if claimed == self.claimed || Some(claimed) == self.before {
             return false;
         }
@@ -30,7 +36,7 @@
             *self = Started { before: Some(self.claimed), ..Started::default() };
             return false;
         }
-        let at = claimed.min(now).max(heard.unwrap_or_default());
+        let at = claimed.min(now).max(not_before);
         *self = Started { claimed, at, before: Some(self.claimed).filter(|of| of.0 > 0) };
         true
     }
--- a/src/slow_start/tests.rs
+++ b/src/slow_start/tests.rs
@@ -17,14 +17,23 @@
 #[test_case(at(10 * S), at(2 * S); "some seconds ahead")]
 fn a_start_that_was_seen_is_no_older_than_the_last_list_without_it(claimed: Micros, started: Micros) {
     let mut of = Started::default();
-    assert!(of.told(claimed, NOW, Some(at(2 * S))));
+    assert!(of.told(claimed, NOW, at(2 * S)));
     assert_eq!(of.at, started);
 }
 
+/// In the first list the newest start may be this moment's; others are as much older as they claim to be, by the same clock.
+#[test_case(at(HOUR), at(HOUR), NOW; "the newest, of a clock an hour behind or of an hour ago")]
+#[test_case(at(HOUR + 5 * S), at(HOUR), at(5 * S); "five seconds older than the newest")]
+#[test_case(at(HOUR), at(0), at(HOUR); "an hour older than the newest")]
+fn the_first_list_tells_ages_among_nodes(claimed: Micros, newest: Micros, earliest: Micros) {
+    assert_eq!(not_before(None, NOW, claimed, newest), earliest);
+    assert_eq!(not_before(Some(at(S)), NOW, claimed, newest), at(S));
+}
+
 #[test]
-fn the_first_list_is_believed_but_for_the_future() {
+fn a_claim_is_believed_but_for_the_future() {
     let (mut old, mut ahead) = (Started::default(), Started::default());
-    assert!(old.told(at(HOUR), NOW, None) && ahead.told(Micros(NOW.0 + HOUR), NOW, None));
+    assert!(old.told(at(HOUR), NOW, Micros(0)) && ahead.told(Micros(NOW.0 + HOUR), NOW, Micros(0)));
     assert_eq!((old.at, ahead.at), (at(HOUR), NOW));
 }
 
@@ -32,8 +41,8 @@
 #[test]
 fn another_start_is_one_whichever_way_its_claim_lies() {
     let mut of = Started::default();
-    assert!(of.told(at(60 * S), at(59 * S), None));
-    assert!(of.told(at(HOUR), NOW, Some(at(2 * S))));
+    assert!(of.told(at(60 * S), at(59 * S), Micros(0)));
+    assert!(of.told(at(HOUR), NOW, at(2 * S)));
     assert_eq!(of.at, at(2 * S));
 }
 
@@ -41,9 +50,9 @@
 #[test]
 fn a_late_list_does_not_start_a_node_again() {
     let mut of = Started::default();
-    assert!(of.told(at(60 * S), at(59 * S), None) && of.told(at(5 * S), at(4 * S), Some(at(6 * S))));
+    assert!(of.told(at(60 * S), at(59 * S), Micros(0)) && of.told(at(5 * S), at(4 * S), at(6 * S)));
     let known = of;
-    assert!(!of.told(at(60 * S), NOW, Some(at(S))) && !of.told(at(5 * S), NOW, Some(at(S))));
+    assert!(!of.told(at(60 * S), NOW, at(S)) && !of.told(at(5 * S), NOW, at(S)));
     assert_eq!(of, known);
 }
 
@@ -54,10 +63,10 @@
         claimed in 1..200_000 * S, later in 0..HOUR, gap in 0..60 * S,
     ) {
         let mut of = Started::default();
-        of.told(Micros(claimed), NOW, Some(at(gap)));
+        of.told(Micros(claimed), NOW, at(gap));
         prop_assert!(of.at >= at(gap) && of.at <= NOW);
         let known = of;
-        prop_assert!(!of.told(Micros(claimed), NOW + Micros(later), Some(NOW)));
+        prop_assert!(!of.told(Micros(claimed), NOW + Micros(later), NOW));
         prop_assert_eq!(of, known);
     }
 }
