--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -10,7 +10,7 @@
 
 pub use ternpick_lab::standins::{entry, read_head, Act, Discovery, Node};
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -164,6 +164,33 @@
     (status, head, String::from_utf8(body).expect("text"))
 }
 
+/// Whether the other side has ended a connection, as a client sees it before it writes.
+pub fn has_ended(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("a socket");
+    let ended = !matches!(stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
+    stream.set_nonblocking(false).expect("a socket");
+    ended
+}
+
+/// Reads up to the last byte of an answer: its status; if the connection ends before, whether not one byte came.
+pub fn status_of(stream: &mut TcpStream) -> Result<u16, bool> {
+    let (mut bytes, mut some) = (Vec::new(), [0; 4096]);
+    loop {
+        match stream.read(&mut some) {
+            Ok(count) if count > 0 => bytes.extend_from_slice(&some[..count]),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            _ => return Err(bytes.is_empty()),
+        }
+        let text = String::from_utf8_lossy(&bytes);
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+        let of = |name: &str| head.split(name).nth(1).and_then(|rest| rest.split("\r\n").next());
+        let length: usize = of("Content-Length: ").and_then(|n| n.parse().ok()).expect("a length");
+        if body.len() >= length {
+            return Ok(head.split(' ').nth(1).and_then(|n| n.parse().ok()).expect("a status"));
+        }
+    }
+}
+
 pub fn ask(stream: &mut TcpStream, index: &str, id: &str) -> (u16, String, String) {
     stream.write_all(request(index, id).as_bytes()).expect("written");
     answer(stream)
--- a/src/brain/tests.rs
+++ b/src/brain/tests.rs
@@ -519,7 +519,7 @@
             for (at, brain) in brains.iter_mut().enumerate() {
                 if restart && step == 30 + at as u64 * 60 / routers as u64 {
                     *brain = of();
-                    brain.born = None;
+                    (brain.born, brain.heard) = (None, None);
                 }
                 if node(brain, 1).listing.started != began {
                     let survey = brain.survey;
