--- a/router/tests/faults.rs
+++ b/router/tests/faults.rs
@@ -297,3 +297,29 @@
     assert!(!behind.is_empty(), "{told:?}");
     assert!(behind.iter().all(|(at, _, told)| told + at <= 1000 + 150), "{behind:?}");
 }
+
+/// Accepts fail while the listener goes: who waits in it is answered once they pass. Peers that have gone do not count.
+#[test]
+fn connections_that_wait_as_the_listener_goes_are_served_though_accepts_fail() {
+    let cases = [("ENFILE", 250), ("ECONNABORTED", 0)];
+    together(cases.map(|(error, ms)| move || last_accepts_fail(error, ms)));
+}
+
+/// For so many milliseconds, or a hundred times.
+fn last_accepts_fail(error: &str, ms: u64) {
+    let mut rule = Rule::fails(Call::Accept, Role::Listener, 1, &[error]);
+    rule = if ms > 0 { rule.between(1500, 1500 + ms) } else { rule.between(1500, 60_000).most(100) };
+    let began = Instant::now();
+    let of = Faulty::start(SETTINGS, &[Act::Serve, Act::Serve], &plan(vec![rule]));
+    thread::sleep((900 * MS).saturating_sub(began.elapsed()));
+    of.router.signal("-TERM");
+    // Held still over the moment in which the listener goes, it finds the connection waiting then.
+    thread::sleep((1450 * MS).saturating_sub(began.elapsed()));
+    of.router.signal("-STOP");
+    let mut client = of.router.connect();
+    std::io::Write::write_all(&mut client, request("whole", "r").as_bytes()).expect("written");
+    thread::sleep((1620 * MS).saturating_sub(began.elapsed()));
+    of.router.signal("-CONT");
+    assert_eq!(status_of(&mut client), Ok(200));
+    of.all_struck();
+}
--- a/router/tests/stop.rs
+++ b/router/tests/stop.rs
@@ -183,3 +183,20 @@
     assert!(matches!(fate, Fate::Answered(503, _)), "{fate:?}");
     assert!(router.ended());
 }
+
+/// Who has had its answer and is closing when resting connections are told to end is read to its end all the same.
+#[test]
+fn a_connection_that_is_closing_in_order_is_not_cut_off_as_the_listener_goes() {
+    let (router, _nodes, _discovery) = router(1900, &[Act::Serve]);
+    let mut client = router.connect();
+    assert_eq!(ask(&mut client, "whole", "first").0, 200);
+    router.signal("-TERM");
+    let told = Instant::now();
+    until(told, 500 * MS);
+    assert_eq!(ask(&mut client, "whole", "last").0, 200);
+    // A reset is seen by who writes: the first meets it, the second is told.
+    until(told, 950 * MS);
+    client.write_all(b"x").expect("no reset behind the answer");
+    thread::sleep(20 * MS);
+    client.write_all(b"x").expect("no reset behind the answer");
+}
--- a/src/slow_start/tests.rs
+++ b/src/slow_start/tests.rs
@@ -70,3 +70,14 @@
         prop_assert_eq!(of, known);
     }
 }
+
+/// A line that leaves the start out says 0: what was seen to start runs on by this router's own clock.
+#[test]
+fn a_claim_of_long_ago_makes_no_seen_start_older() {
+    let mut of = Started::default();
+    assert!(!of.told(Micros(0), NOW, at(S)) && of.at == Micros(0));
+    assert!(of.told(at(S), NOW, at(2 * S)));
+    let known = of;
+    assert!(!of.told(Micros(0), NOW, at(S)) && !of.told(at(S), NOW, at(S)));
+    assert_eq!(of, known);
+}
