--- a/faults/examples/preload.rs
+++ b/faults/examples/preload.rs
@@ -4,7 +4,7 @@
 
 use std::cell::Cell;
 use std::ffi::{c_char, c_int, c_void, CStr};
-use std::sync::atomic::{AtomicI32, AtomicI64, AtomicU64, AtomicU8, AtomicUsize, Ordering::Relaxed};
+use std::sync::atomic::{AtomicI32, AtomicU64, AtomicU8, AtomicUsize, Ordering::Relaxed};
 use std::sync::OnceLock;
 
 use libc::{iovec, msghdr, size_t, sockaddr, socklen_t, ssize_t, timespec};
@@ -19,7 +19,6 @@
     turn: Vec<AtomicU64>,
     counts: &'static [AtomicU64],
     chance: AtomicU64,
-    step: AtomicI64,
 }
 
 static STATE: OnceLock<State> = OnceLock::new();
@@ -87,15 +86,7 @@
     };
     let zeros = || (0..rules).map(|_| AtomicU64::new(0)).collect();
     let chance = AtomicU64::new(plan.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
-    let state = State {
-        plan,
-        began: monotonic(),
-        seen: zeros(),
-        turn: zeros(),
-        counts,
-        chance,
-        step: AtomicI64::new(0),
-    };
+    let state = State { plan, began: monotonic(), seen: zeros(), turn: zeros(), counts, chance };
     assert!(STATE.set(state).is_ok(), "one plan");
     INSIDE.set(false);
 }
@@ -252,7 +243,6 @@
             let age = state.age();
             let by: i64 =
                 state.plan.steps.iter().filter(|step| step.at_ms <= age).map(|step| step.by_ms).sum();
-            state.step.store(by, Relaxed);
             let ms = (*at).tv_sec * 1000 + (*at).tv_nsec / 1_000_000 + by;
             (*at).tv_nsec = ms.rem_euclid(1000) * 1_000_000 + (*at).tv_nsec % 1_000_000;
             (*at).tv_sec = ms.div_euclid(1000);
--- a/router/src/lifecycle/stop.rs
+++ b/router/src/lifecycle/stop.rs
@@ -64,7 +64,8 @@
 /// Closes connections without a request and waits until nothing is owed, or until the process may be killed.
 async fn when_done(router: &Router, of: Shutdown) {
     router.accepts_no_more.set(true);
-    router.clients.keep_idle(0);
+    // Only those that rest: who is closing in order has an answer on its way.
+    router.clients.end(State::Resting, |_| true);
     loop {
         let now = router.clock.now();
         let (clients, waiting) = (router.descriptors.clients(), router.clients.waiting());
--- a/router/src/stages/take_in.rs
+++ b/router/src/stages/take_in.rs
@@ -7,7 +7,7 @@
 
 use async_io::{Async, Timer};
 use futures_lite::future;
-use ternpick::io_errors::{self, Owner};
+use ternpick::io_errors::{self, AcceptFailures};
 use ternpick::types::Micros;
 
 use crate::lifecycle::tls::Tls;
@@ -29,11 +29,6 @@
 /// The longest answer: as long a body as the protocol knows, and its head.
 const OUT_BOUND: usize = BODY_BOUND + HEAD_BOUND;
 
-/// A line on failed accepts comes no oftener.
-const SAY_AGAIN: Micros = Micros(1_000_000);
-/// Failures in a row after which those that still wait as the listener goes are given up.
-const LAST_TRIES: u32 = 64;
-
 /// How long a connection that is told to give way may take to free its descriptor.
 const TELL_ANOTHER: Duration = Duration::from_millis(5);
 
@@ -48,7 +43,7 @@
 /// Accepts connections until the router is told that the listener is to go, and then what still waits.
 pub async fn accept(router: Rc<Router>, listener: Async<TcpListener>, tls: Option<Rc<Tls>>) {
     let closing = router.closing.listen();
-    let mut failures = Failures::default();
+    let mut failures = AcceptFailures::default();
     future::or(
         async {
             loop {
@@ -68,16 +63,10 @@
                 };
                 match accepted {
                     Ok((stream, _)) => {
-                        failures.in_a_row = 0;
+                        failures.passed();
                         spawn(&router, stream, permit, tls.as_ref());
                     }
-                    Err(e) => match failures.next(&router, &e) {
-                        // Others have their turn first: what fails at once, time after time, shuts nobody out.
-                        Micros(0) => future::yield_now().await,
-                        pause => {
-                            Timer::after(Duration::from_micros(pause.0)).await;
-                        }
-                    },
+                    Err(e) => rest(failed(&mut failures, &router, &e)).await,
                 }
             }
         },
@@ -90,14 +79,14 @@
             Err(e) if e.kind() == ErrorKind::WouldBlock => break,
             // Given up at the first failure, those that waited behind it were reset with their requests.
             Err(e) => {
-                failures.next(&router, &e);
-                if failures.in_a_row > LAST_TRIES {
+                rest(failed(&mut failures, &router, &e)).await;
+                if failures.lasts() {
                     break;
                 }
                 continue;
             }
         };
-        failures.in_a_row = 0;
+        failures.passed();
         match Async::new(stream) {
             Ok(stream) => spawn(&router, stream, permit, tls.as_ref()),
             Err(e) => tracing::warn!("cannot accept: {e}"),
@@ -112,31 +101,23 @@
     }
 }
 
-/// Failed accepts: how many in a row, and when they were last said, with how many since.
-#[derive(Default)]
-struct Failures {
-    in_a_row: u32,
-    said: Option<Micros>,
-    unsaid: u64,
+/// What follows a failed accept, said once in a while.
+fn failed(failures: &mut AcceptFailures, router: &Router, e: &std::io::Error) -> Micros {
+    let errno = e.raw_os_error().unwrap_or(0);
+    let (pause, said) = failures.next(errno, router.clock.now());
+    if let Some(count) = said {
+        let owner = io_errors::accept(errno);
+        tracing::warn!("cannot accept: {e}, {owner:?}'s; {count} such since this was last said");
+    }
+    pause
 }
 
-impl Failures {
-    /// Counts one, says so once in a while, and tells how long to wait.
-    fn next(&mut self, router: &Router, e: &std::io::Error) -> Micros {
-        let owner = io_errors::accept(e.raw_os_error().unwrap_or(0));
-        if owner == Owner::Nobody {
-            return Micros(0);
-        }
-        (self.in_a_row, self.unsaid) = (self.in_a_row + 1, self.unsaid + 1);
-        let now = router.clock.now();
-        if self.said.is_none_or(|said| now.since(said) >= SAY_AGAIN) {
-            tracing::warn!("cannot accept: {e}, {owner:?}'s; {} such since this was last said", self.unsaid);
-            (self.said, self.unsaid) = (Some(now), 0);
-        }
-        if owner == Owner::Peer {
-            Micros(0)
-        } else {
-            io_errors::pause(self.in_a_row)
+/// Lets others have their turn: what fails at once, time after time, shuts nobody out.
+async fn rest(pause: Micros) {
+    match pause {
+        Micros(0) => future::yield_now().await,
+        pause => {
+            Timer::after(Duration::from_micros(pause.0)).await;
         }
     }
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -267,8 +267,8 @@
         self.settle(out);
     }
 
-    /// The process stops: whatever is in hand, or is taken from here on, ends by then. Trouble at nodes frees nothing that was
-    /// taken from its final answer.
+    /// The process stops: whatever is in hand, or is taken from here on, ends by then. Trouble at nodes
+    /// frees nothing that was taken from its final answer.
     pub fn stops(&mut self, now: Micros, answers_by: Micros, out: &mut dyn Actions) {
         self.now = now;
         self.answers_by = Some(answers_by);
--- a/src/cadence.rs
+++ b/src/cadence.rs
@@ -1,8 +1,10 @@
-//! When the roster's watch calls next, and when a call is given up: so that a change is here in time also where a watch has
-//! fallen silent, by sums and not by parts. Pure: time and chance come in, what to do next comes out.
+//! When the roster's watch calls next, and when a call is given up: so that a change is here in time also
+//! where a watch has fallen silent, by sums and not by parts. Pure: time and chance come in, what to do
+//! next comes out.
 //!
-//! A change counts as told [`TOLD`] after discovery had it and could be reached. A watch shows that it lives by its answers
-//! alone, so a call waits only as long as leaves time for all that follows its silence:
+//! A change counts as told [`TOLD`] after discovery had it and could be reached. A watch shows that it
+//! lives by its answers alone, so a call waits only as long as leaves time for all that follows its
+//! silence:
 //!
 //! | step | at most |
 //! | --- | --- |
@@ -17,8 +19,8 @@
 
 /// What is new counts as told so long after discovery had it, by the platform's protocol.
 pub const TOLD: Micros = Micros(6_000_000);
-/// The longest that a call waits for news. Each wait is drawn anew between two thirds of it and all of it: callers whose
-/// watches were answered or fell silent together come apart.
+/// The longest that a call waits for news. Each wait is drawn anew between two thirds of it and all of it:
+/// callers whose watches were answered or fell silent together come apart.
 pub const WAITS: Micros = Micros(3_000_000);
 /// An answer that is so much late does not come any more: discovery has turned its call away long before.
 pub const OVERDUE: Micros = Micros(1_000_000);
@@ -59,8 +61,8 @@
         self.looks = false;
     }
 
-    /// A call has failed; true if another is to follow at once. Silence costs discovery nothing, so one look behind it may
-    /// follow at once; whoever was refused or cut off keeps the pause of all.
+    /// A call has failed; true if another is to follow at once. Silence costs discovery nothing, so one
+    /// look behind it may follow at once; whoever was refused or cut off keeps the pause of all.
     pub fn failed(&mut self, silent: bool) -> bool {
         silent && !std::mem::replace(&mut self.looks, true)
     }
--- a/src/io_errors/tests.rs
+++ b/src/io_errors/tests.rs
@@ -55,3 +55,21 @@
     assert_eq!(all, [0, 1000, 2000, 4000, 8000, 16_000, 32_000, 50_000, 50_000]);
     assert_eq!(pause(u32::MAX).0, 50_000);
 }
+
+#[test]
+fn failed_accepts_are_said_once_a_second_and_only_this_machines_last() {
+    let mut of = AcceptFailures::default();
+    let ms = |ms: u64| Micros(ms * 1000);
+    assert_eq!(of.next(libc::EINTR, ms(0)), (Micros(0), None));
+    assert_eq!(of.next(libc::ECONNABORTED, ms(0)), (Micros(0), Some(1)));
+    for at in 1..100 {
+        assert_eq!(of.next(libc::ECONNABORTED, ms(at)), (Micros(0), None));
+    }
+    assert!(!of.lasts());
+    assert_eq!(of.next(libc::ENFILE, ms(1000)), (Micros(0), Some(100)));
+    assert_eq!(of.next(libc::ENFILE, ms(1001)), (ms(1), None));
+    (0..10).for_each(|_| assert!(of.next(libc::ENFILE, ms(1002)).0 > Micros(0)));
+    assert!(of.lasts());
+    of.passed();
+    assert!(!of.lasts());
+}
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -1,6 +1,6 @@
-//! Graceful shutdown: the instants of a stop, all known from the signal on. Every path under a stop reads them, none counts
-//! its own: two that did (0.7 s and the longest deadline, once for a lookup and once for the process) let a process leave, or be
-//! killed, with lookups in hand.
+//! Graceful shutdown: the instants of a stop, all known from the signal on. Every path under a stop reads
+//! them, none counts its own: two that did (0.7 s and the longest deadline, once for a lookup and once for
+//! the process) let a process leave, or be killed, with lookups in hand.
 
 use crate::types::Micros;
 
@@ -27,9 +27,11 @@
     pub told: Micros,
     /// Until then connections are accepted; then those without a request on them are closed.
     pub accepts_until: Micros,
-    /// By then all that was read is answered: lookups end sooner for it, and what comes too late for that is refused.
+    /// By then all that was read is answered: lookups end sooner for it, and what comes too late for that
+    /// is refused.
     pub answers_by: Micros,
-    /// The process leaves then, and sooner if nobody is connected: who has had its answer is waited for no longer.
+    /// The process leaves then, and sooner if nobody is connected: who has had its answer is waited for no
+    /// longer.
     pub leaves_by: Micros,
     /// One that was held up over all that, and was not killed, still pays what it owes, up to here.
     pub gives_up_at: Micros,
@@ -49,13 +51,15 @@
         }
     }
 
-    /// Whether the process is to leave, with so many clients connected and `owed` of them without their answer.
+    /// Whether the process is to leave, with so many clients connected and `owed` of them without their
+    /// answer.
     pub fn leaves(&self, now: Micros, clients: usize, owed: usize) -> bool {
         clients == 0 || now >= self.leaves_by && owed == 0 || now >= self.gives_up_at
     }
 
-    /// When a connection accepted at `accepted` that has brought no byte yet is closed. One that stays open gets first
-    /// requests up to the kill (connections of the incident were 1.1 to 1.5 s old at their first).
+    /// When a connection accepted at `accepted` that has brought no byte yet is closed. One that stays open
+    /// gets first requests up to the kill (connections of the incident were 1.1 to 1.5 s old at their
+    /// first).
     pub fn closes_new(&self, accepted: Micros) -> Micros {
         self.accepts_until.max(accepted + FIRST_BYTE).min(self.answers_by)
     }
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -1,15 +1,17 @@
-//! Slow start: when a node started, by this router's own clock. What discovery says of it is a claim of another clock, and the wall
-//! clock that it is compared with may have been stepped: by an hour forward a cold node counted as warm, by an hour back a warm
-//! one as cold for that hour, and a start told after a step back was none.
+//! Slow start: when a node started, by this router's own clock. What discovery says of it is a claim of
+//! another clock, and the wall clock that it is compared with may have been stepped: by an hour forward a
+//! cold node counted as warm, by an hour back a warm one as cold for that hour, and a start told after a
+//! step back was none.
 
 use crate::types::Micros;
 
 #[cfg(test)]
 mod tests;
 
-/// Before when a start that is told now did not come. `heard` is when the roster was last told, without it. The first list has nothing
-/// before it; there the newest claim is one by the same clock, and is over by now: a node that claims to have started so
-/// much earlier is at least so old, whatever this machine's clock reads. No more can be known, as after a restart.
+/// Before when a start that is told now did not come. `heard` is when the roster was last told, without it.
+/// The first list has nothing before it; there the newest claim is one by the same clock, and is over by
+/// now: a node that claims to have started so much earlier is at least so old, whatever this machine's
+/// clock reads. No more can be known, as after a restart.
 pub fn not_before(heard: Option<Micros>, now: Micros, claimed: Micros, newest: Micros) -> Micros {
     heard.unwrap_or(now.since(newest.since(claimed)))
 }
@@ -17,7 +19,8 @@
 /// A node's starts as this router knows them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Started {
-    /// As last claimed, microseconds of Unix time; 0: long ago. It tells one start from another, and is no time.
+    /// As last claimed, microseconds of Unix time; 0: long ago. It tells one start from another, and is no
+    /// time.
     pub claimed: Micros,
     /// By the router's own clock, never before it really was as far as can be told; 0: long ago.
     pub at: Micros,
@@ -26,14 +29,13 @@
 }
 
 impl Started {
-    /// Takes a claim in; true if it is another start. It came no earlier than `not_before`, and not in the future. The later
-    /// reading is the safer: a node that is held to be younger than it is gets less for a while, one held to be older falls.
+    /// Takes a claim in; true if it is another start. It came no earlier than `not_before`, and not in the
+    /// future. The later reading is the safer: a node that is held to be younger than it is gets less for a
+    /// while, one held to be older falls.
     pub fn told(&mut self, claimed: Micros, now: Micros, not_before: Micros) -> bool {
-        if claimed == self.claimed || Some(claimed) == self.before {
-            return false;
-        }
-        if claimed.0 == 0 {
-            *self = Started { before: Some(self.claimed), ..Started::default() };
+        // 0 is long ago, and a line that leaves it out: what was seen to start runs on by this clock.
+        let known = claimed == self.claimed || Some(claimed) == self.before;
+        if known || claimed.0 == 0 {
             return false;
         }
         let at = claimed.min(now).max(not_before);
--- a/src/types.rs
+++ b/src/types.rs
@@ -165,8 +165,8 @@
     pub second_step: usize,
     /// Lookups of it have come to this router.
     pub seen: bool,
-    /// What a policy of the fleet says beyond the rest, never more than that allows; a `None` says nothing. From a
-    /// lookup's coming on: when to answer with what is in.
+    /// What a policy of the fleet says beyond the rest, never more than that allows; a `None` says nothing.
+    /// From a lookup's coming on: when to answer with what is in.
     pub partly_at: Option<Micros>,
     /// Calls for a part.
     pub calls: Option<usize>,
@@ -262,7 +262,8 @@
     pub probed: Option<Micros>,
     /// Part calls out; each is taken off when it returns.
     pub owed: BTreeMap<(PartId, CallNo), Owed>,
-    /// What another process of this router had out here, and when that was told; emptied when that one is done.
+    /// What another process of this router had out here, and when that was told; emptied when that one is
+    /// done.
     pub abroad: (Micros, Vec<Owed>),
     /// The call that went on a rested connection, while nothing is known of it.
     pub rested_call: Option<(PartId, CallNo)>,
@@ -320,7 +321,8 @@
     /// A client's repeat of an earlier lookup, as far as clients say so.
     pub repeat: bool,
     pub index: IndexNo,
-    /// Its index's row as it was when it was admitted: a change of policy finds it under the old one to its end.
+    /// Its index's row as it was when it was admitted: a change of policy finds it under the old one to its
+    /// end.
     pub row: IndexRow,
     /// When it is answered with what is in.
     pub partly: Micros,
