A leader that gets an answer from before its election goes on asking itself

Symptom: on a busy machine changes of policy ended nowhere and up to 47 of 280 queries were rejected (503). Cause: a lease request that a router had sent before its election was answered after it ("I do not lead", or a reply of the leader before). FleetNode took the answer's word for who leads, and set known_leader only once in a term: from then on the leader asked one voter after the other for its own lease. Its report that it had stopped for a barrier came hundreds of milliseconds late, the barrier was given up after its 150 ms, and the leader, late for its own barrier, got no lease until the change was over. Change: who leads believes that it leads, in each turn. Measured: virtual_fleet, a_leader_that_gets_an_answer_from_before_its_election_still_asks_itself: 3 of 3 failed before (first change 1.96 to 2.06 s), 3 of 3 pass.

--- a/fleet_policy/src/node/leadership.rs
+++ b/fleet_policy/src/node/leadership.rs
@@ -103,6 +103,10 @@
         let (Some(replica), Some(state)) = (&self.replica, &self.state) else {
             return;
         };
+        // In each turn: an answer from before the election that comes late names another leader, or none. A leader that
+        // believed it asked one voter after the other for its own lease, was late for its own barriers by hundreds of
+        // milliseconds, and was left without a lease for it.
+        self.known_leader = Some(self.me.clone());
         if is_known {
             return;
         }
@@ -122,7 +126,6 @@
         }
         self.extension_schedule.in_flight = None;
         self.leadership = Some(Leadership { term, leader });
-        self.known_leader = Some(self.me.clone());
         self.pending_reads.clear();
         self.commands_in_progress.clear();
         self.log(LogLevel::Info, line);
