A request waits for the first call to each source that its caller is judged by

Cause: the router listens from its start on and reads keys and revocations in two tasks from then on; a request was judged by what one of them had brought so far. Change: where the first call to a source has not ended and may change the judgement, a request waits for it, as long as its own deadline allows (less 50 ms for the answer), no longer than the call, not beyond a shutdown's instant, and not while memory is short. After the first call nothing waits: what is not known fails closed at once, as before. The waits before admission stand in a file of their own (admission_wait.rs); a request for health waits for nothing. Evidence: `a query is rejected at admission` with reason, how long it waited and what was left; at most one a second, with the count (log_limit.rs, which two older limits use now too).

--- a/router/src/fleet/admission.rs
+++ b/router/src/fleet/admission.rs
@@ -37,8 +37,9 @@
         self.admission_changed.notify(usize::MAX);
     }
 
-    /// Waits while a policy change takes effect; what holds then is for [`Fleet::admit`], in the same turn.
-    pub(crate) async fn settled(&self, router: &Router) {
+    /// Waits while a policy change takes effect, until `give_up_at` at most; what holds then is for [`Fleet::admit`], in the
+    /// same turn.
+    pub(crate) async fn settled(&self, router: &Router, give_up_at: Micros) {
         loop {
             let changed = self.admission_changed.listen();
             let Admission::Wait(until) = self
@@ -51,7 +52,7 @@
             };
             // In a shutdown the rejection that follows is owed in time too.
             let until = router
-                .before_shutdown(Some(until), |schedule| schedule.answers_by)
+                .before_shutdown(Some(until.min(give_up_at)), |schedule| schedule.answers_by)
                 .unwrap_or(until);
             if until <= router.clock.now() {
                 return;
--- a/router/src/lifecycle/build.rs
+++ b/router/src/lifecycle/build.rs
@@ -23,6 +23,7 @@
 use crate::state::descriptors::Descriptors;
 use crate::state::discovery::DiscoveryState;
 use crate::state::listener::ListenerState;
+use crate::state::log_limit::LogLimit;
 use crate::state::shutdown::ShutdownState;
 
 /// Why a router cannot be made from what it was given.
@@ -100,6 +101,7 @@
             discovery: DiscoveryState::new(discovery, self.list_version),
             shutdown: ShutdownState::default(),
             listener: ListenerState::default(),
+            rejections: LogLimit::default(),
             client_transfer: ClientTransfer::default(),
         })
     }
--- a/router/src/lifecycle/key_sources.rs
+++ b/router/src/lifecycle/key_sources.rs
@@ -202,8 +202,15 @@
         let applied =
             fetched.and_then(|text| self.kind.apply(self.auth, now, &text).map(|()| text));
         match applied {
-            Ok(text) => self.succeeded(now, text).await,
-            Err(error) => self.failed(now, &error),
+            Ok(text) => {
+                // Before the copy is stored: requests that wait do not wait for the disk.
+                self.auth.call_ended(self.watched);
+                self.succeeded(now, text).await;
+            }
+            Err(error) => {
+                self.failed(now, &error);
+                self.auth.call_ended(self.watched);
+            }
         }
     }
 
--- a/router/src/lifecycle/stop.rs
+++ b/router/src/lifecycle/stop.rs
@@ -23,6 +23,9 @@
     if let Some(fleet) = &router.fleet {
         fleet.look_again();
     }
+    if let Some(auth) = &router.auth {
+        auth.look_again();
+    }
     log_progress(router, "stopping");
     Timer::at(router.clock.instant(schedule.accepts_until)).await;
     router.listener.close();
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -26,6 +26,7 @@
 use crate::state::descriptors::Descriptors;
 use crate::state::discovery::DiscoveryState;
 use crate::state::listener::ListenerState;
+use crate::state::log_limit::LogLimit;
 use crate::state::shutdown::ShutdownState;
 
 /// The decision module, and the effects that it has asked for and that are yet to be carried out.
@@ -64,6 +65,8 @@
     pub(crate) shutdown: ShutdownState,
     /// Whether clients are accepted.
     pub(crate) listener: ListenerState,
+    /// Queries that were rejected at admission.
+    pub(crate) rejections: LogLimit,
     /// Connections of clients on their way to a new process.
     pub(crate) client_transfer: ClientTransfer,
 }
--- a/router/src/stages/admission.rs
+++ b/router/src/stages/admission.rs
@@ -89,6 +89,21 @@
     Ok(enter(router, now, time_left, tenant, mark, checked))
 }
 
+/// Whether a request would be refused now for want of what a source of keys or revocations is just about to bring.
+pub(super) fn awaits_source(
+    router: &Router,
+    request: &Reader,
+    certificate: Option<&Rc<Certificate>>,
+) -> bool {
+    let Some(auth) = &router.auth else {
+        return false;
+    };
+    let index = query_request::find_index(&router.bounds, query_request::index_name(request));
+    let fields = query::parse(request.body()).ok();
+    ask(router, request, certificate, index, fields.as_ref())
+        .is_ok_and(|asked| auth.may_learn_more(router, &asked))
+}
+
 /// Asks the authorisation filter, if there is one; returns the tenant.
 fn authorise(
     router: &Router,
@@ -100,6 +115,19 @@
     let Some(auth) = &router.auth else {
         return Ok(None);
     };
+    let asked = ask(router, request, certificate, index, fields)?;
+    auth.check(router, request, &asked)
+        .map(|pass| Some(pass.tenant))
+}
+
+/// What the authorisation filter is asked about a request.
+fn ask<'a>(
+    router: &Router,
+    request: &'a Reader,
+    certificate: Option<&'a Rc<Certificate>>,
+    index: Option<IndexNo>,
+    fields: Option<&'a Value>,
+) -> Result<Ask<'a>, Answer> {
     let token = auth_filter::bearer_token(request)?;
     let idempotent = index.is_none_or(|index| {
         let decisions = router.decisions.borrow();
@@ -108,16 +136,14 @@
     let statement = fields
         .and_then(|fields| query::statement(fields).ok())
         .unwrap_or_default();
-    let asked = Ask {
+    Ok(Ask {
         token,
         certificate: certificate.map(Rc::as_ref),
         behalf: request.header("on-behalf-of"),
         index: query_request::index_name(request),
         idempotent,
         statement,
-    };
-    auth.check(router, request, &asked)
-        .map(|pass| Some(pass.tenant))
+    })
 }
 
 /// Checks a well-formed query against what is in flight and the fleet's lease; returns the policy that it is decided under.
--- a/router/src/stages/auth_filter.rs
+++ b/router/src/stages/auth_filter.rs
@@ -1,10 +1,12 @@
 //! The authorisation filter of admission: asks `ternpick_identity` about each request before the decision module sees it.
 //!
 //! It decides nothing itself. What a refused client is told is in `answers.rs`, the audit in `audit.rs`, what is taken in while
-//! the router runs in `updates.rs`, and what is told of its state in `status.rs`.
+//! the router runs in `updates.rs`, what requests of the first moments wait for in `first_calls.rs`, and what is told of its
+//! state in `status.rs`.
 
 mod answers;
 mod audit;
+mod first_calls;
 mod status;
 mod updates;
 
@@ -24,9 +26,7 @@
 use crate::router::Router;
 use crate::stages::admission::line;
 use crate::state::clients::Answer;
-
-/// Log lines on callers who are refused come no closer than this; they hold the count.
-const LOG_INTERVAL: Micros = Micros(1_000_000);
+use crate::state::log_limit::LogLimit;
 
 /// The limits of a tenant that nobody is any more.
 const NOTHING: LimitTerms = LimitTerms {
@@ -47,6 +47,8 @@
     pub(crate) refresh: RefCell<Refresh>,
     /// The time of the next poll has changed.
     pub(crate) stirred: Event,
+    /// A call to it has ended, with a document or without.
+    was_called: Cell<bool>,
 }
 
 impl Watched {
@@ -57,6 +59,7 @@
             address: source.address.as_deref().and_then(|text| text.parse().ok()),
             refresh: RefCell::new(refresh),
             stirred: Event::new(),
+            was_called: Cell::new(false),
         }
     }
 }
@@ -64,13 +67,6 @@
 /// A text and its age in microseconds.
 pub(crate) type Aged = (u64, String);
 
-/// Refusals since the start, and when one was last logged.
-#[derive(Default)]
-struct RefusalLog {
-    count: u64,
-    logged_at: Micros,
-}
-
 /// Who may send queries, and what.
 pub(crate) struct AuthFilter {
     identity: RefCell<Identity>,
@@ -81,9 +77,11 @@
     pub(crate) feed: Option<Watched>,
     /// The last set of keys as it was published, and when.
     published_keys: RefCell<Option<(Micros, String)>>,
-    refusals: RefCell<RefusalLog>,
+    refusals: LogLimit,
     /// A list of revoked certificates is past the time of its next update.
     certificate_list_overdue: Cell<bool>,
+    /// Notified when the first call to a source has ended, or the router stops: requests that wait look again.
+    first_call_ended: Event,
 }
 
 /// The tenants' limits in the order of their numbers; a number that no tenant has any more may have nothing.
@@ -122,8 +120,9 @@
             keys: keys.map(|keys| Watched::new(&keys.from, seed)),
             feed: feed.map(|feed| Watched::new(&feed.from, seed ^ 1)),
             published_keys: RefCell::default(),
-            refusals: RefCell::default(),
+            refusals: LogLimit::default(),
             certificate_list_overdue: Cell::new(false),
+            first_call_ended: Event::new(),
         };
         Ok((filter, limits))
     }
@@ -197,15 +196,8 @@
     }
 
     fn log_refusal(&self, now: Micros, refusal: &Refusal) {
-        let mut refusals = self.refusals.borrow_mut();
-        refusals.count += 1;
-        if now.since(refusals.logged_at) >= LOG_INTERVAL {
-            refusals.logged_at = now;
-            tracing::info!(
-                reason = refusal.why,
-                count = refusals.count,
-                "identity: a caller is refused"
-            );
+        if let Some(count) = self.refusals.count(now) {
+            tracing::info!(reason = refusal.why, count, "identity: a caller is refused");
         }
     }
 }
--- a/router/src/stages/client_connection.rs
+++ b/router/src/stages/client_connection.rs
@@ -18,7 +18,7 @@
 use crate::stages::client_io::ClientIo;
 use crate::stages::request_reader::ReadFailure;
 use crate::stages::stream::Stream;
-use crate::stages::{dispatch, graceful_close};
+use crate::stages::{dispatch, graceful_close, query_request};
 use crate::state::client_transfer::PassedClient;
 use crate::state::clients::Answer;
 use crate::state::descriptors::{Peer, Permit};
@@ -191,9 +191,7 @@
         seen_at: Micros,
         began: Micros,
     ) -> Result<Answer, ConnectionEnd> {
-        if let Some(fleet) = &self.router.fleet {
-            fleet.settled(&self.router).await;
-        }
+        let wait = self.wait_for_admission(began).await;
         self.requests += 1;
         self.io.restart_sent_ahead(began);
         tracing::debug!(
@@ -215,7 +213,11 @@
         self.io.account_memory(self.request.body().len());
         self.request.forget_body();
         match admitted {
-            Admitted::Answer(answer) => Ok(answer),
+            Admitted::Answer(answer) => {
+                let request_id = query_request::request_id(&self.request).unwrap_or("-");
+                wait.log_rejection(&self.router, request_id, &answer);
+                Ok(answer)
+            }
             Admitted::InFlight(query, reply) => match self.wait_for_answer(&reply).await {
                 Some(answer) => Ok(answer),
                 None => {
--- a/router/src/stages/completion.rs
+++ b/router/src/stages/completion.rs
@@ -28,9 +28,6 @@
 use crate::state::in_flight::{AttemptKey, AttemptProgress, InFlightTable, OutgoingAttempt};
 use crate::state::nodes::{ConnectionId, Nodes};
 
-/// Log lines on what peers do wrong come no closer than this; they hold the count.
-const LOG_INTERVAL: Micros = Micros(1_000_000);
-
 /// The end of an attempt that the decision module has yet to be told.
 pub(crate) struct FinishedAttempt {
     /// Its shard request and number.
@@ -118,13 +115,11 @@
         };
         connection.spoil(named);
         let node = connection.node.0;
-        self.counts.unusable_inputs += 1;
-        if self.now.since(self.counts.unusable_input_logged_at) >= LOG_INTERVAL {
-            self.counts.unusable_input_logged_at = self.now;
+        if let Some(count) = self.counts.unusable_inputs.count(self.now) {
             tracing::warn!(
                 node = format_args!("{node:x}"),
                 %error,
-                count = self.counts.unusable_inputs,
+                count,
                 "node connection closed, the node sent unusable data"
             );
         }
--- a/router/src/stages/completion/counts.rs
+++ b/router/src/stages/completion/counts.rs
@@ -1,6 +1,6 @@
 //! How many queries were admitted and how they ended, as the control socket and the stop report them.
 
-use ternpick::types::Micros;
+use crate::state::log_limit::LogLimit;
 
 /// Counts since the start of the process.
 #[derive(Default)]
@@ -22,7 +22,5 @@
     /// Attempts sent to nodes.
     pub(crate) attempts: u64,
     /// Connections to nodes that were ended over what the node had sent.
-    pub(super) unusable_inputs: u64,
-    /// When that was last logged.
-    pub(super) unusable_input_logged_at: Micros,
+    pub(super) unusable_inputs: LogLimit,
 }
--- a/router/src/stages/mod.rs
+++ b/router/src/stages/mod.rs
@@ -5,7 +5,7 @@
 //! | its connection waits to be accepted | `listener.rs` | `accept` |
 //! | its connection is idle, its first byte is awaited | `request_reader.rs` | `wait_for_first_byte` |
 //! | it is arriving | `request_reader.rs` | `read_request` |
-//! | it is complete, and waits for the fleet's policy | `client_connection.rs` | `answer_request` |
+//! | it is complete, and waits for identity's sources and the fleet's policy | `admission_wait.rs` | `wait_for_admission` |
 //! | it is checked, and entered in the in-flight table | `admission.rs` | `admit`; fields in `query_request.rs` |
 //! | its caller is judged | `auth_filter.rs` | `check`; the audit in `auth_filter/audit.rs` |
 //! | it is given to the decision module | `dispatch.rs` | `start_query` |
@@ -25,6 +25,7 @@
 //! `stream.rs` (plain, or TLS by `tls_stream.rs`). `dispatch::turns` runs the inputs of the decision module. What is in flight is in
 //! `state/in_flight.rs`, the connections to nodes in `state/nodes.rs`, idle client connections in `state/clients.rs`.
 
+mod admission_wait;
 mod answer_wait;
 mod answer_writer;
 mod attempt_deadline;
--- a/router/src/stages/query_request.rs
+++ b/router/src/stages/query_request.rs
@@ -61,8 +61,8 @@
     {
         return Err(bad_request("Req-Kind is not the path's"));
     }
-    let request_id = plain_header(request, "req-id")
-        .ok_or_else(|| bad_request("Req-Id is missing or malformed"))?;
+    let request_id =
+        request_id(request).ok_or_else(|| bad_request("Req-Id is missing or malformed"))?;
     let deadline = deadline(request, &router.bounds)?;
     let is_retry = request.header("req-retry") == Some("1");
     let fields = fields.as_ref().map_err(|error| bad_query(*error))?;
@@ -81,8 +81,13 @@
     })
 }
 
+/// The client's id of a request, if it is well-formed.
+pub(super) fn request_id(request: &Reader) -> Option<&str> {
+    plain_header(request, "req-id")
+}
+
 /// The client's deadline; nobody waits longer than the settings say, whatever a client asks for.
-fn deadline(request: &Reader, bounds: &Bounds) -> Result<Micros, Answer> {
+pub(super) fn deadline(request: &Reader, bounds: &Bounds) -> Result<Micros, Answer> {
     let deadline_ms = request
         .header("req-deadline-ms")
         .and_then(|ms| ms.parse::<u32>().ok())
--- a/router/src/state/mod.rs
+++ b/router/src/state/mod.rs
@@ -9,5 +9,6 @@
 pub(crate) mod ids;
 pub(crate) mod in_flight;
 pub(crate) mod listener;
+pub(crate) mod log_limit;
 pub(crate) mod nodes;
 pub(crate) mod shutdown;
--- a/router/tests/common/guarded/service.rs
+++ b/router/tests/common/guarded/service.rs
@@ -33,19 +33,19 @@
 #[derive(Clone, Copy)]
 pub(crate) enum Moment {
     /// Nothing of the answer has been written.
-    BeforeAnswer,
+    Before,
     /// Half of it has.
-    WithinAnswer,
+    Within,
     /// All of it has.
-    AfterAnswer,
+    After,
 }
 
 /// Resets a connection (RST), after as much of `answer` as `moment` says.
 fn abort(mut stream: TcpStream, moment: Moment, answer: &str) {
     let written = match moment {
-        Moment::BeforeAnswer => 0,
-        Moment::WithinAnswer => answer.len() / 2,
-        Moment::AfterAnswer => answer.len(),
+        Moment::Before => 0,
+        Moment::Within => answer.len() / 2,
+        Moment::After => answer.len(),
     };
     let _ = stream.write_all(&answer.as_bytes()[..written]);
     // Without a linger time the close discards what is unsent and resets.
--- a/router/tests/identity/key_service.rs
+++ b/router/tests/identity/key_service.rs
@@ -19,9 +19,9 @@
 #[test_case(Serves::Text("<html>".into()); "serving nonsense")]
 #[test_case(Serves::Half("HALF".into()); "serving half a set")]
 #[test_case(Serves::Turns(vec![]); "serving two sets by turns")]
-#[test_case(Serves::Abort(Moment::BeforeAnswer, String::new()); "reset before the answer")]
-#[test_case(Serves::Abort(Moment::WithinAnswer, String::new()); "reset within the answer")]
-#[test_case(Serves::Abort(Moment::AfterAnswer, String::new()); "reset after the answer")]
+#[test_case(Serves::Abort(Moment::Before, String::new()); "reset before the answer")]
+#[test_case(Serves::Abort(Moment::Within, String::new()); "reset within the answer")]
+#[test_case(Serves::Abort(Moment::After, String::new()); "reset after the answer")]
 fn a_key_service_in_trouble_refuses_no_valid_caller_and_is_not_hammered(trouble: Serves) {
     let world = World::new();
     let service = Service::start(Serves::Text(world.public()));
