Barriers: queries wait by their own deadlines, the end grants leases, verdicts go together

Symptom: queries with over a second left were rejected together 250 ms after their router had paused for a barrier; on a busy machine a change took so long that the next one was refused. Cause: a fixed time (hold, 250 ms) counted from the pause, while a barrier lasts as long as its messages take; after its end each router asked anew for a lease and waited until the leadership was confirmed (two further round trips); verdicts went into the log one by one, each with a commit of its own. Change: queries wait as long as their own deadlines allow, while a leader answers; `hold`, where the settings have it, is still a limit. The entry that ends a barrier confirms the leadership for requests that came before it was proposed, so leases go out with it. Found on the way: an entry BeginBarrier that took over 0.3 s to be committed was taken as lost, and a member that it names as one without a lease could get one; it would have gone on under the old version. No lease is granted now until the state tells what became of the barrier (a test that fails without it). Evidence: how long each barrier lasted and when each member had stopped, how long a router was paused, late turns of the event loop, slow writes by what they waited for. `stopped for round` is logged once.

--- a/fleet_policy/src/leader.rs
+++ b/fleet_policy/src/leader.rs
@@ -54,6 +54,8 @@
     members_at: Index,
     machines_out_at: Index,
     extension_report: Vec<u8>,
+    /// Not where it cannot use the policy in force.
+    wants_lease: bool,
 }
 
 /// The term in which this router leads, and who voted then.
@@ -71,21 +73,39 @@
     requests: BTreeMap<Member, WaitingRequest>,
 }
 
-/// An entry that is proposed and not yet applied.
+/// Entries that are proposed, of which none is applied yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-struct ProposedEntry {
-    /// The state for which it was proposed.
+struct ProposedEntries {
+    /// The state for which they were proposed.
     state_index: Index,
     at: Micros,
-    /// From the moment at which it is proposed no lease is granted.
-    begins_barrier: bool,
 }
 
-/// A barrier, and when this leader first saw it.
+/// A barrier whose beginning is proposed. From then on no lease is granted, until the state tells what has become of it: the
+/// entry names members that certainly have none.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct ProposedBarrier {
+    barrier: BarrierId,
+    at: Micros,
+}
+
+/// A barrier, as this leader sees it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct BarrierSeen {
     barrier: BarrierId,
+    /// When it was first seen.
     at: Micros,
+    /// How long after that each member's report came that it has stopped admitting.
+    stopped_after: BTreeMap<Member, Micros>,
+}
+
+/// The end of a barrier that this leader has proposed.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct BarrierEnd {
+    barrier: BarrierId,
+    /// The latest request of each member when the end was first proposed. That the end is committed confirms the leadership
+    /// for them as a read does: a majority has answered this leader after they came.
+    requests: BTreeMap<Member, WaitingRequest>,
 }
 
 /// The leader's volatile state.
@@ -109,8 +129,12 @@
     /// One at a time covers all requests that wait.
     confirmation: Option<LeadershipConfirmation>,
     last_confirmation: u64,
-    proposed: Option<ProposedEntry>,
+    proposed: Option<ProposedEntries>,
+    barrier_proposed: Option<ProposedBarrier>,
+    /// Since when verdicts have been reported that are not proposed yet.
+    verdicts_since: Option<Micros>,
     barrier_seen: Option<BarrierSeen>,
+    barrier_end: Option<BarrierEnd>,
     /// Members that did not stop admitting in time: they get no lease before the proposal is settled.
     late_members: BTreeSet<Member>,
     /// The state that was last pushed to all.
@@ -135,7 +159,10 @@
             confirmation: None,
             last_confirmation: 0,
             proposed: None,
+            barrier_proposed: None,
+            verdicts_since: None,
             barrier_seen: None,
+            barrier_end: None,
             late_members: BTreeSet::new(),
             pushed_index: state.changed_at,
             #[cfg(any(test, feature = "planted"))]
@@ -177,6 +204,7 @@
                 wants_lease: request.unfit.is_none(),
             },
         );
+        self.note_stopped(now, &request);
         self.reports.insert(
             request.member,
             MemberReport {
@@ -190,6 +218,7 @@
                 members_at: request.members_at,
                 machines_out_at: request.machines_out_at,
                 extension_report: request.extension_report,
+                wants_lease: request.unfit.is_none(),
             },
         );
         self.tick(now, state)
@@ -226,27 +255,40 @@
         self.proposed.take_if(|proposed| {
             proposed.state_index < state.index || now.since(proposed.at) > RETRY_AFTER
         });
-        self.follow_barrier(now, state);
+        self.forget_settled_barrier(state);
+        let requests = self.requests_at_barrier_end(state);
+        self.follow_barrier(now, state, &mut actions);
         self.propose_next_step(now, state, &mut actions);
-        self.push_view(now, state, &mut actions);
+        self.push_view(now, state, &requests, &mut actions);
         self.confirm_leadership(now, state, &mut actions);
         actions
     }
 
-    /// Sends a changed state to all routers that are reachable, so that none waits for its own next request.
-    fn push_view(&mut self, now: Micros, state: &PolicyState, actions: &mut Vec<LeaderAction>) {
+    /// Sends a changed state to all routers that are reachable, so that none waits for its own next request. At the end of a
+    /// barrier `requests` are granted with it.
+    fn push_view(
+        &mut self,
+        now: Micros,
+        state: &PolicyState,
+        requests: &BTreeMap<Member, WaitingRequest>,
+        actions: &mut Vec<LeaderAction>,
+    ) {
         if self.pushed_index >= state.changed_at {
             return;
         }
         self.pushed_index = state.changed_at;
-        let reachable = self
+        let reachable: Vec<Member> = self
             .reports
             .keys()
-            .filter(|member| self.is_reachable(now, member));
+            .filter(|member| self.is_reachable(now, member))
+            .cloned()
+            .collect();
         for member in reachable {
-            let reply = self.reply_to(state, member, None);
+            let request = requests.get(&member);
+            let grant = request.and_then(|request| self.grant(state, &member, request));
+            let reply = self.reply_to(state, &member, grant);
             if reply.view.is_some() {
-                actions.push(LeaderAction::Reply(member.clone(), Box::new(reply)));
+                actions.push(LeaderAction::Reply(member, Box::new(reply)));
             }
         }
     }
--- a/fleet_policy/src/leader/leases.rs
+++ b/fleet_policy/src/leader/leases.rs
@@ -114,7 +114,7 @@
         actions
     }
 
-    fn grant(
+    pub(super) fn grant(
         &mut self,
         state: &PolicyState,
         member: &Member,
@@ -146,7 +146,7 @@
         if !knows_extension || !state.members.contains_key(member) {
             return false;
         }
-        if self.proposed.is_some_and(|entry| entry.begins_barrier) {
+        if self.barrier_proposed.is_some() {
             return false;
         }
         if !self.leases.contains_key(process) && self.processes_of(member) >= MOST_PROCESSES {
--- a/fleet_policy/src/leader/proposal.rs
+++ b/fleet_policy/src/leader/proposal.rs
@@ -1,18 +1,27 @@
 //! Which entry moves the pending proposal on: verdicts of members, the beginning of a barrier, and its end.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use ternpick::types::Micros;
 
-use super::{BarrierSeen, Leader, LeaderAction, ProposedEntry};
+use super::leases::WaitingRequest;
+use super::{
+    BarrierEnd, BarrierSeen, Leader, LeaderAction, MemberReport, ProposedBarrier, ProposedEntries,
+    RETRY_AFTER,
+};
 use crate::ids::{Member, Round};
-use crate::messages::BarrierId;
+use crate::messages::{BarrierId, LeaseRequest};
 use crate::planted::InLeader;
-use crate::state_machine::{Entry, PendingProposal, PolicyState};
+use crate::state_machine::{Entry, PendingProposal, PolicyState, Verdict};
 
 /// The patience doubles with each barrier of a proposal, so many times at most.
 const MOST_DOUBLINGS: u64 = 5;
 
+/// Verdicts are held back for so long at most, so that those of all members go into one entry.
+const VERDICTS_WAIT: Micros = Micros(100_000);
+/// Members that a log line on a barrier names at most.
+const MOST_NAMED: usize = 8;
+
 /// The latest barrier of a proposal.
 fn barrier_of(next: &PendingProposal) -> BarrierId {
     BarrierId {
@@ -21,8 +30,48 @@
     }
 }
 
+fn barrier_in_progress(state: &PolicyState) -> Option<BarrierId> {
+    let next = state.proposal.as_ref()?;
+    next.barrier.is_some().then(|| barrier_of(next))
+}
+
+/// Whether a barrier that is over ended by [`Entry::InForce`] or [`Entry::Resume`], rather than by a withdrawal, which may
+/// have been proposed before requests that came.
+fn ended_as_proposed(state: &PolicyState, barrier: BarrierId) -> bool {
+    let resumed = |next: &PendingProposal| barrier_of(next) == barrier;
+    state.in_force.number == barrier.number || state.proposal.as_ref().is_some_and(resumed)
+}
+
+impl MemberReport {
+    fn as_request(&self) -> WaitingRequest {
+        WaitingRequest {
+            incarnation: self.incarnation,
+            seq: self.seq,
+            received_at: self.received_at,
+            wants_lease: self.wants_lease,
+        }
+    }
+}
+
+impl BarrierSeen {
+    /// For the log: how long it lasted, and after how long each member had stopped, the latest first.
+    fn description(&self, now: Micros) -> String {
+        let BarrierId { number, round } = self.barrier;
+        let lasted = now.since(self.at).0 / 1000;
+        let mut members: Vec<_> = self.stopped_after.iter().collect();
+        members.sort_by_key(|(_, after)| std::cmp::Reverse(**after));
+        let members: Vec<String> = members
+            .iter()
+            .take(MOST_NAMED)
+            .map(|(member, after)| format!("{member} {} ms", after.0 / 1000))
+            .collect();
+        let members = members.join(", ");
+        format!("policy: round {round} of proposal {number} is over after {lasted} ms, stopped after: {members}")
+    }
+}
+
 impl Leader {
-    /// Proposes one entry at a time.
+    /// Proposes the next entries, once those before them are applied.
     pub(super) fn propose_next_step(
         &mut self,
         now: Micros,
@@ -35,72 +84,191 @@
         if self.proposed.is_some() {
             return;
         }
-        let step = if next.barrier.is_some() {
+        let entries = if next.barrier.is_some() {
             self.end_barrier(now, state, next, actions)
+                .into_iter()
+                .collect()
         } else {
-            self.new_verdicts(next)
-                .or_else(|| self.begin_barrier(now, state, next))
+            self.next_entries(now, state, next)
         };
-        if let Some(entry) = step {
-            self.proposed = Some(ProposedEntry {
-                state_index: state.index,
-                at: now,
-                begins_barrier: matches!(entry, Entry::BeginBarrier { .. }),
-            });
-            actions.push(LeaderAction::Propose(entry));
+        if entries.is_empty() {
+            return;
         }
+        self.proposed = Some(ProposedEntries {
+            state_index: state.index,
+            at: now,
+        });
+        actions.extend(entries.into_iter().map(LeaderAction::Propose));
     }
 
-    /// Notes when the barrier that is in progress was first seen.
-    pub(super) fn follow_barrier(&mut self, now: Micros, state: &PolicyState) {
-        let Some(next) = &state.proposal else {
-            self.barrier_seen = None;
+    /// While a proposal is checked: the members' verdicts, and the beginning of the barrier where they are the last that it
+    /// waits for. Both are committed together; one after the other cost a change on a busy machine up to 0.3 s.
+    fn next_entries(
+        &mut self,
+        now: Micros,
+        state: &PolicyState,
+        next: &PendingProposal,
+    ) -> Vec<Entry> {
+        let verdicts = self.new_verdicts(next);
+        if self.awaits_more_verdicts(now, next, &verdicts) {
+            return Vec::new();
+        }
+        let all_fit = verdicts
+            .iter()
+            .all(|(_, verdict)| *verdict == Verdict::Fits);
+        let mut accepted_by = next.accepted_by.clone();
+        accepted_by.extend(verdicts.iter().map(|(member, _)| member.clone()));
+        let mut entries = Vec::new();
+        if !verdicts.is_empty() {
+            let number = next.document.number;
+            entries.push(Entry::Verdicts { number, verdicts });
+        }
+        if all_fit {
+            entries.extend(self.begin_barrier(now, state, next, &accepted_by));
+        }
+        entries
+    }
+
+    /// Whether verdicts are held back for a moment, because further members are about to report theirs.
+    fn awaits_more_verdicts(
+        &mut self,
+        now: Micros,
+        next: &PendingProposal,
+        verdicts: &[(Member, Verdict)],
+    ) -> bool {
+        if verdicts.is_empty() {
+            self.verdicts_since = None;
+            return false;
+        }
+        let since = *self.verdicts_since.get_or_insert(now);
+        let is_refused = verdicts
+            .iter()
+            .any(|(_, verdict)| *verdict != Verdict::Fits);
+        // Without its verdict in the log a member gets no lease: well within the time between two requests for one.
+        let longest = VERDICTS_WAIT.min(Micros(self.config.renew / 2));
+        if is_refused || now.since(since) >= longest {
+            return false;
+        }
+        let has_reported = |member: &Member| {
+            next.accepted_by.contains(member) || verdicts.iter().any(|(known, _)| known == member)
+        };
+        self.reports
+            .keys()
+            .any(|member| self.is_reachable(now, member) && !has_reported(member))
+    }
+
+    /// The state tells what has become of the barrier whose beginning was proposed.
+    pub(super) fn forget_settled_barrier(&mut self, state: &PolicyState) {
+        let is_open = |proposed: &ProposedBarrier| {
+            let BarrierId { number, round } = proposed.barrier;
+            let next = state.proposal.as_ref();
+            next.is_some_and(|next| next.document.number == number && next.round < round)
+        };
+        self.barrier_proposed.take_if(|proposed| !is_open(proposed));
+    }
+
+    /// Notes when the barrier that is in progress was first seen, and logs how long one lasted that is over.
+    pub(super) fn follow_barrier(
+        &mut self,
+        now: Micros,
+        state: &PolicyState,
+        actions: &mut Vec<LeaderAction>,
+    ) {
+        if state.proposal.is_none() {
             self.late_members.clear();
+        }
+        let current = barrier_in_progress(state);
+        if self.barrier_seen.as_ref().map(|seen| seen.barrier) == current {
+            return;
+        }
+        if let Some(ended) = self.barrier_seen.take() {
+            actions.push(LeaderAction::Log(ended.description(now)));
+        }
+        self.barrier_seen = current.map(|barrier| BarrierSeen {
+            barrier,
+            at: now,
+            stopped_after: BTreeMap::new(),
+        });
+    }
+
+    /// Notes the first report of a member that it has stopped admitting for the barrier in progress.
+    pub(super) fn note_stopped(&mut self, now: Micros, request: &LeaseRequest) {
+        let seen = self.barrier_seen.as_mut();
+        let Some(seen) = seen.filter(|seen| request.paused_for == Some(seen.barrier)) else {
             return;
         };
-        if next.barrier.is_none() {
-            self.barrier_seen = None;
+        let after = now.since(seen.at);
+        seen.stopped_after
+            .entry(request.member.clone())
+            .or_insert(after);
+    }
+
+    /// Requests to be granted now, because the barrier is over whose end this leader has proposed.
+    ///
+    /// Without it each router asked anew at the end of a barrier, and waited until the leadership was confirmed for that:
+    /// two further round trips in which nobody admitted.
+    pub(super) fn requests_at_barrier_end(
+        &mut self,
+        state: &PolicyState,
+    ) -> BTreeMap<Member, WaitingRequest> {
+        let current = barrier_in_progress(state);
+        let ended = self
+            .barrier_end
+            .take_if(|end| Some(end.barrier) != current)
+            .filter(|end| ended_as_proposed(state, end.barrier));
+        ended.map(|end| end.requests).unwrap_or_default()
+    }
+
+    /// Notes that the end of a barrier is proposed. Of an end that is proposed again the first time counts: whichever is
+    /// committed, a majority answers after it.
+    fn note_barrier_end(&mut self, barrier: BarrierId) {
+        if self.barrier_end.as_ref().map(|end| end.barrier) == Some(barrier) {
             return;
         }
-        let barrier = barrier_of(next);
-        if self.barrier_seen.map(|seen| seen.barrier) != Some(barrier) {
-            self.barrier_seen = Some(BarrierSeen { barrier, at: now });
-        }
+        let requests = self
+            .reports
+            .iter()
+            .map(|(member, report)| (member.clone(), report.as_request()))
+            .collect();
+        self.barrier_end = Some(BarrierEnd { barrier, requests });
     }
 
     /// Verdicts that members have reported and the state does not contain yet.
-    fn new_verdicts(&self, next: &PendingProposal) -> Option<Entry> {
-        let number = next.document.number;
+    fn new_verdicts(&self, next: &PendingProposal) -> Vec<(Member, Verdict)> {
         let mut verdicts = Vec::new();
         for (member, report) in &self.reports {
             let Some(checked) = &report.verdict else {
                 continue;
             };
-            if checked.number == number && !next.accepted_by.contains(member) {
+            if checked.number == next.document.number && !next.accepted_by.contains(member) {
                 verdicts.push((member.clone(), checked.verdict.clone()));
             }
         }
-        (!verdicts.is_empty()).then_some(Entry::Verdicts { number, verdicts })
+        verdicts
     }
 
     /// The barrier begins once each member accepts the proposal and is reachable, or has certainly no lease; and once
     /// members that were removed have certainly none.
     fn begin_barrier(
-        &self,
+        &mut self,
         now: Micros,
         state: &PolicyState,
         next: &PendingProposal,
+        accepted_by: &BTreeSet<Member>,
     ) -> Option<Entry> {
+        let on_its_way = self
+            .barrier_proposed
+            .is_some_and(|proposed| now.since(proposed.at) <= RETRY_AFTER);
         let departed_expired = state
             .departed_members
             .iter()
             .all(|member| self.leases_expired(now, member, None));
-        if next.unconfirmed || !departed_expired {
+        if on_its_way || next.unconfirmed || !departed_expired {
             return None;
         }
         let mut without = BTreeSet::new();
         for member in state.members.keys() {
-            if next.accepted_by.contains(member) && self.is_reachable(now, member) {
+            if accepted_by.contains(member) && self.is_reachable(now, member) {
                 if !self.speaks_for_whole_member(now, member) {
                     return None;
                 }
@@ -110,9 +278,18 @@
                 return None;
             }
         }
-        (without.len() < state.members.len()).then_some(Entry::BeginBarrier {
-            number: next.document.number,
-            round: Round(next.round.0 + 1),
+        if without.len() == state.members.len() {
+            return None;
+        }
+        let number = next.document.number;
+        let round = Round(next.round.0 + 1);
+        self.barrier_proposed = Some(ProposedBarrier {
+            barrier: BarrierId { number, round },
+            at: now,
+        });
+        Some(Entry::BeginBarrier {
+            number,
+            round,
             without,
         })
     }
@@ -149,9 +326,10 @@
         let without = next.barrier.as_ref()?;
         let missing = self.not_paused(now, state, next, without);
         if missing.is_empty() {
+            self.note_barrier_end(barrier_of(next));
             return Some(Entry::InForce { number, round });
         }
-        let waited = now.since(self.barrier_seen?.at);
+        let waited = now.since(self.barrier_seen.as_ref()?.at);
         if waited < self.patience(round) {
             return None;
         }
@@ -165,6 +343,7 @@
         if missing.len() * 2 < state.members.len() - without.len() {
             self.late_members.extend(missing);
         }
+        self.note_barrier_end(barrier_of(next));
         Some(Entry::Resume { number, round })
     }
 
--- a/fleet_policy/src/leader/tests.rs
+++ b/fleet_policy/src/leader/tests.rs
@@ -3,8 +3,9 @@
 use test_case::test_case;
 
 use super::*;
+use crate::ids::{OperationId, Round, Version};
 use crate::messages::LastLeaderContact;
-use crate::state_machine::MemberInfo;
+use crate::state_machine::{MemberInfo, Verdict};
 
 const MS: u64 = 1000;
 const NOW: Micros = Micros(10_000 * MS);
@@ -103,3 +104,330 @@
     assert!(!gets_lease(&mut leader, &state, expired, 9));
     assert!(gets_lease(&mut leader, &state, expired + Micros(1), 9));
 }
+
+/// A barrier of two members that the leader has just seen, and its leader.
+struct InBarrier {
+    state: PolicyState,
+    leader: Leader,
+    index: u64,
+}
+
+const ROUND: Round = Round(1);
+const PROPOSED: Version = Version(1);
+
+impl InBarrier {
+    fn begin() -> InBarrier {
+        let info = MemberInfo {
+            address: String::new(),
+            zone: String::new(),
+            replica: None,
+            is_learner: false,
+        };
+        let members = BTreeMap::from([("a".into(), info.clone()), ("b".into(), info)]);
+        let state = PolicyState::bootstrap(members);
+        let leader = Leader::new(LeaseConfig::default(), NOW, &state);
+        let mut barrier = InBarrier {
+            state,
+            leader,
+            index: 1,
+        };
+        barrier.apply(Entry::Propose {
+            op: OperationId(1),
+            base: None,
+            document: crate::state_machine::PolicyDocument::default(),
+            confirm: false,
+        });
+        barrier.apply(Entry::Verdicts {
+            number: PROPOSED,
+            verdicts: vec![("a".into(), Verdict::Fits), ("b".into(), Verdict::Fits)],
+        });
+        barrier.apply(Entry::BeginBarrier {
+            number: PROPOSED,
+            round: ROUND,
+            without: BTreeSet::new(),
+        });
+        barrier.leader.tick(NOW, &barrier.state);
+        barrier
+    }
+
+    fn apply(&mut self, entry: Entry) {
+        self.index += 1;
+        self.state.apply(Index(self.index), entry);
+    }
+
+    /// A member reports that it has stopped.
+    fn stopped(&mut self, member: &str, seq: u64, at: Micros) -> Vec<LeaderAction> {
+        let request = LeaseRequest {
+            member: member.into(),
+            incarnation: Incarnation(1),
+            seq: Seq(seq),
+            index: self.state.changed_at,
+            members_at: Index(1),
+            verdict: None,
+            paused_for: Some(BarrierId {
+                number: PROPOSED,
+                round: ROUND,
+            }),
+            is_only_process: true,
+            unfit: None,
+            last_leader_contact: None,
+            machines_out_at: Index(0),
+            extension_report: Vec::new(),
+        };
+        self.leader.handle_request(at, &self.state, request)
+    }
+
+    /// Which request of each member is granted, with the next turn.
+    fn grants(&mut self, at: Micros) -> Vec<(String, Option<u64>)> {
+        let actions = self.leader.tick(at, &self.state);
+        let reply = |action| match action {
+            LeaderAction::Reply(member, reply) => Some((member.0, reply.grant.map(|of| of.seq.0))),
+            _ => None,
+        };
+        actions.into_iter().filter_map(reply).collect()
+    }
+}
+
+fn later(ms: u64) -> Micros {
+    NOW + Micros(ms * MS)
+}
+
+fn proposes(actions: &[LeaderAction], entry: &Entry) -> bool {
+    actions.contains(&LeaderAction::Propose(entry.clone()))
+}
+
+fn in_force() -> Entry {
+    Entry::InForce {
+        number: PROPOSED,
+        round: ROUND,
+    }
+}
+
+#[test]
+fn the_end_of_a_barrier_grants_what_was_requested_before_it_was_proposed() {
+    let mut barrier = InBarrier::begin();
+    barrier.stopped("a", 5, later(1));
+    let actions = barrier.stopped("b", 7, later(2));
+    assert!(proposes(&actions, &in_force()), "{actions:?}");
+    // A majority may have answered for the last time before this one came.
+    barrier.stopped("b", 8, later(3));
+    barrier.apply(in_force());
+    let granted = barrier.grants(later(4));
+    assert_eq!(
+        granted,
+        [("a".to_owned(), Some(5)), ("b".to_owned(), Some(7))]
+    );
+    assert!(barrier.grants(later(5)).is_empty(), "once");
+}
+
+#[test]
+fn an_end_that_is_proposed_again_grants_what_came_before_the_first_time() {
+    let mut barrier = InBarrier::begin();
+    barrier.stopped("a", 5, later(1));
+    barrier.stopped("b", 7, later(2));
+    let actions = barrier.stopped("b", 9, later(400));
+    assert!(proposes(&actions, &in_force()), "again: {actions:?}");
+    barrier.apply(in_force());
+    let granted = barrier.grants(later(401));
+    assert_eq!(
+        granted,
+        [("a".to_owned(), Some(5)), ("b".to_owned(), Some(7))]
+    );
+}
+
+#[test]
+fn a_resumption_grants_leases_to_those_that_were_in_time() {
+    let mut barrier = InBarrier::begin();
+    barrier.stopped("a", 5, later(100));
+    let resume = Entry::Resume {
+        number: PROPOSED,
+        round: ROUND,
+    };
+    let actions = barrier.leader.tick(later(200), &barrier.state);
+    assert!(proposes(&actions, &resume), "{actions:?}");
+    barrier.apply(resume);
+    let granted = barrier.grants(later(201));
+    assert_eq!(granted, [("a".to_owned(), Some(5))]);
+}
+
+#[test]
+fn a_withdrawal_that_ends_a_barrier_grants_nothing_by_itself() {
+    let mut barrier = InBarrier::begin();
+    barrier.stopped("a", 5, later(1));
+    barrier.stopped("b", 7, later(2));
+    barrier.apply(Entry::Withdraw {
+        op: OperationId(2),
+        number: PROPOSED,
+        by: "ann".into(),
+        reason: "a test".into(),
+    });
+    let granted = barrier.grants(later(4));
+    assert_eq!(granted, [("a".to_owned(), None), ("b".to_owned(), None)]);
+}
+
+/// A leader of three members, of which `a` and `b` have reported that a proposal fits, and `c` has accepted it and been silent
+/// for longer than its lease: the barrier is proposed without it. The entry is not applied yet.
+fn barrier_without_c() -> (Leader, PolicyState) {
+    let info = MemberInfo {
+        address: String::new(),
+        zone: String::new(),
+        replica: None,
+        is_learner: false,
+    };
+    let members = ["a", "b", "c"].map(|name| (Member::from(name), info.clone()));
+    let mut state = PolicyState::bootstrap(BTreeMap::from(members));
+    let mut leader = Leader::new(LeaseConfig::default(), NOW, &state);
+    state.apply(
+        Index(2),
+        Entry::Propose {
+            op: OperationId(1),
+            base: None,
+            document: crate::state_machine::PolicyDocument::default(),
+            confirm: false,
+        },
+    );
+    let verdicts = ["a", "b", "c"].map(|name| (Member::from(name), Verdict::Fits));
+    state.apply(
+        Index(3),
+        Entry::Verdicts {
+            number: PROPOSED,
+            verdicts: verdicts.to_vec(),
+        },
+    );
+    for member in ["a", "b"] {
+        let actions = leader.handle_request(later(1500), &state, report(member, 1));
+        grants(&mut leader, later(1500), &state, &actions);
+    }
+    let actions = leader.tick(later(2100), &state);
+    let begin = Entry::BeginBarrier {
+        number: PROPOSED,
+        round: ROUND,
+        without: BTreeSet::from(["c".into()]),
+    };
+    assert!(proposes(&actions, &begin), "{actions:?}");
+    (leader, state)
+}
+
+fn report(member: &str, seq: u64) -> LeaseRequest {
+    LeaseRequest {
+        member: member.into(),
+        incarnation: Incarnation(1),
+        seq: Seq(seq),
+        index: Index(0),
+        members_at: Index(0),
+        verdict: None,
+        paused_for: None,
+        is_only_process: true,
+        unfit: None,
+        last_leader_contact: None,
+        machines_out_at: Index(0),
+        extension_report: Vec::new(),
+    }
+}
+
+/// An entry that took longer than 0.3 s to be committed was taken as lost, and a member that it names as one without a lease
+/// could get one: it would have gone on under the old version while the others were under the new one.
+#[test]
+fn a_member_without_which_a_barrier_is_proposed_gets_no_lease_however_long_that_takes() {
+    let (mut leader, state) = barrier_without_c();
+    // In contact again, while b has been silent for too long for a second proposal.
+    let now = later(3000);
+    let actions = leader.handle_request(now, &state, report("c", 1));
+    let granted = grants(&mut leader, now, &state, &actions);
+    assert!(granted.is_empty(), "{granted:?}");
+}
+
+/// Confirms the leadership where `actions` ask for it; who gets a lease.
+fn grants(
+    leader: &mut Leader,
+    now: Micros,
+    state: &PolicyState,
+    actions: &[LeaderAction],
+) -> Vec<String> {
+    let mut granted = Vec::new();
+    for action in actions {
+        let LeaderAction::ConfirmLeadership(number) = action else {
+            continue;
+        };
+        for answer in leader.leadership_confirmed(now, state, *number) {
+            if let LeaderAction::Reply(member, reply) = answer {
+                granted.extend(reply.grant.map(|_| member.0));
+            }
+        }
+    }
+    granted
+}
+
+#[test]
+fn verdicts_of_all_members_and_the_beginning_of_the_barrier_are_proposed_together() {
+    let mut barrier = InBarrier::begin();
+    barrier.apply(in_force());
+    barrier.leader = Leader::new(LeaseConfig::default(), NOW, &barrier.state);
+    barrier.apply(Entry::Propose {
+        op: OperationId(2),
+        base: None,
+        document: crate::state_machine::PolicyDocument::default(),
+        confirm: false,
+    });
+    let number = Version(2);
+    let fits = |name: &str, seq| LeaseRequest {
+        verdict: Some(ProposalVerdict {
+            number,
+            verdict: Verdict::Fits,
+        }),
+        ..report(name, seq)
+    };
+    let (leader, state) = (&mut barrier.leader, &barrier.state);
+    leader.handle_request(later(1), state, report("b", 1));
+    let first = leader.handle_request(later(2), state, fits("a", 1));
+    let proposed = |actions: &[LeaderAction]| {
+        let entries = actions.iter().filter_map(|action| match action {
+            LeaderAction::Propose(entry) => Some(entry.clone()),
+            _ => None,
+        });
+        entries.collect::<Vec<Entry>>()
+    };
+    assert_eq!(proposed(&first), [], "b is about to report");
+    let second = leader.handle_request(later(30), state, fits("b", 2));
+    let verdicts = vec![("a".into(), Verdict::Fits), ("b".into(), Verdict::Fits)];
+    let begin = Entry::BeginBarrier {
+        number,
+        round: ROUND,
+        without: BTreeSet::new(),
+    };
+    assert_eq!(
+        proposed(&second),
+        [Entry::Verdicts { number, verdicts }, begin]
+    );
+}
+
+#[test]
+fn verdicts_are_not_held_back_for_a_member_that_does_not_report() {
+    let mut barrier = InBarrier::begin();
+    barrier.apply(in_force());
+    barrier.leader = Leader::new(LeaseConfig::default(), NOW, &barrier.state);
+    barrier.apply(Entry::Propose {
+        op: OperationId(2),
+        base: None,
+        document: crate::state_machine::PolicyDocument::default(),
+        confirm: false,
+    });
+    let (leader, state) = (&mut barrier.leader, &barrier.state);
+    leader.handle_request(later(1), state, report("b", 1));
+    let fits = LeaseRequest {
+        verdict: Some(ProposalVerdict {
+            number: Version(2),
+            verdict: Verdict::Fits,
+        }),
+        ..report("a", 1)
+    };
+    leader.handle_request(later(2), state, fits);
+    let early = leader.tick(later(101), state);
+    assert!(!early
+        .iter()
+        .any(|of| matches!(of, LeaderAction::Propose(_))));
+    let due = leader.tick(later(102), state);
+    assert!(due
+        .iter()
+        .any(|of| matches!(of, LeaderAction::Propose(Entry::Verdicts { .. }))));
+}
--- a/fleet_policy/src/lease_config.rs
+++ b/fleet_policy/src/lease_config.rs
@@ -19,7 +19,8 @@
     pub renew: u64,
     /// How much faster or slower than real time a clock may run, in parts per million. Beyond it nothing is guaranteed.
     pub drift_ppm: u64,
-    /// How long queries wait at admission during a barrier before they are rejected.
+    /// How long queries wait at admission, at most, from when their router paused for a barrier; with
+    /// [`LeaseConfig::UNLIMITED_HOLD`] as long as their own deadlines allow, while a leader with a majority answers.
     pub hold: u64,
     /// How long a barrier waits for all to have stopped admitting before all resume.
     pub patience: u64,
@@ -45,6 +46,9 @@
 }
 
 impl LeaseConfig {
+    /// Of [`LeaseConfig::hold`]: no limit of its own.
+    pub const UNLIMITED_HOLD: u64 = u64::MAX;
+
     fn drift(&self) -> u64 {
         self.drift_ppm.min(MOST_DRIFT_PPM)
     }
--- a/fleet_policy/src/lease_holder.rs
+++ b/fleet_policy/src/lease_holder.rs
@@ -79,6 +79,8 @@
     expired_at: Option<Micros>,
     /// Since when it does not admit: it has just started, or its lease became void with an epoch.
     paused_since: Option<Micros>,
+    /// When a leader last answered or sent its view: until then a majority was at work.
+    last_reply_at: Option<Micros>,
     /// Bounded by [`MOST_PENDING_REQUESTS`].
     sent_requests: VecDeque<SentRequest>,
     last_seq: Seq,
@@ -119,6 +121,7 @@
             lease: None,
             expired_at: None,
             paused_since: Some(now),
+            last_reply_at: None,
             sent_requests: VecDeque::new(),
             last_seq: Seq(0),
             verdict: None,
@@ -169,12 +172,7 @@
 
     /// The barrier that is in progress as far as is known here.
     fn paused_for(&self) -> Option<BarrierId> {
-        let view = self.view.as_ref()?;
-        let next = view.proposal.as_ref().filter(|next| next.barrier)?;
-        Some(BarrierId {
-            number: next.document.number,
-            round: next.round,
-        })
+        self.view.as_ref()?.barrier()
     }
 
     /// The next request, if one is due; it counts as sent at `now`.
--- a/fleet_policy/src/lease_holder/admission.rs
+++ b/fleet_policy/src/lease_holder/admission.rs
@@ -97,9 +97,18 @@
         }
     }
 
-    /// A router that has paused only just now has queries wait a little before it rejects them.
+    /// While a router is paused, queries wait: for as long as their own deadlines allow, which is for who admits them to
+    /// see to. They are rejected once no leader has answered for a lease: a router that was not paused would have lost its
+    /// lease by then, too.
+    ///
+    /// A fixed time in place of this (250 ms) had callers rejected with seconds left, all in one instant, wherever a
+    /// barrier lasted a little longer.
     fn wait_while_paused(&self, now: Micros) -> Option<Admission> {
-        let until = self.paused_since? + Micros(self.config.hold);
+        let paused_since = self.paused_since?;
+        let in_contact_at = self.last_reply_at.unwrap_or_default().max(paused_since);
+        let in_contact_until = in_contact_at + Micros(self.config.lease);
+        let held_until = Micros(paused_since.0.saturating_add(self.config.hold));
+        let until = in_contact_until.min(held_until);
         (now < until).then_some(Admission::Wait(until))
     }
 
--- a/fleet_policy/src/lease_holder/reply.rs
+++ b/fleet_policy/src/lease_holder/reply.rs
@@ -12,6 +12,7 @@
     pub fn handle_reply(&mut self, now: Micros, reply: LeaseReply) -> Vec<LeaseEffect> {
         let mut effects = Vec::new();
         self.is_answered = true;
+        self.last_reply_at = Some(now);
         self.not_a_member = reply.not_a_member;
         if let Some(members) = reply.members {
             effects.push(LeaseEffect::Members(members));
@@ -65,7 +66,13 @@
             version: grant.version,
             until,
         });
-        self.paused_since = None;
+        if let Some(paused_since) = self.paused_since.take() {
+            let ms = now.since(paused_since).0 / 1000;
+            effects.push(LeaseEffect::Log(format!(
+                "policy: admits under version {}, {ms} ms after it paused",
+                grant.version
+            )));
+        }
     }
 
     /// A view that is older than the known one, or a duplicate, changes nothing: a version never goes back.
@@ -82,6 +89,13 @@
             let is_first_view = before.is_none();
             self.enter_epoch(now, is_first_view);
         }
+        let barrier_before = before.as_ref().and_then(View::barrier);
+        if let Some(barrier) = view.barrier().filter(|of| Some(*of) != barrier_before) {
+            effects.push(LeaseEffect::Log(format!(
+                "policy: stopped for round {}, in epoch {}",
+                barrier.round, view.epoch
+            )));
+        }
         let version_before = before.as_ref().map(|before| before.in_force.number);
         self.apply_version(version_before, &view, effects);
         if before.map(|before| before.machines_out_at) != Some(view.machines_out_at) {
@@ -131,10 +145,6 @@
             return;
         };
         if next.barrier {
-            effects.push(LeaseEffect::Log(format!(
-                "policy: stopped for round {}, in epoch {}",
-                next.round, view.epoch
-            )));
             return;
         }
         let checked = self.verdict.as_ref().map(|checked| checked.number);
--- a/fleet_policy/src/lease_holder/tests.rs
+++ b/fleet_policy/src/lease_holder/tests.rs
@@ -4,7 +4,8 @@
 
 use super::*;
 use crate::messages::{LeaseGrant, LeaseReply};
-use crate::state_machine::PolicyState;
+use crate::state_machine::{Entry, PolicyState};
+use crate::{OperationId, Round};
 
 const START: Micros = Micros(10_000_000);
 
@@ -43,3 +44,88 @@
     holder.handle_reply(now, grant(answered));
     holder.lease_left(now)
 }
+
+const MS: u64 = 1000;
+
+/// The view in which a barrier is in progress.
+fn barrier() -> LeaseReply {
+    let mut state = PolicyState::bootstrap(BTreeMap::new());
+    let propose = Entry::Propose {
+        op: OperationId(1),
+        base: None,
+        document: PolicyDocument::default(),
+        confirm: false,
+    };
+    state.apply(Index(2), propose);
+    let begin = Entry::BeginBarrier {
+        number: Version(1),
+        round: Round(1),
+        without: Default::default(),
+    };
+    state.apply(Index(3), begin);
+    LeaseReply {
+        view: Some(View::of(&state)),
+        ..LeaseReply::default()
+    }
+}
+
+/// A router that has paused for a barrier at `START`, with a lease of two seconds before.
+fn paused(hold: u64) -> LeaseHolder {
+    let config = LeaseConfig {
+        hold,
+        ..LeaseConfig::default()
+    };
+    let mut holder = LeaseHolder::new(config, "a".into(), Incarnation(1), false, START);
+    holder.next_request(START);
+    holder.handle_reply(START, grant(1));
+    assert_eq!(holder.admission(START), Admission::Leased(Version(0)));
+    holder.handle_reply(START, barrier());
+    holder
+}
+
+/// Seen: five callers with over a second left were rejected in one instant, 250 ms after their router had paused; the
+/// barrier ended 23 ms later.
+#[test]
+fn while_a_leader_answers_queries_wait_however_long_a_barrier_lasts() {
+    let mut holder = paused(LeaseConfig::UNLIMITED_HOLD);
+    let mut now = START;
+    for _ in 0..40 {
+        now += Micros(200 * MS);
+        assert!(
+            matches!(holder.admission(now), Admission::Wait(_)),
+            "{now:?}"
+        );
+        holder.handle_reply(now, LeaseReply::default());
+    }
+}
+
+#[test]
+fn without_an_answer_for_a_lease_they_are_rejected() {
+    let mut holder = paused(LeaseConfig::UNLIMITED_HOLD);
+    let answered = START + Micros(700 * MS);
+    holder.handle_reply(answered, LeaseReply::default());
+    let until = answered + Micros(LeaseConfig::default().lease);
+    assert_eq!(
+        holder.admission(Micros(until.0 - 1)),
+        Admission::Wait(until)
+    );
+    assert!(matches!(
+        holder.admission(until),
+        Admission::Rejected { .. }
+    ));
+}
+
+#[test]
+fn a_limit_that_the_settings_state_is_kept() {
+    let mut holder = paused(250 * MS);
+    let until = START + Micros(250 * MS);
+    holder.handle_reply(START + Micros(200 * MS), LeaseReply::default());
+    assert_eq!(
+        holder.admission(Micros(until.0 - 1)),
+        Admission::Wait(until)
+    );
+    assert!(matches!(
+        holder.admission(until),
+        Admission::Rejected { .. }
+    ));
+}
--- a/fleet_policy/src/messages.rs
+++ b/fleet_policy/src/messages.rs
@@ -119,6 +119,15 @@
 }
 
 impl View {
+    /// The barrier that is in progress.
+    pub fn barrier(&self) -> Option<BarrierId> {
+        let next = self.proposal.as_ref().filter(|next| next.barrier)?;
+        Some(BarrierId {
+            number: next.document.number,
+            round: next.round,
+        })
+    }
+
     /// The view of a policy state.
     pub fn of(state: &PolicyState) -> View {
         let proposal = state.proposal.as_ref().map(|next| ProposalView {
--- a/router/src/fleet/effects.rs
+++ b/router/src/fleet/effects.rs
@@ -11,6 +11,9 @@
 use super::{commands, replica_file, Fleet};
 use crate::router::Router;
 
+/// A write of the replica's state that takes longer is logged: all changes wait for it.
+const SLOW_WRITE: Micros = Micros(50_000);
+
 impl Fleet {
     /// Carries out one effect.
     pub(super) fn apply_effect(self: &Rc<Self>, router: &Rc<Router>, effect: Effect, now: Micros) {
@@ -93,12 +96,19 @@
         let folder = self.folder.clone();
         let clock = router.clock;
         let mut journal = self.journal.borrow_mut().take();
+        let ordered_at = clock.now();
         let task = async move {
             let write = move || {
+                let began_at = clock.now();
                 let result = replica_file::persist(&folder, &mut journal, version, &image);
-                (result, journal)
+                let times = WriteTimes {
+                    waited: began_at.since(ordered_at),
+                    wrote: clock.now().since(began_at),
+                };
+                (result, journal, times)
             };
-            let (result, journal) = blocking::unblock(write).await;
+            let (result, journal, times) = blocking::unblock(write).await;
+            fleet.log_slow_write(clock.now(), ordered_at, times);
             *fleet.journal.borrow_mut() = journal;
             let result = result.map_err(|error| error.to_string());
             fleet.node.borrow_mut().persisted(clock.now(), result);
@@ -108,6 +118,34 @@
     }
 }
 
+/// How long one write of the replica's state took, in the thread that did it.
+#[derive(Clone, Copy)]
+struct WriteTimes {
+    /// From the order until a thread began with it.
+    waited: Micros,
+    /// The write itself, and the sync.
+    wrote: Micros,
+}
+
+impl Fleet {
+    /// Logs a write that took long, and for what: a thread, the disk, or this task's own turn. Bounded under repetition.
+    fn log_slow_write(&self, now: Micros, ordered_at: Micros, times: WriteTimes) {
+        let total = now.since(ordered_at);
+        if total < SLOW_WRITE {
+            return;
+        }
+        if let Some(count) = self.slow_writes.count(now) {
+            tracing::info!(
+                total_ms = total.0 / 1000,
+                thread_after_ms = times.waited.0 / 1000,
+                write_ms = times.wrote.0 / 1000,
+                count,
+                "fleet: a write of the replica's state was slow"
+            );
+        }
+    }
+}
+
 /// The state machines have no logger: their lines come as effects.
 fn log(level: LogLevel, line: &str) {
     match level {
--- a/router/src/fleet/event_loop.rs
+++ b/router/src/fleet/event_loop.rs
@@ -13,6 +13,8 @@
 
 /// How often a router that waits for its folder, or for a write, looks again.
 const POLL_INTERVAL: Micros = Micros(20_000);
+/// A turn that begins so long after it was due is logged: leases and barriers wait for it.
+const LATE_TURN: Micros = Micros(50_000);
 /// Rounds of effects in one turn; the rest waits until other tasks have run.
 const MAX_ROUNDS: usize = 16;
 /// How long leadership may take to pass to another voter, before this process gives up its replica.
@@ -106,6 +108,7 @@
         let due = fleet.run_turn(router);
         let time = sleep_until(router, due);
         future::or(future::or(wake, accepting_changed), time).await;
+        fleet.log_late_turn(router.clock.now(), due);
     }
 }
 
@@ -159,6 +162,19 @@
         report_due.map_or(node_due, |report_due| node_due.min(report_due))
     }
 
+    /// Logs a turn that began late: other tasks of this thread, or other processes, had the processor. Bounded under
+    /// repetition.
+    fn log_late_turn(&self, now: Micros, due: Micros) {
+        let late = now.since(due);
+        if late < LATE_TURN {
+            return;
+        }
+        if let Some(count) = self.late_turns.count(now) {
+            let late_ms = late.0 / 1000;
+            tracing::info!(late_ms, count, "fleet: the event loop was late");
+        }
+    }
+
     fn step_received(&self, now: Micros) {
         while let Some(messages) = self.next_messages() {
             for received in messages {
--- a/router/src/fleet/mod.rs
+++ b/router/src/fleet/mod.rs
@@ -40,6 +40,7 @@
 
 use crate::lifecycle::settings::FleetTerms;
 use crate::router::Router;
+use crate::state::log_limit::LogLimit;
 
 pub(crate) use admission::Mark;
 use endpoints::EndpointOverrides;
@@ -84,6 +85,10 @@
     maintenance: Option<MaintenanceParticipant>,
     /// What went to other routers and came from them.
     traffic: Cell<Traffic>,
+    /// Writes of the replica's state that took long.
+    slow_writes: LogLimit,
+    /// Turns of the event loop that began late.
+    late_turns: LogLimit,
     /// Connections to the others, by member; one ends when its member is no longer in the fleet.
     peers: RefCell<BTreeMap<Member, Rc<PeerTransport>>>,
 }
@@ -161,6 +166,8 @@
             endpoints: RefCell::default(),
             maintenance,
             traffic: Cell::default(),
+            slow_writes: LogLimit::default(),
+            late_turns: LogLimit::default(),
             peers: RefCell::default(),
         })
     }
--- a/router/src/fleet/settings.rs
+++ b/router/src/fleet/settings.rs
@@ -24,7 +24,7 @@
         lease: settings.lease,
         renew: settings.renew,
         drift_ppm: settings.drift_ppm,
-        hold: settings.hold,
+        hold: settings.hold.unwrap_or(LeaseConfig::UNLIMITED_HOLD),
         patience: settings.patience,
         serve_without: settings.without_lease == "serve-and-mark",
         confirm: settings.confirm,
--- a/router/src/lifecycle/settings.cue
+++ b/router/src/lifecycle/settings.cue
@@ -51,8 +51,9 @@
 	renew: duration & >=20ms & <=20s | *500ms
 	// How far clocks may run fast or slow, in millionths. Beyond it nothing is promised.
 	drift_ppm: int & >=0 & <=200000 | *10000
-	// How long lookups wait while a change takes hold, before they are refused.
-	hold: duration & >=0s & <=10s | *250ms
+	// How long queries wait, at most, while a change takes effect, before they are rejected. Without it they wait as long as
+	// their own deadlines allow, while a leader with a majority answers.
+	hold?: duration & >=0s & <=10s
 	// How long a change that takes hold waits for all to have stopped.
 	patience: duration & >=10ms & <=10s | *150ms
 	// What a router does without a lease: it refuses new lookups, or it serves on under the last policy that it knows and
--- a/router/src/lifecycle/settings.rs
+++ b/router/src/lifecycle/settings.rs
@@ -121,8 +121,9 @@
     pub(crate) renew: u64,
     /// The largest difference between the rates of two clocks, in parts per million.
     pub(crate) drift_ppm: u64,
-    /// How long queries wait while a change takes effect, before they are rejected.
-    pub(crate) hold: u64,
+    /// How long queries wait while a change takes effect, before they are rejected; without it as long as their own
+    /// deadlines allow.
+    pub(crate) hold: Option<u64>,
     /// How long a change that takes effect waits for all routers to have stopped.
     pub(crate) patience: u64,
     /// What a router without a lease does: `refuse` or `serve-and-mark`.
