Soak: connections used up to the kill, series of signals, a crowd in some plays

Cause: the drawn plays ended clients 3.2 s after the start whatever the kill's instant was, knew one SIGTERM, and had five clients a router. New: clients go on up to the kill, which comes at the earliest (0.7 s and the longest deadline); one keeps eight connections, served and never used, and uses each that is open; nine series of SIGHUP, SIGTERM, SIGINT, SIGSTOP and SIGCONT; in a third of the plays of one router 50 to 250 idle connections, slow writers, bursts of six requests in one write, clients that leave all at once. The checker rejects a request that crossed the end of its connection and had been begun (its test shows such a history).

--- a/history/src/requests.rs
+++ b/history/src/requests.rs
@@ -32,7 +32,8 @@
     NoAnswer {
         id: String,
     },
-    /// Its connection ended without a byte of an answer while it was on the way to a resting connection: it was sent again.
+    /// Its connection ended without a byte of an answer while it was on the way to a resting connection: its client sends it
+    /// again, so nothing of it may have been begun.
     Crossed {
         id: String,
     },
@@ -127,6 +128,7 @@
     answered: Option<u64>,
     failed: Option<u64>,
     left: Option<u64>,
+    crossed: bool,
     runs: BTreeMap<u32, Vec<u64>>,
 }
 
@@ -153,6 +155,7 @@
                     answered: None,
                     failed: None,
                     left: None,
+                    crossed: false,
                     runs: BTreeMap::new(),
                 });
             }
@@ -169,9 +172,11 @@
                     .into_iter()
                     .for_each(|of| of.failed = Some(*at));
             }
-            // It is counted anew from when it is sent again.
             Saw::Crossed { id } => {
-                requests.remove(id.as_str());
+                requests
+                    .get_mut(id.as_str())
+                    .into_iter()
+                    .for_each(|of| of.crossed = true);
             }
             Saw::Left { id } => {
                 requests
@@ -226,6 +231,16 @@
         }
     }
     for (id, of) in requests {
+        // It is counted anew from when it is sent again; one that a node has got cannot be.
+        if of.crossed {
+            if !of.runs.is_empty() {
+                breaks.push(Break::Lost {
+                    id: id.to_owned(),
+                    why: "begun, and its connection ended without an answer",
+                });
+            }
+            continue;
+        }
         for (part, runs) in &of.runs {
             let too_many = match of.effect {
                 Effect::Any => false,
--- a/history/tests/requests.rs
+++ b/history/tests/requests.rs
@@ -127,3 +127,20 @@
     all.extend(ends(0, 2600));
     assert_eq!(check(&all, Terms::default()).len(), 1);
 }
+
+/// The end of its connection, without a byte, while the request was on the way to it.
+fn crossed(at: u64) -> (u64, Saw) {
+    (at * MS, Saw::Crossed { id: "a".into() })
+}
+
+#[test]
+fn a_request_that_crossed_the_end_of_its_connection_may_not_have_been_begun() {
+    let crossing = [sent(Effect::Any), crossed(5)];
+    assert!(check(&crossing, Terms::default()).is_empty());
+    let begun = [sent(Effect::Any), came(3, 800), crossed(5)];
+    let lost = Break::Lost {
+        id: "a".into(),
+        why: "begun, and its connection ended without an answer",
+    };
+    assert_eq!(check(&begun, Terms::default()), [lost]);
+}
--- /dev/null
+++ b/router/tests/drawn/crowd.rs
@@ -0,0 +1,172 @@
+//! A crowd beside the clients that are judged one by one: connections that say nothing, writers of a byte at a time, bursts of
+//! requests sent at once, and clients that all leave at the same moment.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use ternpick_history::requests::{Effect, Saw};
+use ternpick_wire::http::Reader;
+use ternpick_wire::ring::Ring;
+
+use crate::clients::{connect, Ask, Record};
+use crate::common::has_ended;
+use crate::faults::Draw;
+
+/// Between two bytes of a slow writer.
+const BYTE_GAP: Duration = Duration::from_millis(15);
+/// The longest answer, in bytes.
+const ANSWER_BOUND: usize = 1 << 20;
+/// Requests of a burst.
+const BURST: u64 = 6;
+/// Between two bursts.
+const BURST_GAP: Duration = Duration::from_millis(250);
+
+/// How many there are of each kind, and when some leave.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Crowd {
+    idle: u64,
+    slow: u64,
+    bursting: u64,
+    leaving: u64,
+    leave_at: Duration,
+}
+
+impl Crowd {
+    /// Fewer in all than the descriptors that clients may hold: beyond that new connections may be shut unread.
+    pub(crate) fn draw(draw: &mut Draw) -> Crowd {
+        Crowd {
+            idle: draw.between(50, 250),
+            slow: draw.between(0, 20),
+            bursting: draw.between(0, 4),
+            leaving: draw.between(0, 30),
+            leave_at: Duration::from_millis(draw.between(200, 2500)),
+        }
+    }
+
+    /// Comes, and stays up to the end of the load.
+    pub(crate) fn come(self, seed: u64, address: SocketAddr, router: &str, record: &Record) {
+        let idle: Vec<TcpStream> = (0..self.idle).filter_map(|_| connect(address)).collect();
+        thread::scope(|scope| {
+            for _ in 0..self.slow {
+                scope.spawn(|| write_slowly(address, router, record));
+            }
+            for number in 0..self.bursting {
+                scope.spawn(move || burst(seed, number, address, router, record));
+            }
+            scope.spawn(|| self.leave_together(seed, address, router, record));
+            while !record.is_over() {
+                thread::sleep(BYTE_GAP);
+            }
+        });
+        drop(idle);
+    }
+
+    /// Clients whose requests are under way as they leave.
+    fn leave_together(self, seed: u64, address: SocketAddr, router: &str, record: &Record) {
+        let mut draw = Draw::new(seed ^ 0x1eaf);
+        let due = self.leave_at.saturating_sub(record.began.elapsed());
+        thread::sleep(due);
+        let mut leaving = Vec::new();
+        for number in 0..self.leaving {
+            let Some(mut stream) = connect(address) else {
+                continue;
+            };
+            let ask = Ask::draw(&mut draw, format!("{router}leaves{number}"));
+            if ask.write(&mut stream, router, record) {
+                leaving.push((stream, ask.id));
+            }
+        }
+        for (stream, id) in leaving {
+            drop(stream);
+            record.saw(Saw::Left { id });
+        }
+    }
+}
+
+/// Writes a request byte by byte; what it is answered is its own matter.
+fn write_slowly(address: SocketAddr, router: &str, record: &Record) {
+    let ask = Ask {
+        id: format!("{router}slow"),
+        class: "whole",
+        effect: Effect::Any,
+        deadline: 1000,
+    };
+    let bytes = ask.text();
+    while !record.is_over() {
+        let Some(mut stream) = connect(address) else {
+            return;
+        };
+        for byte in &bytes[..bytes.len() - 1] {
+            if record.is_over() || has_ended(&stream) || stream.write_all(&[*byte]).is_err() {
+                break;
+            }
+            thread::sleep(BYTE_GAP);
+        }
+    }
+}
+
+/// Sends requests in one write, and reads their answers in order. A connection that ends behind an answer leaves the rest to be
+/// sent again.
+fn burst(seed: u64, number: u64, address: SocketAddr, router: &str, record: &Record) {
+    let mut draw = Draw::new(seed * 77 + number);
+    for turn in 0.. {
+        let Some(mut stream) = connect(address).filter(|_| !record.is_over()) else {
+            return;
+        };
+        let mut asks: Vec<Ask> = (0..BURST)
+            .map(|at| Ask::draw(&mut draw, format!("{router}burst{number}x{turn}x{at}")))
+            .collect();
+        // Answers come in order: none of them has to overtake another.
+        let deadline = asks[0].deadline;
+        asks.iter_mut().for_each(|ask| ask.deadline = deadline);
+        let bytes: Vec<u8> = asks.iter().flat_map(Ask::text).collect();
+        let at = record.now();
+        if stream.write_all(&bytes).is_err() {
+            continue;
+        }
+        for ask in &asks {
+            record.sent(at, ask, router);
+        }
+        let mut answers = Answers::of(&mut stream);
+        let statuses: Vec<Option<u16>> = asks.iter().map(|_| answers.next()).collect();
+        for (at, (ask, status)) in asks.into_iter().zip(statuses).enumerate() {
+            record.saw(match status {
+                Some(status) => Saw::Answered { id: ask.id, status },
+                None if at > 0 => Saw::Crossed { id: ask.id },
+                None => Saw::NoAnswer { id: ask.id },
+            });
+        }
+        thread::sleep(BURST_GAP);
+    }
+}
+
+/// Answers that come one behind the other.
+struct Answers<'a> {
+    stream: &'a mut TcpStream,
+    input: Ring,
+}
+
+impl Answers<'_> {
+    fn of(stream: &mut TcpStream) -> Answers<'_> {
+        Answers {
+            stream,
+            input: Ring::new(ANSWER_BOUND),
+        }
+    }
+
+    /// The status of the next answer, once it is complete; none: the connection has ended before.
+    fn next(&mut self) -> Option<u16> {
+        let mut answer = Reader::of_answers(ANSWER_BOUND);
+        let mut bytes = [0; 4096];
+        while !answer.read(&mut self.input).ok()? {
+            let room = bytes.len().min(self.input.room());
+            let count = self.stream.read(&mut bytes[..room]).ok()?;
+            if count == 0 || !self.input.push(&bytes[..count]) {
+                return None;
+            }
+        }
+        answer.status()
+    }
+}
--- a/router/tests/drawn/main.rs
+++ b/router/tests/drawn/main.rs
@@ -1,5 +1,5 @@
 //! Faults drawn by seed in twos and threes, under load and over a stop: real processes, stand-in nodes and discovery, clients that
-//! keep connections, leave, stop halfway, send first requests late. Everybody writes down what he saw; `ternpick-history` judges.
+//! keep connections and use each up to the kill, leave, stop halfway, send first requests late; series of signals; in some plays a crowd. Everybody writes down what he saw; `ternpick-history` judges.
 //! A few seeds here; many by command:
 //!
 //!     DRAWN=1..101 cargo test -p ternpick-router --test drawn -- --ignored --nocapture
@@ -7,6 +7,9 @@
 mod clients;
 #[path = "../common/mod.rs"]
 mod common;
+mod crowd;
 mod faults;
 mod plays;
+mod scenario;
 mod seeds;
+mod signals;
