--- a/router/src/fleet/admission.rs
+++ b/router/src/fleet/admission.rs
@@ -72,8 +72,10 @@
                 version,
                 unguarded: true,
             }),
+            // It has waited for as long as its deadline allowed; the next one may find the change over.
             Admission::Wait(until) => {
-                Err(rejection("a change of policy takes hold", until.since(now)))
+                let come_back = until.since(now).min(Micros(self.settings.renew));
+                Err(rejection("a change of policy takes hold", come_back))
             }
             Admission::Rejected {
                 reason: why,
--- a/router/src/fleet/settings.rs
+++ b/router/src/fleet/settings.rs
@@ -7,6 +7,9 @@
 
 use crate::lifecycle::settings::FleetTerms;
 
+#[cfg(test)]
+mod tests;
+
 /// The fleet's id: the first eight bytes of its name's SHA-256.
 pub(super) fn fleet_id(name: &str) -> FleetId {
     let digest = ring::digest::digest(&ring::digest::SHA256, name.as_bytes());
@@ -20,13 +23,20 @@
 
 /// The timing of leases.
 pub(super) fn lease_config(settings: &FleetTerms) -> LeaseConfig {
+    let serve_without = settings.without_lease == "serve-and-mark";
+    // A router that may serve without a lease has queries wait only a little for one, and then serves them.
+    let default_hold = if serve_without {
+        LeaseConfig::default().hold
+    } else {
+        LeaseConfig::UNLIMITED_HOLD
+    };
     LeaseConfig {
         lease: settings.lease,
         renew: settings.renew,
         drift_ppm: settings.drift_ppm,
-        hold: settings.hold.unwrap_or(LeaseConfig::UNLIMITED_HOLD),
+        hold: settings.hold.unwrap_or(default_hold),
         patience: settings.patience,
-        serve_without: settings.without_lease == "serve-and-mark",
+        serve_without,
         confirm: settings.confirm,
     }
 }
--- a/router/src/lifecycle/start.rs
+++ b/router/src/lifecycle/start.rs
@@ -286,6 +286,8 @@
             let tls = self.tls.clone().filter(|_| position > 0);
             if let Some(tls) = &tls {
                 tracing::info!(router = self.name, address = %tls.listen, "serving TLS");
+                // Before anybody is accepted, and not by the order in which two tasks run.
+                tls.apply_revocation_lists(&self.router);
                 self.spawn(tls::watch(Rc::clone(&self.router), Rc::clone(tls)));
             }
             let task = listener::accept(Rc::clone(&self.router), listener, tls);
--- a/router/src/lifecycle/tls.rs
+++ b/router/src/lifecycle/tls.rs
@@ -228,7 +228,7 @@
     }
 
     /// Applies the certificate revocation lists to identity.
-    fn apply_revocation_lists(&self, router: &Router) {
+    pub(crate) fn apply_revocation_lists(&self, router: &Router) {
         let Some(auth) = &router.auth else {
             return;
         };
@@ -265,9 +265,9 @@
     Some((metadata.modified().ok()?, metadata.len()))
 }
 
-/// Checks the files for changes, for as long as the router runs.
+/// Checks the files for changes, for as long as the router runs. The lists as they were at the start are applied by who
+/// accepts connections, before.
 pub(crate) async fn watch(router: Rc<Router>, tls: Rc<Tls>) {
-    tls.apply_revocation_lists(&router);
     loop {
         Timer::after(Duration::from_micros(tls.settings.check_interval)).await;
         let files = tls.file_versions();
