--- a/fleet_policy/src/leader.rs
+++ b/fleet_policy/src/leader.rs
@@ -5,6 +5,7 @@
 //! [`crate::FleetNode`] creates one when its replica becomes the leader, and drops it when it no longer is. The leader reads
 //! the replicated [`PolicyState`] and proposes entries; it never changes the state itself.
 
+mod barrier;
 mod leases;
 mod proposal;
 mod status;
--- a/fleet_policy/src/leader/proposal.rs
+++ b/fleet_policy/src/leader/proposal.rs
@@ -1,17 +1,13 @@
 //! Which entry moves the pending proposal on: verdicts of members, the beginning of a barrier, and its end.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use ternpick::types::Micros;
 
-use super::leases::WaitingRequest;
-use super::{
-    BarrierEnd, BarrierSeen, Leader, LeaderAction, MemberReport, ProposedBarrier, ProposedEntries,
-    RETRY_AFTER,
-};
+use super::barrier::barrier_of;
+use super::{Leader, LeaderAction, ProposedBarrier, ProposedEntries, RETRY_AFTER};
 use crate::ids::{Member, Round};
-use crate::messages::{BarrierId, LeaseRequest};
-use crate::planted::InLeader;
+use crate::messages::BarrierId;
 use crate::state_machine::{Entry, PendingProposal, PolicyState, Verdict};
 
 /// The patience doubles with each barrier of a proposal, so many times at most.
@@ -19,56 +15,6 @@
 
 /// Verdicts are held back for so long at most, so that those of all members go into one entry.
 const VERDICTS_WAIT: Micros = Micros(100_000);
-/// Members that a log line on a barrier names at most.
-const MOST_NAMED: usize = 8;
-
-/// The latest barrier of a proposal.
-fn barrier_of(next: &PendingProposal) -> BarrierId {
-    BarrierId {
-        number: next.document.number,
-        round: next.round,
-    }
-}
-
-fn barrier_in_progress(state: &PolicyState) -> Option<BarrierId> {
-    let next = state.proposal.as_ref()?;
-    next.barrier.is_some().then(|| barrier_of(next))
-}
-
-/// Whether a barrier that is over ended by [`Entry::InForce`] or [`Entry::Resume`], rather than by a withdrawal, which may
-/// have been proposed before requests that came.
-fn ended_as_proposed(state: &PolicyState, barrier: BarrierId) -> bool {
-    let resumed = |next: &PendingProposal| barrier_of(next) == barrier;
-    state.in_force.number == barrier.number || state.proposal.as_ref().is_some_and(resumed)
-}
-
-impl MemberReport {
-    fn as_request(&self) -> WaitingRequest {
-        WaitingRequest {
-            incarnation: self.incarnation,
-            seq: self.seq,
-            received_at: self.received_at,
-            wants_lease: self.wants_lease,
-        }
-    }
-}
-
-impl BarrierSeen {
-    /// For the log: how long it lasted, and after how long each member had stopped, the latest first.
-    fn description(&self, now: Micros) -> String {
-        let BarrierId { number, round } = self.barrier;
-        let lasted = now.since(self.at).0 / 1000;
-        let mut members: Vec<_> = self.stopped_after.iter().collect();
-        members.sort_by_key(|(_, after)| std::cmp::Reverse(**after));
-        let members: Vec<String> = members
-            .iter()
-            .take(MOST_NAMED)
-            .map(|(member, after)| format!("{member} {} ms", after.0 / 1000))
-            .collect();
-        let members = members.join(", ");
-        format!("policy: round {round} of proposal {number} is over after {lasted} ms, stopped after: {members}")
-    }
-}
 
 impl Leader {
     /// Proposes the next entries, once those before them are applied.
@@ -157,82 +103,6 @@
             .any(|member| self.is_reachable(now, member) && !has_reported(member))
     }
 
-    /// The state tells what has become of the barrier whose beginning was proposed.
-    pub(super) fn forget_settled_barrier(&mut self, state: &PolicyState) {
-        let is_open = |proposed: &ProposedBarrier| {
-            let BarrierId { number, round } = proposed.barrier;
-            let next = state.proposal.as_ref();
-            next.is_some_and(|next| next.document.number == number && next.round < round)
-        };
-        self.barrier_proposed.take_if(|proposed| !is_open(proposed));
-    }
-
-    /// Notes when the barrier that is in progress was first seen, and logs how long one lasted that is over.
-    pub(super) fn follow_barrier(
-        &mut self,
-        now: Micros,
-        state: &PolicyState,
-        actions: &mut Vec<LeaderAction>,
-    ) {
-        if state.proposal.is_none() {
-            self.late_members.clear();
-        }
-        let current = barrier_in_progress(state);
-        if self.barrier_seen.as_ref().map(|seen| seen.barrier) == current {
-            return;
-        }
-        if let Some(ended) = self.barrier_seen.take() {
-            actions.push(LeaderAction::Log(ended.description(now)));
-        }
-        self.barrier_seen = current.map(|barrier| BarrierSeen {
-            barrier,
-            at: now,
-            stopped_after: BTreeMap::new(),
-        });
-    }
-
-    /// Notes the first report of a member that it has stopped admitting for the barrier in progress.
-    pub(super) fn note_stopped(&mut self, now: Micros, request: &LeaseRequest) {
-        let seen = self.barrier_seen.as_mut();
-        let Some(seen) = seen.filter(|seen| request.paused_for == Some(seen.barrier)) else {
-            return;
-        };
-        let after = now.since(seen.at);
-        seen.stopped_after
-            .entry(request.member.clone())
-            .or_insert(after);
-    }
-
-    /// Requests to be granted now, because the barrier is over whose end this leader has proposed.
-    ///
-    /// Without it each router asked anew at the end of a barrier, and waited until the leadership was confirmed for that:
-    /// two further round trips in which nobody admitted.
-    pub(super) fn requests_at_barrier_end(
-        &mut self,
-        state: &PolicyState,
-    ) -> BTreeMap<Member, WaitingRequest> {
-        let current = barrier_in_progress(state);
-        let ended = self
-            .barrier_end
-            .take_if(|end| Some(end.barrier) != current)
-            .filter(|end| ended_as_proposed(state, end.barrier));
-        ended.map(|end| end.requests).unwrap_or_default()
-    }
-
-    /// Notes that the end of a barrier is proposed. Of an end that is proposed again the first time counts: whichever is
-    /// committed, a majority answers after it.
-    fn note_barrier_end(&mut self, barrier: BarrierId) {
-        if self.barrier_end.as_ref().map(|end| end.barrier) == Some(barrier) {
-            return;
-        }
-        let requests = self
-            .reports
-            .iter()
-            .map(|(member, report)| (member.clone(), report.as_request()))
-            .collect();
-        self.barrier_end = Some(BarrierEnd { barrier, requests });
-    }
-
     /// Verdicts that members have reported and the state does not contain yet.
     fn new_verdicts(&self, next: &PendingProposal) -> Vec<(Member, Verdict)> {
         let mut verdicts = Vec::new();
@@ -294,25 +164,6 @@
         })
     }
 
-    /// During a hot restart two processes of a member may have leases: a report counts for the member only once the other
-    /// process's lease has certainly expired.
-    fn speaks_for_whole_member(&self, now: Micros, member: &Member) -> bool {
-        self.reports.get(member).is_none_or(|report| {
-            report.is_only_process || self.leases_expired(now, member, Some(report.incarnation))
-        })
-    }
-
-    /// Whether this member certainly admits nothing more during this barrier.
-    pub(super) fn has_paused(&self, now: Micros, member: &Member, next: &PendingProposal) -> bool {
-        let barrier = Some(barrier_of(next));
-        match self.reports.get(member) {
-            Some(report) if report.paused_for == barrier => {
-                self.speaks_for_whole_member(now, member)
-            }
-            _ => self.leases_expired(now, member, None),
-        }
-    }
-
     /// The proposal comes into force once all have stopped admitting; if somebody has not in time, all resume.
     fn end_barrier(
         &mut self,
@@ -347,25 +198,6 @@
         Some(Entry::Resume { number, round })
     }
 
-    fn not_paused(
-        &self,
-        now: Micros,
-        state: &PolicyState,
-        next: &PendingProposal,
-        without: &BTreeSet<Member>,
-    ) -> BTreeSet<Member> {
-        if self.has_bug(InLeader::NoWait) {
-            return BTreeSet::new();
-        }
-        state
-            .members
-            .keys()
-            .filter(|member| !without.contains(*member))
-            .filter(|member| !self.has_paused(now, member, next))
-            .cloned()
-            .collect()
-    }
-
     /// Each barrier waits longer than the one before: a fleet that is slow as a whole completes the change all the same.
     fn patience(&self, round: Round) -> Micros {
         let doublings = round.0.saturating_sub(1).min(MOST_DOUBLINGS);
--- a/fleet_policy/src/leader/tests.rs
+++ b/fleet_policy/src/leader/tests.rs
@@ -150,6 +150,20 @@
         barrier
     }
 
+    /// The barrier is over, and a second proposal is on its way.
+    fn over_and_proposed_again() -> InBarrier {
+        let mut barrier = InBarrier::begin();
+        barrier.apply(in_force());
+        barrier.leader = Leader::new(LeaseConfig::default(), NOW, &barrier.state);
+        barrier.apply(Entry::Propose {
+            op: OperationId(2),
+            base: None,
+            document: crate::state_machine::PolicyDocument::default(),
+            confirm: false,
+        });
+        barrier
+    }
+
     fn apply(&mut self, entry: Entry) {
         self.index += 1;
         self.state.apply(Index(self.index), entry);
@@ -360,15 +374,7 @@
 
 #[test]
 fn verdicts_of_all_members_and_the_beginning_of_the_barrier_are_proposed_together() {
-    let mut barrier = InBarrier::begin();
-    barrier.apply(in_force());
-    barrier.leader = Leader::new(LeaseConfig::default(), NOW, &barrier.state);
-    barrier.apply(Entry::Propose {
-        op: OperationId(2),
-        base: None,
-        document: crate::state_machine::PolicyDocument::default(),
-        confirm: false,
-    });
+    let mut barrier = InBarrier::over_and_proposed_again();
     let number = Version(2);
     let fits = |name: &str, seq| LeaseRequest {
         verdict: Some(ProposalVerdict {
@@ -403,15 +409,7 @@
 
 #[test]
 fn verdicts_are_not_held_back_for_a_member_that_does_not_report() {
-    let mut barrier = InBarrier::begin();
-    barrier.apply(in_force());
-    barrier.leader = Leader::new(LeaseConfig::default(), NOW, &barrier.state);
-    barrier.apply(Entry::Propose {
-        op: OperationId(2),
-        base: None,
-        document: crate::state_machine::PolicyDocument::default(),
-        confirm: false,
-    });
+    let mut barrier = InBarrier::over_and_proposed_again();
     let (leader, state) = (&mut barrier.leader, &barrier.state);
     leader.handle_request(later(1), state, report("b", 1));
     let fits = LeaseRequest {
--- a/router/tests/identity/first_reads.rs
+++ b/router/tests/identity/first_reads.rs
@@ -17,6 +17,13 @@
 /// Beyond this after its deadline an answer is lost (the protocol's own slack).
 const LOST_AFTER: Duration = Duration::from_millis(500);
 
+/// A source of revocations that says nothing, and is waited for longer than any request.
+fn silent_source() -> String {
+    Service::start(Serves::Slow)
+        .source(None)
+        .replace("patience: 300ms", "patience: 10s")
+}
+
 fn ask_with_deadline(guarded: &Guarded, token: &str, deadline_ms: u64) -> (u16, Duration) {
     let request = with_headers("whole", "short", "find", &bearer(token)).replace(
         "Req-Deadline-Ms: 2000",
@@ -71,10 +78,7 @@
 #[test]
 fn a_request_whose_deadline_is_shorter_than_the_wait_is_answered_by_then() {
     let world = World::new();
-    let silent = Service::start(Serves::Slow);
-    let source = silent
-        .source(None)
-        .replace("patience: 300ms", "patience: 10s");
+    let source = silent_source();
     let guarded = Guarded::with(&world, None, Some(&source), "info", 1024);
     let (status, took) = ask_with_deadline(&guarded, &world.token(&["crew"]), 300);
     assert_eq!(status, 503);
@@ -87,10 +91,7 @@
 #[test]
 fn a_request_that_waits_for_a_source_is_answered_in_a_stop() {
     let world = World::new();
-    let silent = Service::start(Serves::Slow);
-    let source = silent
-        .source(None)
-        .replace("patience: 300ms", "patience: 10s");
+    let source = silent_source();
     let mut guarded = Guarded::with(&world, None, Some(&source), "info", 1024);
     let mut stream = guarded.router.connect();
     send(
@@ -107,10 +108,7 @@
 #[test]
 fn a_caller_who_proves_nothing_is_refused_at_once() {
     let world = World::new();
-    let silent = Service::start(Serves::Slow);
-    let source = silent
-        .source(None)
-        .replace("patience: 300ms", "patience: 10s");
+    let source = silent_source();
     let guarded = Guarded::with(&world, None, Some(&source), "info", 1024);
     let (status, took) = ask_with_deadline(&guarded, "no.such.token", 2000);
     assert_eq!(status, 401);
