A first call to a source that fails refuses nobody who can wait for the second

The first call had run out of its 300 ms, and from then on nothing was waited for, with 1.7 s of the requests' deadlines left. Change: a source is waited for until it has been read, in the first two seconds after the start; then what is not known is refused at once.

--- a/router/src/lifecycle/key_sources.rs
+++ b/router/src/lifecycle/key_sources.rs
@@ -89,6 +89,7 @@
     let Some(auth) = &router.auth else {
         return;
     };
+    auth.sources_started(router.clock.now());
     for kind in [Kind::Keys, Kind::Revocations] {
         let Some(watched) = kind.source(auth) else {
             continue;
@@ -204,13 +205,10 @@
         match applied {
             Ok(text) => {
                 // Before the copy is stored: requests that wait do not wait for the disk.
-                self.auth.call_ended(self.watched);
+                self.auth.source_read(self.watched);
                 self.succeeded(now, text).await;
             }
-            Err(error) => {
-                self.failed(now, &error);
-                self.auth.call_ended(self.watched);
-            }
+            Err(error) => self.failed(now, &error),
         }
     }
 
--- a/router/src/stages/admission_wait.rs
+++ b/router/src/stages/admission_wait.rs
@@ -1,4 +1,4 @@
-//! What a complete request waits for before it is admitted: the first call to a source that its caller is judged by, and the
+//! What a complete request waits for before it is admitted: the first read of a source that its caller is judged by, and the
 //! end of a change of the fleet's policy.
 //!
 //! A request waits for as long as its own deadline allows, and no longer: not beyond the instant by which a shutdown has to
@@ -52,7 +52,7 @@
         }
     }
 
-    /// Waits while the first call to a source may still bring what the caller is refused for now.
+    /// Waits while the first read of a source may still bring what the caller is refused for now.
     async fn wait_for_sources(&mut self, give_up_at: Micros) {
         let certificate = self.io.stream.certificate();
         let router: &Router = &self.router;
@@ -60,14 +60,15 @@
             return;
         };
         loop {
-            let call_ended = auth.first_call_ended();
+            let first_read = auth.first_read();
+            let give_up_at = give_up_at.min(auth.first_reads_until());
             let until = router.before_shutdown(Some(give_up_at), |schedule| schedule.answers_by);
             let is_over = until.is_some_and(|until| until <= router.clock.now());
             if is_over || !admission::awaits_source(router, &self.request, certificate.as_ref()) {
                 return;
             }
             // Whether it has come or not: the next round looks.
-            let _ = router.with_deadline(until, call_ended).await;
+            let _ = router.with_deadline(until, first_read).await;
         }
     }
 }
--- a/router/src/stages/auth_filter.rs
+++ b/router/src/stages/auth_filter.rs
@@ -1,12 +1,12 @@
 //! The authorisation filter of admission: asks `ternpick_identity` about each request before the decision module sees it.
 //!
 //! It decides nothing itself. What a refused client is told is in `answers.rs`, the audit in `audit.rs`, what is taken in while
-//! the router runs in `updates.rs`, what requests of the first moments wait for in `first_calls.rs`, and what is told of its
+//! the router runs in `updates.rs`, what requests of the first moments wait for in `first_reads.rs`, and what is told of its
 //! state in `status.rs`.
 
 mod answers;
 mod audit;
-mod first_calls;
+mod first_reads;
 mod status;
 mod updates;
 
@@ -47,8 +47,8 @@
     pub(crate) refresh: RefCell<Refresh>,
     /// The time of the next poll has changed.
     pub(crate) stirred: Event,
-    /// A call to it has ended, with a document or without.
-    was_called: Cell<bool>,
+    /// It has brought a document that could be used.
+    was_read: Cell<bool>,
 }
 
 impl Watched {
@@ -59,7 +59,7 @@
             address: source.address.as_deref().and_then(|text| text.parse().ok()),
             refresh: RefCell::new(refresh),
             stirred: Event::new(),
-            was_called: Cell::new(false),
+            was_read: Cell::new(false),
         }
     }
 }
@@ -80,8 +80,10 @@
     refusals: LogLimit,
     /// A list of revoked certificates is past the time of its next update.
     certificate_list_overdue: Cell<bool>,
-    /// Notified when the first call to a source has ended, or the router stops: requests that wait look again.
-    first_call_ended: Event,
+    /// Until when requests may wait for sources that were never read.
+    first_reads_until: Cell<Micros>,
+    /// Notified when a source has been read for the first time, or the router stops: requests that wait look again.
+    first_read: Event,
 }
 
 /// The tenants' limits in the order of their numbers; a number that no tenant has any more may have nothing.
@@ -122,7 +124,8 @@
             published_keys: RefCell::default(),
             refusals: LogLimit::default(),
             certificate_list_overdue: Cell::new(false),
-            first_call_ended: Event::new(),
+            first_reads_until: Cell::default(),
+            first_read: Event::new(),
         };
         Ok((filter, limits))
     }
--- a/router/src/stages/auth_filter/first_calls.rs
+++ b/router/src/stages/auth_filter/first_reads.rs
@@ -1,35 +1,50 @@
-//! Requests of the first moments: those that come before the first call to a source of keys or revocations has ended.
+//! Requests of the first moments: those that come before a source of keys or revocations has been read.
 //!
 //! The router listens from its start on, and its sources are read in tasks of their own. Judged at once, a valid caller was
 //! refused for what the router was just about to read: 503, as no revocations were known, or 401, as no keys were. Such a
-//! request waits until the call has ended. A source whose first call fails is waited for no longer: what is not known then
-//! is refused at once, as ever.
+//! request waits until the source has been read. A source that brings nothing for some time after the start is waited for no
+//! longer: what is not known then is refused at once, as ever.
 
 use event_listener::EventListener;
+use ternpick::types::Micros;
 use ternpick_identity::{Ask, Refused};
 
 use crate::router::Router;
 use crate::stages::auth_filter::{AuthFilter, Watched};
 
+/// From the start on requests wait for so long for a source: for several calls to it, so that one that fails, or is slow once,
+/// refuses nobody.
+const FIRST_READS_TIME: Micros = Micros(2_000_000);
+
 impl AuthFilter {
-    /// A call to this source has ended.
-    pub(crate) fn call_ended(&self, source: &Watched) {
-        if !source.was_called.replace(true) {
+    /// The sources are read from `now` on.
+    pub(crate) fn sources_started(&self, now: Micros) {
+        self.first_reads_until.set(now + FIRST_READS_TIME);
+    }
+
+    /// Until when requests may wait for sources.
+    pub(crate) fn first_reads_until(&self) -> Micros {
+        self.first_reads_until.get()
+    }
+
+    /// This source has been read.
+    pub(crate) fn source_read(&self, source: &Watched) {
+        if !source.was_read.replace(true) {
             self.look_again();
         }
     }
 
     /// Has requests that wait for a source look again.
     pub(crate) fn look_again(&self) {
-        self.first_call_ended.notify(usize::MAX);
+        self.first_read.notify(usize::MAX);
     }
 
     /// Notified when [`AuthFilter::may_learn_more`] may have changed.
-    pub(crate) fn first_call_ended(&self) -> EventListener {
-        self.first_call_ended.listen()
+    pub(crate) fn first_read(&self) -> EventListener {
+        self.first_read.listen()
     }
 
-    /// Whether a request would be refused now for want of what the first call to a source may bring.
+    /// Whether a request would be refused now for want of what a source that was never read may bring.
     pub(crate) fn may_learn_more(&self, router: &Router, asked: &Ask) -> bool {
         let keys_awaited = is_awaited(self.keys.as_ref());
         let revocations_awaited = is_awaited(self.feed.as_ref());
@@ -46,5 +61,5 @@
 }
 
 fn is_awaited(source: Option<&Watched>) -> bool {
-    source.is_some_and(|source| !source.was_called.get())
+    source.is_some_and(|source| !source.was_read.get())
 }
