--- a/router/tests/drawn/clients.rs
+++ b/router/tests/drawn/clients.rs
@@ -181,35 +181,65 @@
     }
 }
 
-/// Connections of a client that rests, served ones and ones that were never used.
-const RESTING: u64 = 8;
+/// Connections that rest until an instant of their own, half of them served once before.
+const RESTING: u64 = 16;
+/// So many of them rest up to the last moments of the load; where a process is told to end, that is up to its kill.
+const RESTING_LONGEST: u64 = 10;
+/// The last moments.
+const LAST: Duration = Duration::from_millis(700);
 
-/// A client that keeps connections, used before or never, and goes on using each that is open, up to the kill.
-pub(crate) fn resting_client(seed: u64, address: SocketAddr, router: &str, record: &Record) {
+/// The youngest and the oldest that a resting connection is at its request, in milliseconds: beyond 2.5 s one that was never
+/// used is closed.
+const AGES: (u64, u64) = (300, 2400);
+
+/// Keeps connections open, used once or never, and sends a request on each that is open still at an instant that is drawn.
+pub(crate) fn resting_clients(seed: u64, address: SocketAddr, router: &str, record: &Record) {
     let mut draw = Draw::new(seed ^ 0x0be5);
-    let mut open: Vec<(TcpStream, bool)> = (0..RESTING)
-        .filter_map(|_| connect(address))
-        .map(|stream| (stream, false))
-        .collect();
-    for turn in 0.. {
-        thread::sleep(Duration::from_millis(draw.between(5, 120)));
-        open.retain(|(stream, _)| !has_ended(stream));
-        if record.is_over() || open.is_empty() {
-            return;
-        }
-        let (mut stream, rested) = open.swap_remove(draw.below(open.len() as u64) as usize);
-        let ask = Ask::draw(&mut draw, format!("{router}rests{turn}"));
-        if has_ended(&stream) || !ask.write(&mut stream, router, record) {
-            continue;
-        }
-        if ask.receive(&mut stream, rested, record) {
-            open.push((stream, true));
+    let last_from = record.load.saturating_sub(LAST).as_millis() as u64;
+    let load = record.load.as_millis() as u64;
+    thread::scope(|scope| {
+        for number in 0..RESTING {
+            let from = if number < RESTING_LONGEST {
+                last_from
+            } else {
+                0
+            };
+            let due = Duration::from_millis(draw.between(from, load));
+            let opens = due.saturating_sub(Duration::from_millis(draw.between(AGES.0, AGES.1)));
+            let asks = ["first", "last"]
+                .map(|name| Ask::draw(&mut draw, format!("{router}rests{number}{name}")));
+            let is_served = number % 2 == 0;
+            scope.spawn(move || {
+                thread::sleep(opens.saturating_sub(record.began.elapsed()));
+                rest(asks, is_served, due, address, router, record);
+            });
         }
-        // A new one beside those that have served, while there is anybody to take it.
-        if open.len() < RESTING as usize {
-            open.extend(connect(address).map(|stream| (stream, false)));
+    });
+}
+
+/// One resting connection.
+fn rest(
+    [first, last]: [Ask; 2],
+    is_served: bool,
+    due: Duration,
+    address: SocketAddr,
+    router: &str,
+    record: &Record,
+) {
+    let Some(mut stream) = connect(address) else {
+        return;
+    };
+    if is_served {
+        let is_kept =
+            first.write(&mut stream, router, record) && first.receive(&mut stream, false, record);
+        if !is_kept {
+            return;
         }
     }
+    thread::sleep(due.saturating_sub(record.began.elapsed()));
+    if !has_ended(&stream) && last.write(&mut stream, router, record) {
+        last.receive(&mut stream, is_served, record);
+    }
 }
 
 /// What nodes see of calls.
--- a/router/tests/drawn/plays.rs
+++ b/router/tests/drawn/plays.rs
@@ -8,7 +8,7 @@
 use ternpick_fault_injection::Plan;
 use ternpick_history::requests::{check, Saw, Terms};
 
-use crate::clients::{client, resting_client, watch, Record, LONGEST};
+use crate::clients::{client, resting_clients, watch, Record, LONGEST};
 use crate::common::faulty::Faulty;
 use crate::common::*;
 use crate::scenario::Scenario;
@@ -86,7 +86,7 @@
                 scope.spawn(move || client(number, seed, address, &format!("n{at}"), &record));
             }
             let (rests, address) = (record.clone(), of.router.address);
-            scope.spawn(move || resting_client(seed, address, &format!("n{at}"), &rests));
+            scope.spawn(move || resting_clients(seed, address, &format!("n{at}"), &rests));
             if let Some(crowd) = scenario.crowd {
                 let record = record.clone();
                 scope.spawn(move || crowd.come(seed, address, &format!("n{at}"), &record));
