--- a/router/src/lifecycle/clock.rs
+++ b/router/src/lifecycle/clock.rs
@@ -27,7 +27,17 @@
 
     /// The time now.
     pub(crate) fn now(&self) -> Micros {
-        self.started_at + micros(self.started.elapsed())
+        self.time_of(Instant::now())
+    }
+
+    /// The time of a monotonic instant.
+    pub(crate) fn time_of(&self, instant: Instant) -> Micros {
+        self.started_at + micros(instant.saturating_duration_since(self.started))
+    }
+
+    /// The time of an arrival: when it was noted, else now.
+    pub(crate) fn arrival(&self, noted: Option<Instant>) -> Micros {
+        noted.map_or_else(|| self.now(), |instant| self.time_of(instant))
     }
 
     /// The monotonic instant of a time of this clock, for timers.
--- a/router/src/stages/answer_wait.rs
+++ b/router/src/stages/answer_wait.rs
@@ -30,11 +30,12 @@
 /// The end of a client's bytes stands behind all that it has sent: without reading on, a client that sent much at once and
 /// left had its shard requests sent to nodes for as long as its query lasted.
 async fn watch_client(router: &Router, io: &mut ClientIo) {
+    let mut arrived_at = router.clock.now();
     loop {
         if io.receive_ahead().is_err() {
             return;
         }
-        io.note_sent_ahead(router.clock.now());
+        io.note_sent_ahead(arrived_at);
         if io.account_memory(0) > 0 && router.budget.is_over() {
             io.overrun();
         }
@@ -42,9 +43,10 @@
             // A client that floods costs no more than a part of the time.
             Timer::after(OVERRUN_PAUSE).await;
         }
-        if io.stream.readable().await.is_err() {
+        if io.readable().await.is_err() {
             io.mark_client_gone();
             return;
         }
+        arrived_at = router.clock.arrival(io.take_readable_since());
     }
 }
--- a/router/src/stages/client_connection.rs
+++ b/router/src/stages/client_connection.rs
@@ -85,6 +85,8 @@
     pub(super) request: Reader,
     /// When the connection was accepted, until it has brought its first byte of a request.
     pub(super) awaiting_first_request: Option<Micros>,
+    /// When the connection itself arrived, until its first request is awaited: that may have come with it.
+    pub(super) arrived_at: Option<Micros>,
     /// Identifies the connection in the log.
     number: u64,
     opened_at: Micros,
@@ -92,9 +94,21 @@
     _permit: Permit,
 }
 
-/// Starts the task of a connection on which `unread` has been received already.
-pub(crate) fn spawn(router: &Rc<Router>, stream: Stream, permit: Permit, unread: Vec<u8>) {
-    let task = serve(Rc::clone(router), stream, permit, unread);
+/// A connection that has no task yet.
+pub(crate) struct NewConnection {
+    /// The connection itself.
+    pub(crate) stream: Stream,
+    /// Its descriptor's.
+    pub(crate) permit: Permit,
+    /// What has been received on it already.
+    pub(crate) unread: Vec<u8>,
+    /// No later than when it arrived; it may have waited to be accepted.
+    pub(crate) arrived_at: Micros,
+}
+
+/// Starts the task of a connection.
+pub(crate) fn spawn(router: &Rc<Router>, new: NewConnection) {
+    let task = serve(Rc::clone(router), new);
     router.executor.spawn(task).detach();
 }
 
@@ -109,14 +123,20 @@
         .take(Peer::Client)
         .ok_or(AdoptError::NoDescriptor)?;
     let stream = Async::new(socket).map_err(|_| AdoptError::Unusable)?;
-    spawn(router, Stream::Plain(stream), permit, unread.to_vec());
+    let new = NewConnection {
+        stream: Stream::Plain(stream),
+        permit,
+        unread: unread.to_vec(),
+        arrived_at: router.clock.now(),
+    };
+    spawn(router, new);
     Ok(())
 }
 
 /// Serves one connection from its first request to its end.
-async fn serve(router: Rc<Router>, stream: Stream, permit: Permit, unread: Vec<u8>) {
-    stream.set_nodelay();
-    let Some(io) = ClientIo::new(stream, router.budget.share(), &unread) else {
+async fn serve(router: Rc<Router>, new: NewConnection) {
+    new.stream.set_nodelay();
+    let Some(io) = ClientIo::new(new.stream, router.budget.share(), &new.unread) else {
         tracing::warn!("a client connection from another process has sent more than its bound");
         return;
     };
@@ -127,9 +147,10 @@
         io,
         request: Reader::of_requests(),
         awaiting_first_request: Some(opened_at),
+        arrived_at: Some(new.arrived_at),
         opened_at,
         requests: 0,
-        _permit: permit,
+        _permit: new.permit,
     };
     tracing::debug!(client = connection.number, "client connection accepted");
     let end = loop {
@@ -163,15 +184,16 @@
             return Err(ConnectionEnd::Migrated);
         }
         let sent_ahead_at = self.io.take_sent_ahead();
-        if self.io.input.is_empty() {
-            self.wait_for_first_byte().await?;
-        }
-        let now = self.router.clock.now();
-        let awaited_since = self.awaiting_first_request.take().unwrap_or(now);
+        let seen_at = if self.io.input.is_empty() {
+            self.wait_for_first_byte().await?
+        } else {
+            self.router.clock.now()
+        };
+        let awaited_since = self.awaiting_first_request.take().unwrap_or(seen_at);
         match self.read_request(awaited_since).await {
             Ok(()) => {
                 let answer = self
-                    .answer_request(now, sent_ahead_at.unwrap_or(now))
+                    .answer_request(seen_at, sent_ahead_at.unwrap_or(seen_at))
                     .await?;
                 let client_closes = self.request.closes();
                 self.write_answer(answer, client_closes).await
--- a/router/src/stages/client_io.rs
+++ b/router/src/stages/client_io.rs
@@ -3,7 +3,8 @@
 //!
 //! Used by the stages that read a request, wait for its answer and write it. Knows nothing of requests.
 
-use std::io::ErrorKind;
+use std::io::{ErrorKind, Result as IoResult};
+use std::time::Instant;
 
 use ternpick::types::Micros;
 use ternpick_wire::http::{BODY_BOUND, HEAD_BOUND};
@@ -11,6 +12,7 @@
 
 use crate::stages::stream::Stream;
 use crate::state::budget::Share;
+use crate::state::wake_time::WakeTime;
 
 /// Clients send one request at a time; a complete further one may wait behind it.
 const INPUT_BOUND: usize = HEAD_BOUND + BODY_BOUND;
@@ -41,6 +43,7 @@
     /// Bytes of answers that the stream has not taken yet.
     pub(crate) output: Ring,
     memory: Share,
+    readable_since: WakeTime,
     /// Since when the first of the bytes that were sent ahead wait: a client's deadline counts from when it sent them. A
     /// request behind a slow one was otherwise passed on with its full deadline.
     sent_ahead_at: Option<Micros>,
@@ -63,6 +66,7 @@
             input,
             output: Ring::new(OUTPUT_BOUND),
             memory,
+            readable_since: WakeTime::default(),
             sent_ahead_at: None,
             overran: false,
             client_gone: false,
@@ -79,6 +83,18 @@
         held
     }
 
+    /// Waits until there may be bytes to read; notes when they arrived.
+    pub(crate) async fn readable(&mut self) -> IoResult<()> {
+        let readable = self.readable_since.watch(self.stream.readable()).await;
+        readable.unwrap_or(Ok(()))
+    }
+
+    /// When the bytes arrived that the last wait for them has found; none if they were there already, or none are. Asked once
+    /// for each wait.
+    pub(crate) fn take_readable_since(&self) -> Option<Instant> {
+        self.readable_since.take()
+    }
+
     /// Takes in bytes that have arrived, without waiting.
     pub(crate) fn receive(&mut self) -> Result<Received, ClientGone> {
         let free = self.input.free();
--- a/router/src/stages/listener.rs
+++ b/router/src/stages/listener.rs
@@ -16,9 +16,10 @@
 
 use crate::lifecycle::tls::Tls;
 use crate::router::Router;
-use crate::stages::client_connection;
+use crate::stages::client_connection::{self, NewConnection};
 use crate::stages::stream::Stream;
 use crate::state::descriptors::{Peer, Permit};
+use crate::state::wake_time::WakeTime;
 
 pub(crate) use crate::stages::client_connection::adopt;
 
@@ -29,9 +30,11 @@
 pub(crate) async fn accept(router: Rc<Router>, listener: Async<TcpListener>, tls: Option<Rc<Tls>>) {
     let closing = router.listener.closing();
     let mut acceptor = Acceptor {
+        waiting_since: router.clock.now(),
         router,
         listener,
         tls,
+        connection_arrived: WakeTime::default(),
         failures: AcceptFailures::default(),
     };
     future::or(acceptor.accept_connections(), closing).await;
@@ -45,6 +48,10 @@
     listener: Async<TcpListener>,
     tls: Option<Rc<Tls>>,
     failures: AcceptFailures,
+    /// Notes when the first connection arrived in an empty backlog.
+    connection_arrived: WakeTime,
+    /// What is in the backlog has arrived since then.
+    waiting_since: Micros,
 }
 
 impl Acceptor {
@@ -54,9 +61,10 @@
             let changed = self.router.listener.accepting_changed();
             if !self.router.listener.is_accepting() {
                 changed.await;
+                self.waiting_since = self.router.clock.now();
                 continue;
             }
-            let permit = wait_for_permit(&self.router).await;
+            let permit = self.wait_for_permit().await;
             match self.accept_unless(changed).await {
                 None => {}
                 Some(Ok(stream)) => self.start_connection(stream, permit),
@@ -65,22 +73,44 @@
         }
     }
 
-    /// The next connection; none once this process may have ceased to accept: what waits in the listener is the other
-    /// process's from then on.
+    /// The next connection; none if there may be one, and once this process may have ceased to accept: what waits in the
+    /// listener is the other process's from then on.
     async fn accept_unless(
-        &self,
+        &mut self,
         changed: EventListener,
     ) -> Option<std::io::Result<Async<TcpStream>>> {
         let ceased = async {
             changed.await;
             None
         };
-        let accepted = async { Some(self.listener.accept().await.map(|(stream, _)| stream)) };
-        future::or(ceased, accepted).await
+        let accept = self.connection_arrived.watch(self.listener.accept());
+        let accepted = async { Some(accept.await?.map(|(stream, _)| stream)) };
+        let event = future::or(ceased, accepted).await;
+        self.note_arrival();
+        event
+    }
+
+    /// A wait for a connection has ended: what is accepted up to the next wait has arrived since it was woken.
+    fn note_arrival(&mut self) {
+        if let Some(instant) = self.connection_arrived.take() {
+            self.waiting_since = self.router.clock.time_of(instant);
+        }
+    }
+
+    /// A descriptor for the next connection.
+    async fn wait_for_permit(&mut self) -> Permit {
+        if let Some(permit) = self.router.descriptors.take(Peer::Client) {
+            return permit;
+        }
+        let permit = wait_for_permit(&self.router).await;
+        // For how long a connection has waited is not known then.
+        self.waiting_since = self.router.clock.now();
+        permit
     }
 
     /// Accepts what waits in the backlog of a listener that is about to close.
     async fn accept_backlog(&mut self) {
+        self.waiting_since = self.router.clock.arrival(self.connection_arrived.take());
         while self.router.listener.is_accepting() {
             let Some(permit) = self.router.descriptors.take(Peer::Client) else {
                 return;
@@ -131,7 +161,13 @@
                 }
             },
         };
-        client_connection::spawn(&self.router, stream, permit, Vec::new());
+        let new = NewConnection {
+            stream,
+            permit,
+            unread: Vec::new(),
+            arrived_at: self.waiting_since,
+        };
+        client_connection::spawn(&self.router, new);
     }
 
     /// Logs a failed accept, at most once in a while, and pauses as long as its kind asks for. Without a pause other tasks
--- a/router/src/stages/request_reader.rs
+++ b/router/src/stages/request_reader.rs
@@ -32,8 +32,11 @@
 }
 
 impl ClientConnection {
-    /// Waits for the first byte of a request.
-    pub(super) async fn wait_for_first_byte(&mut self) -> Result<(), ConnectionEnd> {
+    /// Waits for the first byte of a request, and returns when it arrived.
+    ///
+    /// That may be well before it is read, if something holds the router up meanwhile. Counted from when it was read, its
+    /// deadline was longer than its client's, and nodes were told more time than was left.
+    pub(super) async fn wait_for_first_byte(&mut self) -> Result<Micros, ConnectionEnd> {
         // A connection that has sent nothing yet counts with the requests that are not complete, by its age.
         let (state, since) = match self.awaiting_first_request {
             Some(accepted_at) => (ClientState::New, accepted_at),
@@ -43,17 +46,29 @@
         let mut close_wanted = place.close_requested.listen();
         let idle_limit = self.router.descriptors.kept_idle();
         self.router.clients.keep_idle(idle_limit);
+        // What comes with the connection may have arrived as early as the connection.
+        let mut arrived_at = self.arrived_at.take();
         loop {
             let transfer_changed = self.router.client_transfer.active_changed();
             if self.router.client_transfer.is_active() {
                 return Err(ConnectionEnd::Migrated);
             }
+            if let Some(at) = arrived_at.take() {
+                match self.io.receive() {
+                    Ok(Received::Bytes) => return Ok(at),
+                    Ok(Received::Nothing) => {}
+                    Err(ClientGone) => return Err(self.idle_end()),
+                }
+            }
             let stays_open = self
                 .wait_while_idle(transfer_changed, &mut close_wanted)
                 .await;
             // A request that has arrived meanwhile is still served; a wake-up without bytes begins none.
             match self.io.receive() {
-                Ok(Received::Bytes) => return Ok(()),
+                Ok(Received::Bytes) => {
+                    let noted = self.io.take_readable_since();
+                    return Ok(self.router.clock.arrival(noted));
+                }
                 Ok(Received::Nothing) if stays_open => {}
                 _ => return Err(self.idle_end()),
             }
@@ -70,8 +85,8 @@
         if self.awaiting_first_request.is_none() && self.router.listener.is_closed() {
             return false;
         }
-        let stream = &mut self.io.stream;
-        let readable = async { stream.readable().await.is_ok() };
+        let io = &mut self.io;
+        let readable = async { io.readable().await.is_ok() };
         let asked_to_close = async {
             close_wanted.await;
             false
--- a/router/src/state/mod.rs
+++ b/router/src/state/mod.rs
@@ -12,3 +12,4 @@
 pub(crate) mod log_limit;
 pub(crate) mod nodes;
 pub(crate) mod shutdown;
+pub(crate) mod wake_time;
