A shutdown counts from its signal, also where the router was held up meanwhile

A router held up by eight writes of 140 ms served a request up to 2.637 s after the signal; the earliest kill is at 2.6 s.

Change: the wake that a signal brings is noted when it comes, as for requests; the shutdown counts from there.

Measured: the new case of faults::held_up failed before (2.637 s), passes.

--- a/router/src/lifecycle/parent.rs
+++ b/router/src/lifecycle/parent.rs
@@ -52,7 +52,8 @@
             Timer::after(CHILD_CHECK_INTERVAL).await;
             None
         };
-        let signal = match future::or(async { Some(signals.next().await) }, check).await {
+        let signal = async { Some(signals.next().await.request) };
+        let signal = match future::or(signal, check).await {
             Some(SignalRequest::Reload) => Signal::HUP,
             Some(SignalRequest::Stop) => Signal::TERM,
             None => continue,
--- a/router/src/lifecycle/run.rs
+++ b/router/src/lifecycle/run.rs
@@ -3,6 +3,7 @@
 
 use async_executor::Task;
 use futures_lite::future;
+use ternpick::types::Micros;
 
 use crate::lifecycle::reload::Source;
 use crate::lifecycle::signals::{SignalRequest, Signals};
@@ -11,8 +12,8 @@
 
 /// Why a router no longer serves.
 enum ServingEnded {
-    /// It is to stop.
-    StopRequested,
+    /// It is to stop, as it was asked to then.
+    StopRequested(Micros),
     /// Everything has gone over to a new process.
     HandedOver,
 }
@@ -26,8 +27,9 @@
 ) {
     match serve(router, &signals, source).await {
         ServingEnded::HandedOver => {}
-        ServingEnded::StopRequested => {
-            future::or(stop::stop(router, accepting), ignore(&signals)).await;
+        ServingEnded::StopRequested(requested_at) => {
+            let stop = stop::stop(router, accepting, requested_at);
+            future::or(stop, ignore(&signals)).await;
         }
     }
 }
@@ -44,10 +46,15 @@
             None
         };
         match future::or(signal, commanded).await {
-            Some(SignalRequest::Reload) => source.reload(router),
-            Some(SignalRequest::Stop) => return ServingEnded::StopRequested,
+            Some(signal) => match signal.request {
+                SignalRequest::Reload => source.reload(router),
+                SignalRequest::Stop => {
+                    let requested_at = router.clock.time_of(signal.received_at);
+                    return ServingEnded::StopRequested(requested_at);
+                }
+            },
             None if router.shutdown.is_handed_over() => return ServingEnded::HandedOver,
-            None => return ServingEnded::StopRequested,
+            None => return ServingEnded::StopRequested(router.clock.now()),
         }
     }
 }
@@ -55,7 +62,7 @@
 /// Signals during a stop are logged, and change nothing.
 async fn ignore(signals: &Signals) {
     loop {
-        let signal = signals.next().await;
+        let signal = signals.next().await.request;
         tracing::info!(?signal, "signal ignored: the router is stopping");
     }
 }
--- a/router/src/lifecycle/signals.rs
+++ b/router/src/lifecycle/signals.rs
@@ -6,12 +6,14 @@
 use std::os::unix::net::UnixStream;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use futures_lite::future;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
+use crate::state::wake_time::WakeTime;
+
 /// A wake-up that was lost (the pipe is full, its write failed) delays a signal by no more than this.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -29,6 +31,15 @@
     Reload,
 }
 
+/// A signal that has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ReceivedSignal {
+    /// What it asks for.
+    pub(crate) request: SignalRequest,
+    /// When it came, as far as that is known: the router may have been held up since.
+    pub(crate) received_at: Instant,
+}
+
 /// Signals that have come. Each is a flag of its own: a flag is neither cut nor interrupted, and one signal is seen once. When
 /// numbers in a pipe named them, a signal was lost when a read of its number was cut and then interrupted. The pipe wakes, and
 /// carries nothing.
@@ -36,6 +47,7 @@
     stop: Arc<AtomicBool>,
     reload: Arc<AtomicBool>,
     pipe: Async<UnixStream>,
+    received: WakeTime,
 }
 
 /// Receives signals from here on; until then SIGHUP would end the program.
@@ -52,6 +64,7 @@
         stop,
         reload,
         pipe: Async::new(read)?,
+        received: WakeTime::default(),
     })
 }
 
@@ -68,15 +81,19 @@
     }
 
     /// Waits for the next signal.
-    pub(crate) async fn next(&self) -> SignalRequest {
+    pub(crate) async fn next(&self) -> ReceivedSignal {
         loop {
             // Wake-ups are taken off before the flags are read: one that comes in between wakes again.
             while matches!(self.pipe.get_ref().read(&mut [0; 64]), Ok(count) if count > 0) {}
             if let Some(request) = self.take() {
-                return request;
+                let received_at = self.received.take().unwrap_or_else(Instant::now);
+                return ReceivedSignal {
+                    request,
+                    received_at,
+                };
             }
             let woken = async {
-                if self.pipe.readable().await.is_err() {
+                if let Some(Err(_)) = self.received.watch(self.pipe.readable()).await {
                     future::pending::<()>().await;
                 }
             };
--- a/router/src/lifecycle/stop.rs
+++ b/router/src/lifecycle/stop.rs
@@ -15,9 +15,10 @@
 const CHECK_INTERVAL: Micros = Micros(5_000);
 
 /// From the request to stop on: accepts for as long as connections still come, then answers what is in flight. `accepting`
-/// ends once the listener is closed.
-pub(crate) async fn stop(router: &Router, accepting: Task<()>) {
-    let schedule = Shutdown::new(router.clock.now(), router.bounds.longest_deadline);
+/// ends once the listener is closed. The stop was requested at `requested_at`, and whoever asked for it kills the process by that:
+/// a router that is held up then keeps to the same instants.
+pub(crate) async fn stop(router: &Router, accepting: Task<()>, requested_at: Micros) {
+    let schedule = Shutdown::new(requested_at, router.bounds.longest_deadline);
     router.shutdown.begin(schedule);
     router.apply(|engine, now, effects| engine.shutdown_started(now, schedule.answers_by, effects));
     if let Some(fleet) = &router.fleet {
--- a/router/tests/faults/held_up.rs
+++ b/router/tests/faults/held_up.rs
@@ -98,3 +98,42 @@
         .len();
     assert!(sent > 2 * CLIENTS, "{sent} requests in {LOAD:?}");
 }
+
+/// The longest deadline of the indexes, in milliseconds.
+const LONGEST_MS: u64 = 1900;
+/// So many writes hold the router up beyond the end of the time in which it accepts.
+const STRIKES: u64 = 8;
+/// From the signal to the earliest kill, by the protocol.
+const KILL: Duration = Duration::from_millis(700 + LONGEST_MS);
+
+/// A signal that comes while the router is held up: the shutdown counts from the signal, for the kill does. Counted from when the
+/// router got to it, what came late was answered by a time at which nobody was left to answer.
+#[test]
+fn a_shutdown_counts_from_its_signal_whatever_held_the_router_up() {
+    let held_up = Rule::new(Call::Send, Role::Client, 1, Effect::HeldUp(HELD_UP_MS));
+    let held_up = held_up.most(STRIKES);
+    let settings = SETTINGS.replace(
+        "\"deadline\":3000000",
+        &format!("\"deadline\":{LONGEST_MS}000"),
+    );
+    let of = Faulty::start(&settings, &[Act::Silent], &plan(vec![held_up]));
+    let mut idle = of.router.connect();
+    let mut asks_for_health: Vec<TcpStream> = (0..STRIKES).map(|_| of.router.connect()).collect();
+    for stream in &mut asks_for_health {
+        stream
+            .write_all(b"GET /_health HTTP/1.1\r\n\r\n")
+            .expect("written");
+    }
+    thread::sleep(30 * MS);
+    let signalled = Instant::now();
+    of.router.signal("-TERM");
+    // On a connection that the router, held up, has not closed yet.
+    thread::sleep(750 * MS);
+    let deadline = format!("Deadline-Ms: {LONGEST_MS}");
+    let text = request("whole", "late").replace("Deadline-Ms: 2000", &deadline);
+    idle.write_all(text.as_bytes()).expect("written");
+    status_of(&mut idle).expect("an answer");
+    let answered = signalled.elapsed();
+    of.all_struck();
+    assert!(answered < KILL, "answered {answered:?} after the signal");
+}
