Tests that fail: a request that waits behind a slow one over an upgrade

A request that waits behind a slow one goes over to the new process as bytes, and its wait does not: a node was told 599 ms when the client had 148 ms left. On a TLS connection, which cannot go over, it is read and closed without an answer: lost.

--- a/router/tests/upgrade/main.rs
+++ b/router/tests/upgrade/main.rs
@@ -7,5 +7,6 @@
 mod load;
 mod measures;
 mod overlap;
+mod sent_ahead;
 mod state;
 mod support;
