What a client has sent ahead is answered by the process that has read it, over an upgrade too

Symptom: over an upgrade a node was told 599 ms when the client had 148 ms left; on TLS a request was read and lost.

Cause: a connection went over as soon as its answer was written, with the bytes of a waiting request, but not with its wait; a TLS connection was closed over it.

Change: the old process answers what it has read, and passes the connection on behind it; from 3 s after the first connection went over it passes waiting bytes on as before, so that a client that always sends ahead does not keep it. The rule is pure, in hot_restart/src/connections.rs. The messages between the processes stay as they are.

--- a/hot_restart/src/lib.rs
+++ b/hot_restart/src/lib.rs
@@ -9,6 +9,7 @@
 //! old process has received [`Message::Took`], every failure ends with the old process serving. From then on the new one
 //! serves, unless it ends while the old one still drains: then the old one serves again.
 
+mod connections;
 mod effect;
 mod injected_bug;
 mod lease;
@@ -20,6 +21,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use connections::goes_over;
 pub use effect::Effect;
 pub use lease::{Lease, LeaseSplit};
 pub use message::{decode, encode, DecodeError, Decoded, Message, FRAME_BOUND, VERSION};
--- a/router/src/lifecycle/upgrade/driver.rs
+++ b/router/src/lifecycle/upgrade/driver.rs
@@ -203,7 +203,10 @@
                 Effect::PassListeners => self.pass_listeners().await,
                 Effect::PassState => self.pass_snapshot().await,
                 Effect::Accept(accepts) => self.router.listener.set_accepting(accepts),
-                Effect::PassClients(passes) => self.router.client_transfer.set_active(passes),
+                Effect::PassClients(true) => {
+                    self.router.client_transfer.begin(self.router.clock.now());
+                }
+                Effect::PassClients(false) => self.router.client_transfer.end(),
                 Effect::Use(lease) => self.apply_share(lease),
                 Effect::EndPeer => self.end_new_process(),
                 Effect::Exit => self.finished = true,
--- a/router/src/stages/client_connection.rs
+++ b/router/src/stages/client_connection.rs
@@ -178,9 +178,17 @@
         self.router.clock.now().since(self.opened_at).0 / 1000
     }
 
+    /// Whether the connection, between two requests, goes to a new process.
+    fn goes_over(&self) -> bool {
+        let began_at = self.router.client_transfer.began_at();
+        began_at.is_some_and(|began_at| {
+            ternpick_hot_restart::goes_over(began_at, self.io.sent_ahead_since())
+        })
+    }
+
     /// Reads and answers one request; an error is the connection's end.
     async fn serve_request(&mut self) -> Result<(), ConnectionEnd> {
-        if self.router.client_transfer.is_active() {
+        if self.goes_over() {
             return Err(ConnectionEnd::Migrated);
         }
         let sent_ahead_at = self.io.take_sent_ahead();
@@ -261,7 +269,7 @@
         }
     }
 
-    /// Complete requests that wait and idle connections go on in the new process.
+    /// The connection goes on in the new process, with what has been read of its next request.
     fn pass_to_new_process(self) {
         let unread = self.io.input.to_vec();
         let Stream::Plain(socket) = self.io.stream else {
--- a/router/src/stages/client_io.rs
+++ b/router/src/stages/client_io.rs
@@ -160,8 +160,14 @@
 
     /// Since when the bytes that wait in the input buffer have been there; asked once for each request.
     pub(crate) fn take_sent_ahead(&mut self) -> Option<Micros> {
-        let at = self.sent_ahead_at.take();
-        at.filter(|_| !self.input.is_empty())
+        let at = self.sent_ahead_since();
+        self.sent_ahead_at = None;
+        at
+    }
+
+    /// Since when the bytes that wait in the input buffer have been there, if any do.
+    pub(crate) fn sent_ahead_since(&self) -> Option<Micros> {
+        self.sent_ahead_at.filter(|_| !self.input.is_empty())
     }
 
     fn discard_if_full(&mut self) {
--- a/router/src/state/client_transfer.rs
+++ b/router/src/state/client_transfer.rs
@@ -8,6 +8,7 @@
 use std::net::TcpStream;
 
 use event_listener::{Event, EventListener};
+use ternpick::types::Micros;
 
 /// A client's connection, with the bytes that the client has sent already and nobody has read as a request.
 pub(crate) struct PassedClient {
@@ -20,7 +21,7 @@
 /// The connections that are to go to the new process. Emptied by the upgrade; bounded by the descriptors of clients.
 #[derive(Default)]
 pub(crate) struct ClientTransfer {
-    active: Cell<bool>,
+    began_at: Cell<Option<Micros>>,
     active_changed: Event,
     waiting: RefCell<VecDeque<PassedClient>>,
     added: Event,
@@ -29,12 +30,23 @@
 impl ClientTransfer {
     /// Whether idle connections go to the new process.
     pub(crate) fn is_active(&self) -> bool {
-        self.active.get()
+        self.began_at.get().is_some()
     }
 
-    /// Begins or ends passing connections on; everyone who waits for a change is woken.
-    pub(crate) fn set_active(&self, active: bool) {
-        self.active.set(active);
+    /// Since when idle connections go to the new process, if they do.
+    pub(crate) fn began_at(&self) -> Option<Micros> {
+        self.began_at.get()
+    }
+
+    /// Passes connections on from `now` on; everyone who waits for a change is woken.
+    pub(crate) fn begin(&self, now: Micros) {
+        self.began_at.set(Some(now));
+        self.active_changed.notify(usize::MAX);
+    }
+
+    /// Passes no more connections on; everyone who waits for a change is woken.
+    pub(crate) fn end(&self) {
+        self.began_at.set(None);
         self.active_changed.notify(usize::MAX);
     }
 
