Drawn plays: what stands round the routers is a module of its own; upgradable routers stand in common

The stage and the judgement are stage.rs now, for plays of upgrades to come; Upgradable moves from the upgrade tests to tests/common. No check, bound or draw changed.

--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod guarded;
 pub(crate) mod release;
 pub(crate) mod shard_requests;
+pub(crate) mod upgradable;
 
 pub(crate) use ternpick_simulation::standins::{entry, read_head, Act, Discovery, Node};
 
--- a/router/tests/drawn/main.rs
+++ b/router/tests/drawn/main.rs
@@ -13,3 +13,4 @@
 mod scenario;
 mod seeds;
 mod signals;
+mod stage;
