A test that fails: connections that rest keep the capacity from the new process of an upgrade

Found by plays of drawn over hot restarts: the new process rejected all queries ("at capacity ... in_flight=0", 503) until the old one had left, up to 2.3 s. The old process keeps four places for each client's connection; with 25 connections and a limit of 100 nothing is left.

Also in drawn over hot restarts: clients that send two requests at once, and a check that an upgrade commits if no signal disturbs it.

--- a/router/tests/drawn/crowd.rs
+++ b/router/tests/drawn/crowd.rs
@@ -107,8 +107,7 @@
     }
 }
 
-/// Sends requests in one write, and reads their answers in order. A connection that ends behind an answer leaves the rest to be
-/// sent again.
+/// Sends bursts on connections of their own.
 fn burst(seed: u64, number: u64, address: SocketAddr, router: &str, record: &Record) {
     let mut draw = Draw::new(seed * 77 + number);
     for turn in 0.. {
@@ -121,27 +120,60 @@
         // Answers come in order: none of them has to overtake another.
         let deadline = asks[0].deadline;
         asks.iter_mut().for_each(|ask| ask.deadline = deadline);
-        let bytes: Vec<u8> = asks.iter().flat_map(Ask::text).collect();
-        let at = record.now();
-        if stream.write_all(&bytes).is_err() {
-            continue;
-        }
-        for ask in &asks {
-            record.sent(at, ask, router);
+        send_together(&mut stream, asks, router, record);
+        thread::sleep(BURST_GAP);
+    }
+}
+
+/// Sends two requests at once, again and again, and keeps the connection while it is there.
+pub(crate) fn pairs(seed: u64, number: u64, address: SocketAddr, router: &str, record: &Record) {
+    let mut draw = Draw::new(seed * 91 + number);
+    let mut kept: Option<TcpStream> = None;
+    for turn in 0.. {
+        if record.is_over() {
+            return;
         }
-        let mut answers = Answers::of(&mut stream);
-        let statuses: Vec<Option<u16>> = asks.iter().map(|_| answers.next()).collect();
-        for (at, (ask, status)) in asks.into_iter().zip(statuses).enumerate() {
-            record.saw(match status {
-                Some(status) => Saw::Answered { id: ask.id, status },
-                None if at > 0 => Saw::Crossed { id: ask.id },
-                None => Saw::NoAnswer { id: ask.id },
-            });
+        let found = kept.take().filter(|stream| !has_ended(stream));
+        let Some(mut stream) = found.or_else(|| connect(address)) else {
+            return;
+        };
+        let of_pair = |at| format!("{router}pair{number}x{turn}x{at}");
+        let (first, second) = (of_pair(0), of_pair(1));
+        let first = Ask::draw(&mut draw, first);
+        let mut second = Ask::draw(&mut draw, second);
+        // It has to wait for the first one, and no longer than that.
+        second.deadline = second.deadline.max(first.deadline);
+        if send_together(&mut stream, vec![first, second], router, record) {
+            kept = Some(stream);
         }
-        thread::sleep(BURST_GAP);
     }
 }
 
+/// Sends requests in one write, and reads their answers in order. A connection that ends behind an answer leaves the rest to be
+/// sent again. Whether all were answered.
+fn send_together(stream: &mut TcpStream, asks: Vec<Ask>, router: &str, record: &Record) -> bool {
+    let bytes: Vec<u8> = asks.iter().flat_map(Ask::text).collect();
+    let at = record.now();
+    if stream.write_all(&bytes).is_err() {
+        return false;
+    }
+    for ask in &asks {
+        record.sent(at, ask, router);
+    }
+    let mut answers = Answers::of(stream);
+    let mut all_are_answered = true;
+    for (at, ask) in asks.into_iter().enumerate() {
+        let status = answers.next();
+        all_are_answered &= status.is_some();
+        record.saw(match status {
+            Some(status) => Saw::Answered { id: ask.id, status },
+            None if at > 0 => Saw::Crossed { id: ask.id },
+            None => Saw::NoAnswer { id: ask.id },
+        });
+    }
+    all_are_answered
+}
+
 /// Answers that come one behind the other.
 struct Answers<'a> {
     stream: &'a mut TcpStream,
--- a/router/tests/drawn/upgrades.rs
+++ b/router/tests/drawn/upgrades.rs
@@ -11,11 +11,14 @@
 use crate::common::faulty::preload;
 use crate::common::upgradable::{Place, Upgradable};
 use crate::common::{has_ended, status_of};
+use crate::crowd::pairs;
 use crate::faults::Draw;
 use crate::scenario::Scenario;
 use crate::signals::KILL;
 use crate::stage::{count_strikes, judge, plan, Outcome, Stage};
 
+/// Clients that send two requests at once, so that one waits behind the other.
+const PAIRS: u64 = 3;
 /// How long clients send where no process is told to end.
 const LOAD: Duration = Duration::from_millis(3600);
 /// From the command on, a hot restart's phases are over within so many milliseconds, but for the draining.
@@ -102,13 +105,20 @@
         command
             .env(variable, &path)
             .env("LD_PRELOAD", preload())
-            .env("RUST_LOG", "info")
+            .env(
+                "RUST_LOG",
+                std::env::var("PLAY_LOG").unwrap_or("info".into()),
+            )
             .stderr(Stdio::from(log));
     });
     let began = Instant::now();
     let address = of.router.address;
     thread::scope(|scope| {
         stage.start_clients(scope, seed, &scenario.faults, "n0", address);
+        for number in 0..PAIRS {
+            let record = record.clone();
+            scope.spawn(move || pairs(seed, number, address, "n0", &record));
+        }
         stage.start_troubles(scope, &scenario.faults, began);
         thread::sleep(scenario.upgrade_at.saturating_sub(began.elapsed()));
         upgrade(&mut of, &scenario, &record);
@@ -123,17 +133,41 @@
     );
     let (counted, mut breaks) = judge(&name, &scenario.faults, &record, strikes.clone(), &log);
     strikes = counted;
-    if scenario.target == Target::Nobody && !serves(&of) {
-        println!("{name}: {scenario:?}\nnobody serves\n{log}");
-        breaks.push("nobody serves, and nobody was told to end".into());
+    if scenario.target == Target::Nobody {
+        let undisturbed = undisturbed_breaks(&of, &scenario, &log);
+        if !undisturbed.is_empty() {
+            println!("{name}: {scenario:?}\n{undisturbed:?}\n{log}");
+        }
+        breaks.extend(undisturbed);
     }
     (strikes, breaks)
 }
 
+/// What is broken of an upgrade that no signal has disturbed: it commits, unless a new process can have no sockets, and somebody
+/// serves.
+fn undisturbed_breaks(of: &Upgradable, scenario: &UpgradeScenario, log: &str) -> Vec<String> {
+    let mut breaks = Vec::new();
+    if !serves(of) {
+        breaks.push("nobody serves, and nobody was told to end".into());
+    }
+    let has_sockets = !scenario
+        .faults
+        .rules
+        .iter()
+        .any(|rule| rule.call == Call::Socket);
+    if has_sockets && outcome(log) != COMMITTED {
+        breaks.push(format!("the upgrade was {}", outcome(log)));
+    }
+    breaks
+}
+
+/// The outcome of an upgrade in which the new process has come to serve.
+const COMMITTED: &str = "committed";
+
 /// What came of the upgrade, by the log of both processes.
 fn outcome(log: &str) -> &'static str {
     if log.contains("upgrade: the new process serves") {
-        "committed"
+        COMMITTED
     } else if log.contains("upgrade: given up") {
         "given up"
     } else {
--- a/router/tests/upgrade/overlap.rs
+++ b/router/tests/upgrade/overlap.rs
@@ -201,3 +201,35 @@
         "the load is beyond it"
     );
 }
+
+/// Connections that rest. Four times as many queries and shard requests are more than the capacity of the test settings (100).
+const RESTING: usize = 60;
+
+/// What happened, in plays of `drawn` over hot restarts: "at capacity, rejecting queries in_flight=0" at the new process, and 503 for
+/// each query until the old one had left, up to 2.3 s. The old process had kept four places for each connection of a client, so that
+/// with 25 connections and a limit of 100 nothing was left for the new one.
+#[test]
+fn connections_that_rest_keep_no_capacity_from_the_new_process() {
+    let of = Upgradable::start(&[Act::Silent], "");
+    let mut resting: Vec<_> = (0..RESTING).map(|_| of.router.connect()).collect();
+    let (mut slow, before) = (of.router.connect(), of.pid());
+    slow.write_all(request("once", "slow").as_bytes())
+        .expect("written");
+    of.nodes[0].frame('q');
+    thread::scope(|scope| {
+        let upgrade = scope.spawn(|| of.upgrade(&[]));
+        within(|| of.pid() != before, "the new process serves");
+        *of.nodes[0]
+            .acts
+            .lock()
+            .expect("no test thread panicked with the lock held") = [Act::Serve; 2];
+        served(of.router.address, "new");
+        for (number, stream) in resting.iter_mut().enumerate() {
+            assert_eq!(common::ask(stream, "whole", &format!("r{number}")).0, 200);
+        }
+        assert!(!upgrade.is_finished(), "the old process has left too soon");
+        assert_eq!(common::answer(&mut slow).0, 502);
+        let (done, text) = upgrade.join().expect("it ends");
+        assert!(done, "{text}");
+    });
+}
