The new process of an upgrade gets most of the free capacity, however many clients are connected

Symptom: during an upgrade with many connections the new process answered every query with 503 "too many lookups in hand" until the old one had left, up to 2.3 s.

Cause: the old process kept four places for each client's connection, also for those that rest and go over at once.

Change: it keeps places for what is in flight or waits for admission, and for what may still come at most a quarter of what is free (places_kept in hot_restart/src/lease.rs, pure, with a property test). What has arrived on a plain connection that rests is left to the new process once connections go over. Connections set aside go back to the old process as soon as none go over any more, not only when the new process has ended: behind a broken link they waited without being read; their requests count from when they were set aside.

--- a/hot_restart/src/lease.rs
+++ b/hot_restart/src/lease.rs
@@ -16,6 +16,21 @@
     pub memory: u64,
 }
 
+/// The old process keeps at most one in so many of its free places for requests that may still come to it.
+const KEPT_OF_FREE: u32 = 4;
+
+/// How many places for queries and shard requests the old process keeps: for the `in_use` of its `capacity`, and for the
+/// `may_come` that clients with half a request or none may bring before their connections go over, as far as a part of what
+/// is free allows.
+///
+/// The rest is the new process's until the old one has left. When all that might come was kept, 25 connections left a new
+/// process with a capacity of 100 nothing, and it rejected every query for as long as the old one drained.
+pub fn places_kept(capacity: u32, in_use: u32, may_come: u32) -> u32 {
+    let in_use = in_use.min(capacity);
+    let free = capacity - in_use;
+    in_use + may_come.min(free / KEPT_OF_FREE)
+}
+
 /// A lease divided between the old and the new process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LeaseSplit {
--- a/hot_restart/src/lib.rs
+++ b/hot_restart/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use connections::goes_over;
 pub use effect::Effect;
-pub use lease::{Lease, LeaseSplit};
+pub use lease::{places_kept, Lease, LeaseSplit};
 pub use message::{decode, encode, DecodeError, Decoded, Message, FRAME_BOUND, VERSION};
 pub use new_process::{NewProcess, OldProcessEvent};
 pub use old_process::{NewProcessEvent, OldProcess};
--- a/hot_restart/tests/lease.rs
+++ b/hot_restart/tests/lease.rs
@@ -1,7 +1,7 @@
 //! The division of a lease.
 
 use proptest::prelude::*;
-use ternpick_hot_restart::Lease;
+use ternpick_hot_restart::{places_kept, Lease};
 
 type Parts = (u32, u32, u32, u64);
 
@@ -16,6 +16,15 @@
 
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+    #[test]
+    fn what_is_in_use_is_kept_and_most_of_what_is_free_is_granted(capacity: u32, in_use: u32, may_come: u32) {
+        let kept = places_kept(capacity, in_use, may_come);
+        let free = capacity.saturating_sub(in_use);
+        prop_assert!(kept >= in_use.min(capacity));
+        prop_assert!(capacity - kept >= free - free / 4);
+        prop_assert!(kept - in_use.min(capacity) <= may_come);
+    }
+
     #[test]
     fn a_split_grants_nothing_twice_and_loses_nothing(capacity in any::<Parts>(), in_use in any::<Parts>()) {
         let capacity = lease(capacity);
--- a/router/src/lifecycle/capacity_share.rs
+++ b/router/src/lifecycle/capacity_share.rs
@@ -4,14 +4,15 @@
 
 use std::cell::Cell;
 
-use ternpick_hot_restart::Lease;
+use ternpick_hot_restart::{places_kept, Lease};
 
 use crate::router::Router;
+use crate::state::clients::ClientState;
 use crate::state::descriptors::OWN;
 
 /// Connections to nodes that a draining process may still open for what it has in flight.
 const SPARE_SOCKETS: usize = 8;
-/// Queries and shard requests that each client's connection may still bring to a draining process.
+/// Queries and shard requests that a request which is not admitted yet may bring to a draining process.
 const HELD_A_CLIENT: usize = 4;
 
 /// Whether a process that has a part of the capacity admits new queries.
@@ -66,11 +67,18 @@
 
     /// What this process uses now.
     pub(crate) fn in_use(&self, router: &Router) -> Lease {
-        // Requests that are half read here are admitted here.
-        let half_read = HELD_A_CLIENT * router.descriptors.clients();
-        let held = router.decisions.borrow().effects.in_flight.load() + half_read;
+        let decisions = router.decisions.borrow();
+        let in_flight = &decisions.effects.in_flight;
+        // Requests that wait for their admission are admitted here. So are those that are half read, as they become complete;
+        // and connections that rest may bring one until the new process has taken over and they go over.
+        let clients = router.descriptors.clients();
+        let half_read = router.clients.count(ClientState::Partial).count;
+        let may_bring = router.clients.count_owed_nothing() + half_read;
+        let unadmitted = clients.saturating_sub(may_bring + in_flight.query_count());
+        let in_use = saturating_u32(in_flight.load() + HELD_A_CLIENT * unadmitted);
+        let may_come = saturating_u32(HELD_A_CLIENT * may_bring);
         Lease {
-            held: saturating_u32(held),
+            held: places_kept(self.all.held, in_use, may_come),
             extra: 0,
             sockets: saturating_u32(router.descriptors.held() + SPARE_SOCKETS),
             memory: router.budget.used() as u64,
--- a/router/src/lifecycle/takeover.rs
+++ b/router/src/lifecycle/takeover.rs
@@ -293,7 +293,8 @@
         tracing::warn!("hot restart: client connection came without its descriptor");
         return false;
     };
-    match listener::adopt(router, TcpStream::from(fd), unread) {
+    let now = router.clock.now();
+    match listener::adopt(router, TcpStream::from(fd), unread, now) {
         Ok(()) => true,
         Err(error) => {
             tracing::warn!(%error, "hot restart: client connection closed");
--- a/router/src/lifecycle/upgrade/driver.rs
+++ b/router/src/lifecycle/upgrade/driver.rs
@@ -100,8 +100,10 @@
             self.handle(received, now).await;
             let effects = self.upgrades.machine.borrow_mut().handle_timeout(now);
             self.carry_out(effects).await;
-            if self.upgrades.machine.borrow().is_serving() {
+            if !self.router.client_transfer.is_active() {
                 self.take_clients_back();
+            }
+            if self.upgrades.machine.borrow().is_serving() {
                 return Err(UpgradeError::GivenUp {
                     reason: self.failure,
                 });
@@ -300,6 +302,9 @@
 
     /// Passes connections of clients that have become idle on.
     async fn pass_clients(&mut self) {
+        if !self.upgrades.machine.borrow().is_draining() {
+            return;
+        }
         while let Some(client) = self.router.client_transfer.pop() {
             if !self.pass_client(client).await {
                 return;
@@ -312,7 +317,11 @@
         let Some(link) = &self.link else {
             return false;
         };
-        let PassedClient { socket, unread } = client;
+        let PassedClient {
+            socket,
+            unread,
+            set_aside_at,
+        } = client;
         let message = Message::Client { unread };
         let fds = [socket.as_fd()];
         let deadline = self.router.clock.now() + PASS_TIMEOUT;
@@ -325,18 +334,26 @@
         }
         // Where nothing of it can have gone over, it stays here: its client has lost nothing.
         if let (Some(Err(_)), Message::Client { unread }) = (sent, message) {
-            self.router
-                .client_transfer
-                .put_back(PassedClient { socket, unread });
+            self.router.client_transfer.put_back(PassedClient {
+                socket,
+                unread,
+                set_aside_at,
+            });
         }
         self.note_broken_link();
         false
     }
 
-    /// The upgrade has failed: connections that were on their way over stay here.
+    /// No connection goes over any more: those that were set aside stay here.
     fn take_clients_back(&self) {
-        while let Some(PassedClient { socket, unread }) = self.router.client_transfer.pop() {
-            if let Err(error) = listener::adopt(self.router, socket, &unread) {
+        while let Some(client) = self.router.client_transfer.pop() {
+            let PassedClient {
+                socket,
+                unread,
+                set_aside_at,
+            } = client;
+            let adopted = listener::adopt(self.router, socket, &unread, set_aside_at);
+            if let Err(error) = adopted {
                 tracing::warn!(%error, "hot restart: client connection closed");
             }
         }
--- a/router/src/stages/client_connection.rs
+++ b/router/src/stages/client_connection.rs
@@ -112,11 +112,13 @@
     router.executor.spawn(task).detach();
 }
 
-/// Takes over a connection that another process has passed on, with what its client has sent already.
+/// Takes over a connection that another process has passed on, or this one had set aside at `set_aside_at`, with what its client
+/// had sent by then.
 pub(crate) fn adopt(
     router: &Rc<Router>,
     socket: TcpStream,
     unread: &[u8],
+    set_aside_at: Micros,
 ) -> Result<(), AdoptError> {
     let permit = router
         .descriptors
@@ -127,7 +129,7 @@
         stream: Stream::Plain(stream),
         permit,
         unread: unread.to_vec(),
-        arrived_at: router.clock.now(),
+        arrived_at: set_aside_at,
     };
     spawn(router, new);
     Ok(())
@@ -260,7 +262,7 @@
 
     /// Ends the connection: passed on to the new process, closed at once where the client is gone, else gracefully.
     async fn finish(mut self, end: ConnectionEnd) {
-        if end == ConnectionEnd::Migrated && matches!(self.io.stream, Stream::Plain(_)) {
+        if end == ConnectionEnd::Migrated && self.io.stream.can_be_passed() {
             self.pass_to_new_process();
         } else if self.io.is_client_gone() {
             self.io.stream.finish();
@@ -276,9 +278,11 @@
             return;
         };
         if let Ok(socket) = socket.into_inner() {
-            self.router
-                .client_transfer
-                .push(PassedClient { socket, unread });
+            self.router.client_transfer.push(PassedClient {
+                socket,
+                unread,
+                set_aside_at: self.router.clock.now(),
+            });
         }
     }
 }
--- a/router/src/stages/request_reader.rs
+++ b/router/src/stages/request_reader.rs
@@ -63,6 +63,10 @@
             let stays_open = self
                 .wait_while_idle(transfer_changed, &mut close_wanted)
                 .await;
+            if self.router.client_transfer.is_active() && self.io.stream.can_be_passed() {
+                // What has arrived is read by the new process.
+                return Err(ConnectionEnd::Migrated);
+            }
             // A request that has arrived meanwhile is still served; a wake-up without bytes begins none.
             match self.io.receive() {
                 Ok(Received::Bytes) => {
--- a/router/src/stages/stream.rs
+++ b/router/src/stages/stream.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Whether another process can go on with it.
+    pub(crate) fn can_be_passed(&self) -> bool {
+        matches!(self, Stream::Plain(_))
+    }
+
     /// Has small writes sent at once; without it the connection works all the same.
     pub(crate) fn set_nodelay(&self) {
         let _ = self.socket().set_nodelay(true);
--- a/router/src/state/client_transfer.rs
+++ b/router/src/state/client_transfer.rs
@@ -16,6 +16,8 @@
     pub(crate) socket: TcpStream,
     /// What has been read from it.
     pub(crate) unread: Vec<u8>,
+    /// Since when nothing is read from it.
+    pub(crate) set_aside_at: Micros,
 }
 
 /// The connections that are to go to the new process. Emptied by the upgrade; bounded by the descriptors of clients.
--- a/router/tests/drawn/crowd.rs
+++ b/router/tests/drawn/crowd.rs
@@ -146,6 +146,7 @@
         if send_together(&mut stream, vec![first, second], router, record) {
             kept = Some(stream);
         }
+        thread::sleep(Duration::from_millis(draw.between(1, 25)));
     }
 }
 
