--- a/router/tests/upgrade/failures.rs
+++ b/router/tests/upgrade/failures.rs
@@ -6,11 +6,16 @@
 use std::thread;
 use std::time::Duration;
 
+use crate::common::faulty::preload;
 use crate::common::guarded::within;
 use crate::common::{self, Act};
 use crate::support::{script, served, standin, Upgradable};
+use ternpick_fault_injection::{Call, Plan, Role, Rule};
 use test_case::test_case;
 
+/// For how long the new process can have no sockets, from its start on.
+const SHORTAGE_MS: u64 = 600;
+
 #[test_case("die:1"; "before hello")]
 #[test_case("die:2"; "after hello")]
 #[test_case("die:3"; "with the listeners")]
@@ -152,3 +157,37 @@
         "nobody serves"
     );
 }
+
+/// What happened, in a play of `drawn` (upgrade seed 7517): sockets failed (EMFILE) for a moment in which the new process opened its
+/// control socket. It had committed, and ended with "control socket ...: Too many open files"; the connections that had gone over to
+/// it were cut off, two with a request on them.
+#[test]
+fn a_new_process_that_can_open_no_control_socket_yet_serves_on() {
+    let of = Upgradable::start(&[Act::Serve], "");
+    let folder = tempfile::tempdir().expect("a folder");
+    let rule = Rule::fails(Call::Socket, Role::Any, 1, &["EMFILE"]).between(0, SHORTAGE_MS);
+    let faults = Plan {
+        seed: 1,
+        rules: vec![rule],
+        ..Plan::default()
+    };
+    let ((variable, path), strikes) = faults.write(folder.path(), "faults").expect("a plan");
+    let program = format!(
+        "export {variable}={} LD_PRELOAD={}\nexec {} \"$@\"",
+        path.display(),
+        preload().display(),
+        env!("CARGO_BIN_EXE_ternpick")
+    );
+    let program = script(&of, &program);
+    let mut kept = of.router.connect();
+    assert_eq!(common::ask(&mut kept, "whole", "s1").0, 200);
+    let before = of.pid();
+    let (done, text) = of.upgrade(&["--program", &program]);
+    assert!(done, "{text}");
+    // Its connections to nodes wait for a socket as well.
+    assert_eq!(common::ask(&mut kept, "whole", "s2").0, 200);
+    served(of.router.address, "s3");
+    assert!(strikes.of(0) > 0);
+    within(|| of.pid() != before, "the new process's id");
+    of.settled();
+}
