A new process that can open no control socket yet serves on, and tries again

Symptom: connections that had gone over in an upgrade were cut off, with requests on them.

Cause: behind the commit the new process duplicated its listeners, stored its process id and bound its control socket, and ended where one of these failed, as a fresh start does.

Change: a process that replaces another one logs the failure and tries again each 200 ms. The listeners are shared with the upgrades to come in place of duplicates, so that there is nothing to fail. A fresh start still ends with the error.

--- a/router/src/lifecycle/control.rs
+++ b/router/src/lifecycle/control.rs
@@ -16,7 +16,7 @@
 
 pub(crate) use client::{request_with_timeout, ControlError, Socket};
 pub(crate) use command::{run, ControlCommand};
-pub(crate) use server::{bind, serve};
+pub(crate) use server::{open, open_later, serve};
 
 /// What the control socket of one router answers from.
 pub(crate) struct Control {
--- a/router/src/lifecycle/control/client.rs
+++ b/router/src/lifecycle/control/client.rs
@@ -29,6 +29,9 @@
         path: PathBuf,
         source: std::io::Error,
     },
+    /// The file with the process id could not be written.
+    #[error("{0}")]
+    PidFile(#[from] ternpick_store::StoreError),
     /// A line of the answer is not JSON.
     #[error("{0}")]
     Answer(#[from] serde_json::Error),
--- a/router/src/lifecycle/control/server.rs
+++ b/router/src/lifecycle/control/server.rs
@@ -36,8 +36,34 @@
 /// The pause after a failed accept.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
+/// How long until a socket that could not be opened is tried again.
+const OPEN_RETRY: Duration = Duration::from_millis(200);
+
+/// Stores which process serves, and binds the socket.
+///
+/// # Errors
+/// The file or the socket that cannot be had.
+pub(crate) fn open(control: &Control) -> Result<Async<UnixListener>, ControlError> {
+    if let Some(path) = &control.terms.pid_file {
+        let text = format!("{}\n", std::process::id());
+        ternpick_store::replace_file(path.as_ref(), text.as_bytes())?;
+    }
+    bind(control.terms.socket.as_ref())
+}
+
+/// Opens the socket as soon as it can be had, and serves on it.
+pub(crate) async fn open_later(router: Rc<Router>, control: Rc<Control>) {
+    loop {
+        async_io::Timer::after(OPEN_RETRY).await;
+        match open(&control) {
+            Ok(listener) => return serve(router, control, listener).await,
+            Err(error) => tracing::debug!(%error, "control: cannot be opened yet"),
+        }
+    }
+}
+
 /// Binds the socket for its owner alone. One that a dead process has left, or that the process before holds, is replaced.
-pub(crate) fn bind(path: &Path) -> Result<Async<UnixListener>, ControlError> {
+fn bind(path: &Path) -> Result<Async<UnixListener>, ControlError> {
     let at_path = ControlError::at(path);
     match std::fs::symlink_metadata(path) {
         Ok(found) if found.file_type().is_socket() => {
--- a/router/src/lifecycle/start.rs
+++ b/router/src/lifecycle/start.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::os::fd::OwnedFd;
 use std::process::Child;
 use std::rc::Rc;
 
@@ -11,7 +10,6 @@
 use futures_lite::future;
 use serde_json::Value;
 use ternpick::watch_schedule::WatchSchedule;
-use ternpick_store::StoreError;
 
 use crate::fleet::event_loop;
 use crate::lifecycle::build::{BuildError, RouterBuilder};
@@ -45,15 +43,9 @@
     /// An address cannot be listened on.
     #[error("{0}")]
     Listen(#[from] ListenError),
-    /// A listener cannot be duplicated.
-    #[error("a listener cannot be duplicated: {0}")]
-    DuplicateListener(io::Error),
     /// The place of another process cannot be taken.
     #[error("{0}")]
     Takeover(#[from] TakeoverError),
-    /// The process id cannot be stored.
-    #[error("{0}")]
-    PidFile(#[from] StoreError),
     /// The control socket cannot be opened.
     #[error("{0}")]
     Control(String),
@@ -173,6 +165,7 @@
         self.spawn(dispatch::turns(Rc::clone(&self.router)));
         // The tasks are to listen before they are called upon: applying a list may ask for the watch at once.
         future::yield_now().await;
+        let replaces_process = matches!(listeners, ListenerSource::Previous(_));
         let listeners = match listeners {
             ListenerSource::Bound(listeners) => {
                 self.apply_known_endpoints();
@@ -192,10 +185,11 @@
         if let Some(fleet) = &self.router.fleet {
             self.spawn(event_loop::run(Rc::clone(&self.router), Rc::clone(fleet)));
         }
+        let listeners = self.poll_listeners(listeners)?;
         let control = control
-            .map(|settings| self.open_control(settings, &listeners))
+            .map(|settings| self.open_control(settings, &listeners, replaces_process))
             .transpose()?;
-        let accepting = self.accept(listeners)?;
+        let accepting = self.accept(listeners);
         run::until_stopped(&self.router, signals, &self.source, accepting).await;
         let stays = control.filter(|control| {
             control.terms.stays_as_parent && self.router.shutdown.is_handed_over()
@@ -243,46 +237,51 @@
     }
 
     /// Opens the control socket, and stores which process serves.
+    ///
+    /// A process that replaces another one serves already: it serves on, and tries again, where the socket cannot be opened yet.
     fn open_control(
         &self,
         settings: ControlTerms,
-        listeners: &[TcpListener],
+        listeners: &[Rc<Async<TcpListener>>],
+        replaces_process: bool,
     ) -> Result<Rc<Control>, StartError> {
-        let duplicates = listeners
-            .iter()
-            .map(|listener| listener.try_clone().map(OwnedFd::from))
-            .collect::<Result<Vec<_>, _>>()
-            .map_err(StartError::DuplicateListener)?;
-        if let Some(path) = &settings.pid_file {
-            let text = format!("{}\n", std::process::id());
-            ternpick_store::replace_file(path.as_ref(), text.as_bytes())?;
-        }
-        let socket = control::bind(settings.socket.as_ref())
-            .map_err(|error| StartError::Control(error.to_string()))?;
         let start = Start {
             program: std::env::current_exe().map_err(StartError::Program)?,
             config: self.source.path.clone(),
             settings: self.source.settings.clone().unwrap_or_default(),
         };
-        let upgrades = Upgrades::new(&self.share, &settings, self.digest, duplicates);
+        let upgrades = Upgrades::new(&self.share, &settings, self.digest, listeners.to_vec());
         let control = Rc::new(Control::new(settings, start, upgrades, &self.name));
-        self.spawn(control::serve(
-            Rc::clone(&self.router),
-            Rc::clone(&control),
-            socket,
-        ));
+        let router = Rc::clone(&self.router);
+        match control::open(&control) {
+            Ok(socket) => self.spawn(control::serve(router, Rc::clone(&control), socket)),
+            Err(error) if replaces_process => {
+                tracing::warn!(%error, "control: cannot be opened yet");
+                self.spawn(control::open_later(router, Rc::clone(&control)));
+            }
+            Err(error) => return Err(StartError::Control(error.to_string())),
+        }
         Ok(control)
     }
 
+    /// Registers the listeners with the poller.
+    fn poll_listeners(
+        &self,
+        listeners: Vec<TcpListener>,
+    ) -> Result<Vec<Rc<Async<TcpListener>>>, StartError> {
+        let polled = listeners
+            .into_iter()
+            .map(|listener| Async::new(listener).map(Rc::new));
+        let polled = polled.collect::<Result<Vec<_>, _>>();
+        let address = self.addresses[0];
+        Ok(polled.map_err(|source| ListenError { address, source })?)
+    }
+
     /// Accepts clients; the task ends once all listeners are closed. The first listener is plain, another one TLS.
-    fn accept(&self, listeners: Vec<TcpListener>) -> Result<Task<()>, StartError> {
+    fn accept(&self, listeners: Vec<Rc<Async<TcpListener>>>) -> Task<()> {
         let executor = &self.router.executor;
         let mut accepting = Vec::new();
         for (position, listener) in listeners.into_iter().enumerate() {
-            let listener = Async::new(listener).map_err(|source| ListenError {
-                address: self.addresses[0],
-                source,
-            })?;
             let tls = self.tls.clone().filter(|_| position > 0);
             if let Some(tls) = &tls {
                 tracing::info!(router = self.name, address = %tls.listen, "serving TLS");
@@ -293,10 +292,10 @@
             let task = listener::accept(Rc::clone(&self.router), listener, tls);
             accepting.push(executor.spawn(task));
         }
-        Ok(executor.spawn(async {
+        executor.spawn(async {
             for task in accepting {
                 task.await;
             }
-        }))
+        })
     }
 }
--- a/router/src/lifecycle/upgrade.rs
+++ b/router/src/lifecycle/upgrade.rs
@@ -6,11 +6,12 @@
 mod driver;
 
 use std::cell::{Cell, RefCell};
-use std::os::fd::OwnedFd;
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::Child;
 use std::rc::Rc;
 
+use async_io::Async;
 use serde::{Serialize, Serializer};
 use ternpick::types::Micros;
 use ternpick_hot_restart::{OldProcess, StepTimeouts};
@@ -64,8 +65,8 @@
     pub(crate) machine: RefCell<OldProcess>,
     /// What this process may use.
     pub(crate) share: Rc<CapacityShare>,
-    /// Duplicates of the listeners, which go to the new process; the plain one first.
-    pub(crate) listeners: Vec<OwnedFd>,
+    /// The listeners, which go to the new process; the plain one first.
+    pub(crate) listeners: Vec<Rc<Async<TcpListener>>>,
     /// The process that has taken over, for who stays as its parent.
     pub(crate) successor: RefCell<Option<Child>>,
     /// Upgrades begun so far.
@@ -78,7 +79,7 @@
         share: &Rc<CapacityShare>,
         settings: &ControlTerms,
         digest: u64,
-        listeners: Vec<OwnedFd>,
+        listeners: Vec<Rc<Async<TcpListener>>>,
     ) -> Self {
         let machine = OldProcess::new(step_timeouts(settings), share.all(), digest);
         Upgrades {
--- a/router/src/stages/listener.rs
+++ b/router/src/stages/listener.rs
@@ -27,7 +27,11 @@
 const CLOSE_ANOTHER_AFTER: Duration = Duration::from_millis(5);
 
 /// Accepts connections until the router closes the listener, and then those that still wait in the backlog.
-pub(crate) async fn accept(router: Rc<Router>, listener: Async<TcpListener>, tls: Option<Rc<Tls>>) {
+pub(crate) async fn accept(
+    router: Rc<Router>,
+    listener: Rc<Async<TcpListener>>,
+    tls: Option<Rc<Tls>>,
+) {
     let closing = router.listener.closing();
     let mut acceptor = Acceptor {
         waiting_since: router.clock.now(),
@@ -45,7 +49,7 @@
 /// One listening socket, and how accepting on it goes.
 struct Acceptor {
     router: Rc<Router>,
-    listener: Async<TcpListener>,
+    listener: Rc<Async<TcpListener>>,
     tls: Option<Rc<Tls>>,
     failures: AcceptFailures,
     /// Notes when the first connection arrived in an empty backlog.
--- a/router/tests/upgrade/failures.rs
+++ b/router/tests/upgrade/failures.rs
@@ -189,5 +189,7 @@
     served(of.router.address, "s3");
     assert!(strikes.of(0) > 0);
     within(|| of.pid() != before, "the new process's id");
+    let is_reachable = || of.command(&["status", "--json"]).status.success();
+    within(is_reachable, "the control socket");
     of.settled();
 }
