--- a/fleet_policy/src/lease_holder/tests.rs
+++ b/fleet_policy/src/lease_holder/tests.rs
@@ -129,3 +129,53 @@
         Admission::Rejected { .. }
     ));
 }
+
+/// A router whose lease was requested and granted at `START`, and nothing since.
+fn leased() -> LeaseHolder {
+    let mut holder = LeaseHolder::new(
+        LeaseConfig::default(),
+        "a".into(),
+        Incarnation(1),
+        false,
+        START,
+    );
+    holder.next_request(START);
+    holder.handle_reply(START, grant(1));
+    holder
+}
+
+/// Seen in a play of `drawn` (fleet seed 6; nothing ended, syncs of 370 ms): all five routers' leases were over at the same
+/// moment, and queries were rejected with 1,399 ms left. "stopped for round 1" came 427 ms later: the entry that begins the barrier
+/// was on its way, and the leader answers without granting then.
+#[test]
+fn where_a_lease_runs_out_while_a_leader_answers_queries_wait() {
+    let mut holder = leased();
+    let lease = Micros(LeaseConfig::default().lease);
+    let answered = START + Micros(lease.0 - 300 * MS);
+    holder.handle_reply(answered, LeaseReply::default());
+    let over = START + lease;
+    assert_eq!(holder.admission(over), Admission::Wait(answered + lease));
+    holder.elapsed(over);
+    assert_eq!(holder.admission(over), Admission::Wait(answered + lease));
+    // Also once the barrier has begun.
+    holder.handle_reply(over + Micros(100 * MS), barrier());
+    let until = over + Micros(100 * MS) + lease;
+    assert_eq!(
+        holder.admission(over + Micros(200 * MS)),
+        Admission::Wait(until)
+    );
+}
+
+#[test]
+fn where_nobody_has_answered_since_it_was_granted_a_lease_ends_in_rejections() {
+    let mut holder = leased();
+    let over = START + Micros(LeaseConfig::default().lease);
+    holder.elapsed(over);
+    assert!(matches!(
+        holder.admission(over),
+        Admission::Rejected {
+            reason: RejectReason::NoLease,
+            ..
+        }
+    ));
+}
