Where a lease runs out while a leader answers, queries wait for the next one

Symptom: queries rejected with 1.4 s left on all routers at once while a policy changed; nothing had ended, syncs took 370 ms.

Cause: a leader grants no lease while the entry that begins a barrier is on its way. Leases of the barrier before count from its beginning, so they had 0.3 s left; the entry took 0.7 s. A router whose lease has run out rejected at once, though the leader answered.

Change: it waits, as a paused one does, while a leader has answered within the time of a lease; by their own deadlines, or the limit that the settings state. Routers that serve without a lease do as before.

--- a/fleet_policy/src/lease_holder/admission.rs
+++ b/fleet_policy/src/lease_holder/admission.rs
@@ -84,6 +84,9 @@
         if self.config.serve_without {
             return Admission::Unguarded(version);
         }
+        if let Some(wait) = self.wait_for_next_lease(now) {
+            return wait;
+        }
         if self.in_barrier() {
             return self.reject(RejectReason::ChangeInProgress);
         }
@@ -106,8 +109,25 @@
     fn wait_while_paused(&self, now: Micros) -> Option<Admission> {
         let paused_since = self.paused_since?;
         let in_contact_at = self.last_reply_at.unwrap_or_default().max(paused_since);
+        self.wait(now, in_contact_at, paused_since)
+    }
+
+    /// Where a lease has run out, queries wait in the same way if a leader has answered for it within the time of a lease.
+    ///
+    /// A leader grants none while the entry that begins a barrier is on its way, and where that took longer than what the
+    /// leases still lasted (a slow disk), all routers rejected callers with seconds left.
+    fn wait_for_next_lease(&self, now: Micros) -> Option<Admission> {
+        let lease_until = self.lease.map(|lease| lease.until);
+        let expired_at = lease_until
+            .filter(|until| *until <= now)
+            .or(self.expired_at)?;
+        self.wait(now, self.last_reply_at?, expired_at)
+    }
+
+    /// Queries wait for a lease from the last contact to a leader on, within the limit that the settings state.
+    fn wait(&self, now: Micros, in_contact_at: Micros, since: Micros) -> Option<Admission> {
         let in_contact_until = in_contact_at + Micros(self.config.lease);
-        let held_until = Micros(paused_since.0.saturating_add(self.config.hold));
+        let held_until = Micros(since.0.saturating_add(self.config.hold));
         let until = in_contact_until.min(held_until);
         (now < until).then_some(Admission::Wait(until))
     }
--- a/fleet_policy/src/lease_holder/tests.rs
+++ b/fleet_policy/src/lease_holder/tests.rs
@@ -132,13 +132,11 @@
 
 /// A router whose lease was requested and granted at `START`, and nothing since.
 fn leased() -> LeaseHolder {
-    let mut holder = LeaseHolder::new(
-        LeaseConfig::default(),
-        "a".into(),
-        Incarnation(1),
-        false,
-        START,
-    );
+    let config = LeaseConfig {
+        hold: LeaseConfig::UNLIMITED_HOLD,
+        ..LeaseConfig::default()
+    };
+    let mut holder = LeaseHolder::new(config, "a".into(), Incarnation(1), false, START);
     holder.next_request(START);
     holder.handle_reply(START, grant(1));
     holder
