A leader whose followers write for long stays while it hears from their processes

Cause: a replica answers nothing while it stores a state. With both followers storing for longer than the shortest election timeout the leader hears from no majority and steps down, though no other voter could do better.

Change: messages of other kinds (requests for leases, commands) from a voter's process count for the leader's check of its quorum; commits and confirmations need the replicas' answers as before. A leader that hears nobody still steps down.

Measured: the consensus test fails without (it has both ways); consensus and fleet_policy pass.

--- a/consensus/src/replica.rs
+++ b/consensus/src/replica.rs
@@ -94,6 +94,20 @@
         self.participation == Participation::TakesPart && self.raft.raft.state == StateRole::Leader
     }
 
+    /// Something other than a message of consensus has come from the process of this peer: it is there, and reaches this one.
+    ///
+    /// A leader that hears from no majority steps down. A peer that stores a state answers nothing until that is durable: a
+    /// disk that is slow for longer than the shortest election timeout cost the leadership, and no other voter could do
+    /// better. What the leader confirms, and commits, still needs the answers.
+    pub fn note_peer_alive(&mut self, peer: ReplicaId) {
+        if !self.is_leader() {
+            return;
+        }
+        if let Some(progress) = self.raft.raft.mut_prs().get_mut(peer.0) {
+            progress.recent_active = true;
+        }
+    }
+
     /// Whether this replica is the leader and has committed an entry of its own term, so that it knows of all entries
     /// that earlier leaders have committed (Raft, section 8).
     pub fn is_confirmed_leader(&self) -> bool {
--- a/consensus/tests/agreement.rs
+++ b/consensus/tests/agreement.rs
@@ -129,6 +129,49 @@
     assert!(world.leader().is_some_and(|other| other != leader));
 }
 
+/// Of three voters both followers store an entry for four times the shortest election timeout; whether the leader hears from their
+/// processes in another way meanwhile. Returns whether it leads on in the same term.
+fn leads_on_while_its_followers_store(hears_from_them: bool) -> bool {
+    let mut world = World::new(3, 3);
+    let leader = world.wait_for_leader();
+    world.steps(50);
+    let term = world.replica(leader).term();
+    let followers: Vec<ReplicaId> = world
+        .running()
+        .into_iter()
+        .filter(|id| *id != leader)
+        .collect();
+    world.stuck_disks.clone_from(&followers);
+    assert!(world.propose(b"slow"));
+    let mut leads_on = true;
+    for tick in 0..4 * world.config.election_ticks {
+        world.step();
+        for follower in followers
+            .iter()
+            .filter(|_| hears_from_them && tick % 5 == 0)
+        {
+            world.replica(leader).note_peer_alive(*follower);
+        }
+        leads_on &= world.replica(leader).is_leader();
+    }
+    world.stuck_disks.clear();
+    world.steps(200);
+    let is_applied = |node: &common::Node| node.applied.iter().any(|(_, data)| data == b"slow");
+    assert!(world.nodes.values().all(is_applied));
+    leads_on && world.replica(leader).is_leader() && world.replica(leader).term() == term
+}
+
+/// Seen in a play of `drawn` (fleet seed 6): "n1 leads no longer" 250 ms after it had sent an entry, while both followers wrote it
+/// for 370 ms; no router had a lease for 1.7 s.
+#[test]
+fn a_leader_leads_on_while_its_followers_store_if_it_hears_from_them() {
+    assert!(leads_on_while_its_followers_store(true));
+    assert!(
+        !leads_on_while_its_followers_store(false),
+        "it hears from nobody"
+    );
+}
+
 #[test]
 fn a_leader_that_hears_from_its_peers_confirms_a_read() {
     let mut world = World::new(5, 3);
--- a/fleet_policy/src/node.rs
+++ b/fleet_policy/src/node.rs
@@ -207,6 +207,9 @@
 
     /// A message of another router has come.
     pub fn step(&mut self, now: Micros, from: &Member, message: PeerMessage) {
+        if !matches!(message, PeerMessage::Raft { .. }) {
+            self.note_peer_alive(from);
+        }
         match message {
             PeerMessage::Raft {
                 from: sender,
--- a/fleet_policy/src/node/replication.rs
+++ b/fleet_policy/src/node/replication.rs
@@ -92,6 +92,14 @@
         }
     }
 
+    /// A message that is not the replicas' has come from a member. Its replica may be silent because it writes its image.
+    pub(super) fn note_peer_alive(&mut self, from: &Member) {
+        let peer = self.members.get(from).and_then(|member| member.replica);
+        if let (Some(replica), Some(peer)) = (&mut self.replica, peer) {
+            replica.note_peer_alive(peer);
+        }
+    }
+
     /// An image is being written.
     pub fn is_persisting(&self) -> bool {
         self.persistence.is_in_progress()
