Tests: the socket that finds a free port does not listen

Cause: a port was found by a listener that was dropped at once. Another test's child, between its fork and its exec, held a copy that went on listening for some milliseconds: the client that waited for the router to listen reached that one, and was reset when it went. Seen in a failing play: connection reset after 5.5 ms, the router up, idle, and nothing accepted.

Change: the socket is bound and never listens.

--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -14,15 +14,20 @@
 pub(crate) use ternpick_simulation::standins::{entry, read_head, Act, Discovery, Node};
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rustix::net::{self, AddressFamily, SocketFlags, SocketType};
+
 pub(crate) const BOUND: Duration = Duration::from_secs(10);
 
 /// An address where nobody listens: nobody else uses it, so that its port stays free.
+///
+/// The socket that finds the port never listens. One that did was seen to live on in another test's child, between its fork and its
+/// exec: a client that waited for the router reached that one, and was reset.
 pub(crate) fn free() -> SocketAddr {
     static NUMBER: AtomicUsize = AtomicUsize::new(1);
     let (pid, number) = (std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed));
@@ -32,9 +37,12 @@
         (pid / 250 % 250) as u8,
         number as u8,
     ];
-    TcpListener::bind(SocketAddr::from((own, 0)))
-        .and_then(|of| of.local_addr())
-        .expect("a port")
+    let (family, flags) = (AddressFamily::INET, SocketFlags::CLOEXEC);
+    let socket = net::socket_with(family, SocketType::STREAM, flags, None).expect("a socket");
+    net::sockopt::set_socket_reuseaddr(&socket, true).expect("a socket");
+    net::bind(&socket, &SocketAddr::from((own, 0))).expect("a port");
+    let address = net::getsockname(&socket).expect("a port");
+    SocketAddr::try_from(address).expect("an address of IP")
 }
 
 /// Three indexes: whole answers only; half is enough; never to run twice.
