--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -45,13 +45,20 @@
         open.send(&lookup(index, &id, 3000, &shards, "c41e77d0"));
         match open.answer(ms(3_500)) {
             Ok(answer) => {
-                record.say(&format!("client {number}: {id} answered with {} {}", answer.status, answer.body.trim_end()));
+                record.say(&format!(
+                    "client {number}: {id} answered with {} {}",
+                    answer.status,
+                    answer.body.trim_end()
+                ));
                 if answer.status == 200 {
                     counts.served.fetch_add(1, Ordering::SeqCst);
                     for (shard, value) in pieces(&answer.body) {
                         let part = format!("{id}.{shard}");
                         if value != value_of(&part) {
-                            record.say(&format!("WRONG: {part} is served as {value:?}, its node made {:?}", value_of(&part)));
+                            record.say(&format!(
+                                "WRONG: {part} is served as {value:?}, its node made {:?}",
+                                value_of(&part)
+                            ));
                             counts.wrong.lock().unwrap().push(value);
                         }
                     }
@@ -70,7 +77,9 @@
 }
 
 fn main() -> ExitCode {
-    let record = Record::new(Path::new(&std::env::args().nth(1).expect("the path of the record")));
+    let record = Record::new(Path::new(
+        &std::env::args().nth(1).expect("the path of the record"),
+    ));
     let trouble = trouble();
     let (answers, counts) = (AtomicU64::new(seed() * 5), Arc::new(Counts::default()));
     let (noted, spoiling) = (Arc::clone(&counts), record.clone());
@@ -82,10 +91,17 @@
         if trouble && number % ONE_IN == 0 {
             let right = u32::from_le_bytes([frame[0], frame[1], frame[2], frame[3]]);
             let is_short = number / ONE_IN % 2 == 0;
-            let (wrong, count) = if is_short { (right - 3, &noted.short) } else { (right + 1, &noted.long) };
+            let (wrong, count) = if is_short {
+                (right - 3, &noted.short)
+            } else {
+                (right + 1, &noted.long)
+            };
             frame[..4].copy_from_slice(&wrong.to_le_bytes());
             count.fetch_add(1, Ordering::SeqCst);
-            spoiling.say(&format!("spoilt: the answer to {} has the length {wrong} in place of {right}", part.id));
+            spoiling.say(&format!(
+                "spoilt: the answer to {} has the length {wrong} in place of {right}",
+                part.id
+            ));
         }
         Some((ms(20 + number * 7 % 60), frame))
     });
@@ -110,7 +126,10 @@
     drop(router);
     let count = |of: &AtomicU64| of.load(Ordering::SeqCst);
     let wrong = counts.wrong.lock().unwrap();
-    let (served, spoilt) = (count(&counts.served), count(&counts.short) + count(&counts.long));
+    let (served, spoilt) = (
+        count(&counts.served),
+        count(&counts.short) + count(&counts.long),
+    );
     let shorter = wrong.iter().filter(|value| value.len() < 16).count();
     record.tell(&format!(
         "{served} lookups served, {} not; lengths of answers: {} too small, {} too large; values served that no node made: {} ({shorter} cut short)",
--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -46,7 +46,14 @@
 
 /// A client that keeps its connection and asks one lookup after the other. Once its connection has ended, it opens
 /// another as long as new connections come.
-fn client(number: u64, address: std::net::SocketAddr, record: &Record, seen: &Seen, over: &Over, ids: &AtomicU64) {
+fn client(
+    number: u64,
+    address: std::net::SocketAddr,
+    record: &Record,
+    seen: &Seen,
+    over: &Over,
+    ids: &AtomicU64,
+) {
     let mut dice = Dice::new(seed() * 100 + number);
     let mut connection: Option<Connection> = None;
     while !over.get() {
@@ -63,14 +70,19 @@
         let shards: Vec<u32> = (first..first + 4).collect();
         let sent = Instant::now();
         if !open.send(&lookup("address-history", &id, 4000, &shards, "c41e77d0")) {
-            record.say(&format!("client {number} finds its connection closed before {id}"));
+            record.say(&format!(
+                "client {number} finds its connection closed before {id}"
+            ));
             continue;
         }
         record.say(&format!("client {number} asks {id}"));
         let answer = open.answer(ms(4_500));
         let end = match &answer {
             Ok(answer) => {
-                record.say(&format!("client {number}: {id} answered with {}", answer.status));
+                record.say(&format!(
+                    "client {number}: {id} answered with {}",
+                    answer.status
+                ));
                 End::Answered
             }
             Err(error) => {
@@ -78,22 +90,36 @@
                 End::CutOff
             }
         };
-        seen.requests.lock().unwrap().push(Request { id, sent, ended: Instant::now(), end });
+        seen.requests.lock().unwrap().push(Request {
+            id,
+            sent,
+            ended: Instant::now(),
+            end,
+        });
         connection = answer.is_ok_and(|answer| !answer.last).then_some(open);
         thread::sleep(ms(dice.between(0, 40)));
     }
 }
 
 fn main() -> ExitCode {
-    let record = Record::new(Path::new(&std::env::args().nth(1).expect("the path of the record")));
+    let record = Record::new(Path::new(
+        &std::env::args().nth(1).expect("the path of the record"),
+    ));
     let trouble = trouble();
     // Sound nodes: 80 to 200 ms for a part; 1.6 s for the parts of one heavy lookup, which is inside the 2 s within
     // which its index is wanted.
     let parts = AtomicU64::new(0);
     let act: Act = Arc::new(move |part: &Part| {
         let number = parts.fetch_add(1, Ordering::SeqCst);
-        let work = if part.text == "heavy" { 1_600 } else { 80 + number * 37 % 120 };
-        Some((ms(work), answer_frame(&part.id, "served", &value_of(&part.id))))
+        let work = if part.text == "heavy" {
+            1_600
+        } else {
+            80 + number * 37 % 120
+        };
+        Some((
+            ms(work),
+            answer_frame(&part.id, "served", &value_of(&part.id)),
+        ))
     });
     let (_nodes, entries) = nodes(6, &record, &act);
     let discovery = Discovery::start("discovery", &record, &entries);
@@ -101,16 +127,34 @@
     let (address, file) = (free_address(), folder.0.join("router.json"));
     let (settings, socket) = (folder.0.join("settings.cue"), folder.0.join("control"));
     std::fs::write(&file, config(address, discovery.address, &entries)).expect("written");
-    let control = format!("control: {{socket: {:?}, upgrade: true, stays: true}}\n", socket.display().to_string());
+    let control = format!(
+        "control: {{socket: {:?}, upgrade: true, stays: true}}\n",
+        socket.display().to_string()
+    );
     std::fs::write(&settings, control).expect("written");
-    let Some(mut router) = Router::start(&record, &file, Some(&settings), address, &folder.0.join("log")) else {
+    let Some(mut router) = Router::start(
+        &record,
+        &file,
+        Some(&settings),
+        address,
+        &folder.0.join("log"),
+    ) else {
         record.tell("the router did not start");
         return ExitCode::from(2);
     };
-    let (seen, over, ids) = (Arc::new(Seen::default()), Over::default(), Arc::new(AtomicU64::new(1)));
+    let (seen, over, ids) = (
+        Arc::new(Seen::default()),
+        Over::default(),
+        Arc::new(AtomicU64::new(1)),
+    );
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
-            let (record, seen, over, ids) = (record.clone(), Arc::clone(&seen), over.clone(), Arc::clone(&ids));
+            let (record, seen, over, ids) = (
+                record.clone(),
+                Arc::clone(&seen),
+                over.clone(),
+                Arc::clone(&ids),
+            );
             thread::spawn(move || client(number, address, &record, &seen, &over, &ids))
         })
         .collect();
@@ -122,14 +166,26 @@
         thread::spawn(move || {
             let mut open = Connection::open(address)?;
             record.say("the heavy lookup is asked");
-            open.send(&lookup("address-history", "heavy0001", 6000, &[0, 1, 2, 3], "heavy"));
+            open.send(&lookup(
+                "address-history",
+                "heavy0001",
+                6000,
+                &[0, 1, 2, 3],
+                "heavy",
+            ));
             let answer = open.answer(ms(6_500)).ok()?;
-            record.say(&format!("the heavy lookup is answered with {}", answer.status));
+            record.say(&format!(
+                "the heavy lookup is answered with {}",
+                answer.status
+            ));
             Some(answer.status)
         })
     };
     thread::sleep(ms(150));
-    record.say(&format!("runs: target/release/ternpick upgrade --socket {}", socket.display()));
+    record.say(&format!(
+        "runs: target/release/ternpick upgrade --socket {}",
+        socket.display()
+    ));
     let mut upgrade = Command::new("target/release/ternpick")
         .args(["upgrade", "--socket"])
         .arg(&socket)
@@ -174,7 +230,10 @@
         *seen.killed.lock().unwrap() = Some(Instant::now());
         signal(-router.pid(), SIGKILL);
     } else {
-        record.say(&format!("all processes of the router have ended, {} ms after SIGTERM", term.elapsed().as_millis()));
+        record.say(&format!(
+            "all processes of the router have ended, {} ms after SIGTERM",
+            term.elapsed().as_millis()
+        ));
     }
     over.set();
     for client in clients {
@@ -193,7 +252,11 @@
                 late += usize::from(after_term.is_some_and(|after| after > LOST_AFTER));
             }
             End::CutOff => {
-                let by_kill = seen.killed.lock().unwrap().is_some_and(|at| request.ended >= at);
+                let by_kill = seen
+                    .killed
+                    .lock()
+                    .unwrap()
+                    .is_some_and(|at| request.ended >= at);
                 let waited = request.ended.duration_since(request.sent);
                 if by_kill && after_term.is_some_and(|after| after > LOST_AFTER) {
                     lost += 1;
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -14,10 +14,10 @@
 use std::time::Duration;
 
 /// The new process dies this long after the upgrade has said that it has started.
-const DIES_AFTER: Duration = Duration::from_millis(50);
-const CLIENTS: u64 = 8;
+const DIES_AFTER: Duration = Duration::from_millis(30);
+const CLIENTS: u64 = 12;
 /// Each round has a router of its own and one upgrade.
-const ROUNDS: u64 = 3;
+const ROUNDS: u64 = 6;
 
 #[derive(Default)]
 struct Seen {
@@ -34,19 +34,26 @@
     let mut asked = 0;
     while !over.get() {
         thread::sleep(ms(dice.below(60)));
-        let Some(mut open) = connection.take().or_else(|| Connection::open(address)) else { continue };
+        let Some(mut open) = connection.take().or_else(|| Connection::open(address)) else {
+            continue;
+        };
         asked += 1;
         let id = format!("{:06x}{round:02x}{number:04x}{asked:04x}", seed());
         let first = dice.below(5) as u32;
         let shards: Vec<u32> = (first..first + 4).collect();
         if !open.send(&lookup("address-history", &id, 4000, &shards, "c41e77d0")) {
-            record.say(&format!("client {number} finds its connection closed before {id}"));
+            record.say(&format!(
+                "client {number} finds its connection closed before {id}"
+            ));
             continue;
         }
         record.say(&format!("client {number} asks {id}"));
         match open.answer(ms(4_600)) {
             Ok(answer) => {
-                record.say(&format!("client {number}: {id} answered with {}", answer.status));
+                record.say(&format!(
+                    "client {number}: {id} answered with {}",
+                    answer.status
+                ));
                 seen.answered.fetch_add(1, Ordering::SeqCst);
                 connection = (!answer.last).then_some(open);
             }
@@ -66,7 +73,10 @@
         let lookup = part.id.split('.').next().unwrap_or_default().to_owned();
         noted.forwarded.lock().unwrap().insert(lookup);
         let number = parts.fetch_add(1, Ordering::SeqCst);
-        Some((ms(80 + number * 37 % 120), answer_frame(&part.id, "served", &value_of(&part.id))))
+        Some((
+            ms(80 + number * 37 % 120),
+            answer_frame(&part.id, "served", &value_of(&part.id)),
+        ))
     });
     let (_nodes, entries) = nodes(6, record, &act);
     let discovery = Discovery::start("discovery", record, &entries);
@@ -74,9 +84,18 @@
     let (address, file) = (free_address(), folder.0.join("router.json"));
     let (settings, socket) = (folder.0.join("settings.cue"), folder.0.join("control"));
     std::fs::write(&file, config(address, discovery.address, &entries)).expect("written");
-    let control = format!("control: {{socket: {:?}, upgrade: true, stays: true}}\n", socket.display().to_string());
+    let control = format!(
+        "control: {{socket: {:?}, upgrade: true, stays: true}}\n",
+        socket.display().to_string()
+    );
     std::fs::write(&settings, control).expect("written");
-    let Some(mut router) = Router::start(record, &file, Some(&settings), address, &folder.0.join("log")) else {
+    let Some(mut router) = Router::start(
+        record,
+        &file,
+        Some(&settings),
+        address,
+        &folder.0.join("log"),
+    ) else {
         return false;
     };
     let over = Over::default();
@@ -88,7 +107,10 @@
         .collect();
     thread::sleep(ms(2_000));
 
-    record.say(&format!("runs: target/release/ternpick upgrade --socket {}", socket.display()));
+    record.say(&format!(
+        "runs: target/release/ternpick upgrade --socket {}",
+        socket.display()
+    ));
     let mut upgrade = Command::new("target/release/ternpick")
         .args(["upgrade", "--socket"])
         .arg(&socket)
@@ -100,11 +122,17 @@
     let mut line = String::new();
     let _ = steps.read_line(&mut line);
     record.say(&format!("upgrade: {}", line.trim_end()));
-    let process = line.split("(process ").nth(1).and_then(|text| text.split(')').next()?.parse::<i32>().ok());
+    let process = line
+        .split("(process ")
+        .nth(1)
+        .and_then(|text| text.split(')').next()?.parse::<i32>().ok());
     let Some(process) = process else { return false };
     if trouble {
         thread::sleep(DIES_AFTER);
-        record.say(&format!("SIGKILL to the new process {process}, {} ms after it has started", DIES_AFTER.as_millis()));
+        record.say(&format!(
+            "SIGKILL to the new process {process}, {} ms after it has started",
+            DIES_AFTER.as_millis()
+        ));
         signal(process, SIGKILL);
     }
     for line in steps.lines().map_while(Result::ok) {
@@ -113,20 +141,26 @@
     let ended = upgrade.wait_with_output().expect("the command ends");
     let status = ended.status.code();
     let said = String::from_utf8_lossy(&ended.stderr).trim().to_owned();
-    record.say(&format!("the upgrade has ended with status {status:?} {said}"));
+    record.say(&format!(
+        "the upgrade has ended with status {status:?} {said}"
+    ));
     thread::sleep(ms(2_000));
     over.set();
     for client in clients {
         let _ = client.join();
     }
     let runs = !router.has_ended();
-    record.say(&format!("the process that `run` started still runs: {runs}"));
+    record.say(&format!(
+        "the process that `run` started still runs: {runs}"
+    ));
     // With trouble the upgrade has failed and the router has gone on running; without, the upgrade has succeeded.
     runs && status == Some(i32::from(trouble))
 }
 
 fn main() -> ExitCode {
-    let record = Record::new(Path::new(&std::env::args().nth(1).expect("the path of the record")));
+    let record = Record::new(Path::new(
+        &std::env::args().nth(1).expect("the path of the record"),
+    ));
     let trouble = trouble();
     let seen = Arc::new(Seen::default());
     for number in 0..ROUNDS {
@@ -142,7 +176,9 @@
     for id in seen.unanswered.lock().unwrap().iter() {
         if forwarded.contains(id) {
             lost += 1;
-            record.say(&format!("LOST: {id} was read and forwarded, and its connection ended with no answer"));
+            record.say(&format!(
+                "LOST: {id} was read and forwarded, and its connection ended with no answer"
+            ));
         } else {
             crossed += 1;
         }
--- a/review/common/standins.rs
+++ b/review/common/standins.rs
@@ -39,7 +39,10 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 /// The record of a run: one line for each thing sent, answered or run, with its time.
@@ -53,7 +56,9 @@
     pub fn new(path: &Path) -> Record {
         Record {
             began: Instant::now(),
-            lines: Arc::new(Mutex::new(File::create(path).expect("the record can be written"))),
+            lines: Arc::new(Mutex::new(
+                File::create(path).expect("the record can be written"),
+            )),
         }
     }
 
@@ -153,7 +158,9 @@
 
 fn serve_node(name: &str, record: &Record, act: &Act, mut stream: TcpStream) {
     let _ = stream.set_nodelay(true);
-    let Ok(writer) = stream.try_clone() else { return };
+    let Ok(writer) = stream.try_clone() else {
+        return;
+    };
     let writer = Arc::new(Mutex::new(writer));
     loop {
         let mut length = [0; 4];
@@ -168,8 +175,11 @@
             b'q' => {
                 for part in parts_of(&frame[1..]) {
                     record.say(&format!("{name} got {} [{}]", part.id, part.list));
-                    let Some((delay, bytes)) = act(&part) else { continue };
-                    let (writer, record, name) = (Arc::clone(&writer), record.clone(), name.to_owned());
+                    let Some((delay, bytes)) = act(&part) else {
+                        continue;
+                    };
+                    let (writer, record, name) =
+                        (Arc::clone(&writer), record.clone(), name.to_owned());
                     thread::spawn(move || {
                         thread::sleep(delay);
                         record.say(&format!("{name} answers {}", part.id));
@@ -177,9 +187,16 @@
                     });
                 }
             }
-            b'c' => record.say(&format!("{name} told to give up {}", String::from_utf8_lossy(&frame[1..]))),
+            b'c' => record.say(&format!(
+                "{name} told to give up {}",
+                String::from_utf8_lossy(&frame[1..])
+            )),
             letter @ (b'l' | b'p') => {
-                let rest: &[u8] = if letter == b'l' { b"lqps=8,util=0.3,queue=1" } else { b"pserved" };
+                let rest: &[u8] = if letter == b'l' {
+                    b"lqps=8,util=0.3,queue=1"
+                } else {
+                    b"pserved"
+                };
                 let mut frame = (rest.len() as u32).to_le_bytes().to_vec();
                 frame.extend_from_slice(rest);
                 let _ = writer.lock().unwrap().write_all(&frame);
@@ -238,7 +255,10 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let list = List {
             index: 41,
-            entries: entries.iter().map(|(name, text)| (name.clone(), (text.clone(), 41))).collect(),
+            entries: entries
+                .iter()
+                .map(|(name, text)| (name.clone(), (text.clone(), 41)))
+                .collect(),
             closed: false,
         };
         let discovery = Discovery {
@@ -255,7 +275,11 @@
                     return;
                 }
                 let _ = stream.set_nodelay(true);
-                served.connections.lock().unwrap().push(stream.try_clone().unwrap());
+                served
+                    .connections
+                    .lock()
+                    .unwrap()
+                    .push(stream.try_clone().unwrap());
                 let served = served.clone();
                 thread::spawn(move || served.serve(stream));
             }
@@ -268,14 +292,17 @@
         let mut list = self.list.0.lock().unwrap();
         list.index += 1;
         let index = list.index;
-        list.entries.insert(name.to_owned(), (text.to_owned(), index));
+        list.entries
+            .insert(name.to_owned(), (text.to_owned(), index));
         self.list.1.notify_all();
     }
 
     fn serve(&self, mut stream: TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         loop {
-            let Some(head) = read_head(&mut reader) else { return };
+            let Some(head) = read_head(&mut reader) else {
+                return;
+            };
             let target = head[0].split(' ').nth(1).unwrap_or("").to_owned();
             let number = |key: &str| {
                 target
@@ -312,7 +339,8 @@
                 return;
             }
             if news {
-                self.record.say(&format!("{} told {target}: {body}", self.name));
+                self.record
+                    .say(&format!("{} told {target}: {body}", self.name));
             }
         }
     }
@@ -383,7 +411,8 @@
     /// The answer; an error if the connection ends before its last byte, or nothing comes within `patience`.
     pub fn answer(&mut self, patience: Duration) -> std::io::Result<Answer> {
         self.stream.set_read_timeout(Some(patience))?;
-        let ended = || std::io::Error::new(std::io::ErrorKind::UnexpectedEof, "the connection ended");
+        let ended =
+            || std::io::Error::new(std::io::ErrorKind::UnexpectedEof, "the connection ended");
         let mut head = Vec::new();
         loop {
             let mut line = String::new();
@@ -396,9 +425,19 @@
             }
             head.push(line);
         }
-        let value = |name: &str| head.iter().find_map(|line| line.strip_prefix(name)).map(str::trim);
-        let status = head[0].split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
-        let length = value("content-length:").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let value = |name: &str| {
+            head.iter()
+                .find_map(|line| line.strip_prefix(name))
+                .map(str::trim)
+        };
+        let status = head[0]
+            .split(' ')
+            .nth(1)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        let length = value("content-length:")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
         let mut body = vec![0; length];
         self.reader.read_exact(&mut body)?;
         Ok(Answer {
@@ -416,7 +455,10 @@
         .iter()
         .map(|shard| format!(r#"{{"tablet":{shard},"fraction":{share},"guess":90000}}"#))
         .collect();
-    let body = format!(r#"{{"tablets":[{}],"statement":"{text}"}}"#, tablets.join(","));
+    let body = format!(
+        r#"{{"tablets":[{}],"statement":"{text}"}}"#,
+        tablets.join(",")
+    );
     format!(
         "POST /{index} HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {id}\r\nReq-Kind: {index}\r\nReq-Deadline-Ms: {deadline_ms}\r\nIdempotency-Key: k{id}\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
@@ -427,7 +469,12 @@
 pub fn pieces(body: &str) -> Vec<(u32, String)> {
     body.split('{')
         .filter_map(|piece| {
-            let value = piece.split("\"cell\":\"").nth(1)?.split('"').next()?.to_owned();
+            let value = piece
+                .split("\"cell\":\"")
+                .nth(1)?
+                .split('"')
+                .next()?
+                .to_owned();
             let shard = piece.split("\"tablet\":").nth(1)?;
             let digits: String = shard.chars().take_while(char::is_ascii_digit).collect();
             Some((digits.parse().ok()?, value))
@@ -444,7 +491,7 @@
     pub fn new(name: &str) -> Folder {
         static NUMBER: AtomicU64 = AtomicU64::new(0);
         let number = NUMBER.fetch_add(1, Ordering::SeqCst);
-        let path = std::env::temp_dir().join(format!("review-{name}-{}-{number}", std::process::id()));
+        let path = std::env::temp_dir().join(format!("rv-{name}-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&path).expect("a temporary folder");
         Folder(path)
     }
@@ -457,7 +504,10 @@
 }
 
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+    TcpListener::bind("127.0.0.1:0")
+        .unwrap()
+        .local_addr()
+        .unwrap()
 }
 
 /// A router that was started with the deploy file's command, in a process group of its own.
@@ -468,9 +518,20 @@
 
 impl Router {
     /// Starts `target/release/ternpick serve` and waits until its health check answers 200.
-    pub fn start(record: &Record, config: &Path, settings: Option<&Path>, address: SocketAddr, log: &Path) -> Option<Router> {
-        let settings = settings.map(|path| format!(" --settings {}", path.display())).unwrap_or_default();
-        let command = format!("exec target/release/ternpick serve --config {}{settings}", config.display());
+    pub fn start(
+        record: &Record,
+        config: &Path,
+        settings: Option<&Path>,
+        address: SocketAddr,
+        log: &Path,
+    ) -> Option<Router> {
+        let settings = settings
+            .map(|path| format!(" --settings {}", path.display()))
+            .unwrap_or_default();
+        let command = format!(
+            "exec target/release/ternpick serve --config {}{settings}",
+            config.display()
+        );
         record.say(&format!("starts: {command}"));
         let log = File::options().create(true).append(true).open(log).ok()?;
         let child = Command::new("/bin/sh")
@@ -484,10 +545,14 @@
             .spawn()
             .ok()?;
         let router = Router { child, address };
+        end_in_any_case(router.pid());
         for _ in 0..200 {
             if let Some(mut connection) = Connection::open(address) {
-                if connection.send("GET /_health HTTP/1.1\r\nHost: backend.local\r\nConnection: close\r\n\r\n")
-                    && connection.answer(ms(500)).is_ok_and(|answer| answer.status == 200)
+                if connection.send(
+                    "GET /_health HTTP/1.1\r\nHost: backend.local\r\nConnection: close\r\n\r\n",
+                ) && connection
+                    .answer(ms(500))
+                    .is_ok_and(|answer| answer.status == 200)
                 {
                     record.say("the router serves");
                     return Some(router);
@@ -521,6 +586,15 @@
     }
 }
 
+/// Ends a router's processes and the run, with the status for a case that could not run, should it last over 110 s.
+fn end_in_any_case(group: i32) {
+    thread::spawn(move || {
+        thread::sleep(Duration::from_secs(110));
+        signal(-group, SIGKILL);
+        std::process::exit(2);
+    });
+}
+
 /// The configuration that the platform hands a router: a small deployment with three indexes, two sets of nodes that
 /// hold four shards each.
 pub fn config(address: SocketAddr, discovery: SocketAddr, entries: &[(String, String)]) -> String {
@@ -553,13 +627,17 @@
 }
 
 pub fn seed() -> u64 {
-    std::env::var("SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(1)
+    std::env::var("SEED")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(1)
 }
 
 /// Starts `count` data nodes, half of them in each set, and returns them with their entries.
 pub fn nodes(count: usize, record: &Record, act: &Act) -> (Vec<Node>, Vec<(String, String)>) {
-    let nodes: Vec<Node> =
-        (0..count).map(|number| Node::start(&format!("s-{number}"), record, Arc::clone(act))).collect();
+    let nodes: Vec<Node> = (0..count)
+        .map(|number| Node::start(&format!("s-{number}"), record, Arc::clone(act)))
+        .collect();
     let entries = nodes
         .iter()
         .enumerate()
