--- a/review/common/standins.rs
+++ b/review/common/standins.rs
@@ -514,6 +514,7 @@
 pub struct Router {
     pub child: Child,
     pub address: SocketAddr,
+    guard: Child,
 }
 
 impl Router {
@@ -544,7 +545,12 @@
             .process_group(0)
             .spawn()
             .ok()?;
-        let router = Router { child, address };
+        let guard = guard(child.id(), config.parent()?)?;
+        let router = Router {
+            child,
+            address,
+            guard,
+        };
         end_in_any_case(router.pid());
         for _ in 0..200 {
             if let Some(mut connection) = Connection::open(address) {
@@ -583,9 +589,30 @@
     fn drop(&mut self) {
         signal(-self.pid(), SIGKILL);
         let _ = self.child.wait();
+        signal(self.guard.id() as i32, SIGKILL);
+        let _ = self.guard.wait();
     }
 }
 
+/// Starts a shell that waits for the end of this process, however it comes, and then ends all processes of the router and
+/// removes the run's folder. It holds the reading end of a pipe whose writing end only this process has, and is in a group
+/// of its own, so that an interrupt from a terminal does not reach it.
+fn guard(group: u32, folder: &Path) -> Option<Child> {
+    Command::new("/bin/sh")
+        .args([
+            "-c",
+            "read -r end; kill -9 -- \"-$0\" 2>/dev/null; rm -rf -- \"$1\"",
+        ])
+        .arg(group.to_string())
+        .arg(folder)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .process_group(0)
+        .spawn()
+        .ok()
+}
+
 /// Ends a router's processes and the run, with the status for a case that could not run, should it last over 110 s.
 fn end_in_any_case(group: i32) {
     thread::spawn(move || {
