--- a/review/common/standins.rs
+++ b/review/common/standins.rs
@@ -601,7 +601,7 @@
     Command::new("/bin/sh")
         .args([
             "-c",
-            "read -r end; kill -9 -- \"-$0\" 2>/dev/null; rm -rf -- \"$1\"",
+            "read -r end; kill -9 \"-$0\" 2>/dev/null; rm -rf -- \"$1\"",
         ])
         .arg(group.to_string())
         .arg(folder)
