--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -1,46 +1,74 @@
-//! Case: an upgrade whose new process dies while it starts. See claim.txt.
+//! Case: a planned restart (SIGTERM) while an upgrade's old process still answers its last lookup. See claim.txt.
 #[path = "../common/standins.rs"]
 mod standins;
 
 use standins::*;
-use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Command, ExitCode, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-/// The new process dies this long after the upgrade has said that it has started.
-const DIES_AFTER: Duration = Duration::from_millis(30);
-const CLIENTS: u64 = 12;
-/// Each round has a router of its own and one upgrade.
-const ROUNDS: u64 = 6;
+/// The longest deadline, counted as 3 s at most, and 0.7 s more: SIGKILL may come this long after SIGTERM.
+const KILL_AFTER: Duration = ms_const(3_700);
+/// New connections go on coming for this long after SIGTERM.
+const NEW_CONNECTIONS_FOR: Duration = ms_const(300);
+/// Requests that came later than this after SIGTERM, and that SIGKILL finds unanswered, are lost.
+const LOST_AFTER: Duration = ms_const(700);
+const CLIENTS: u64 = 6;
+
+const fn ms_const(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// How a request ended.
+enum End {
+    Answered,
+    /// The connection ended with no whole answer.
+    CutOff,
+}
+
+struct Request {
+    id: String,
+    sent: Instant,
+    ended: Instant,
+    end: End,
+}
 
 #[derive(Default)]
 struct Seen {
-    /// The ids of lookups of which a part has come to a data node.
-    forwarded: Mutex<BTreeSet<String>>,
-    answered: AtomicU64,
-    unanswered: Mutex<Vec<String>>,
+    requests: Mutex<Vec<Request>>,
+    term: Mutex<Option<Instant>>,
+    killed: Mutex<Option<Instant>>,
 }
 
-/// A client that keeps its connection and asks one lookup after the other.
-fn client(round: u64, number: u64, address: SocketAddr, record: &Record, seen: &Seen, over: &Over) {
-    let mut dice = Dice::new(seed() * 1000 + round * 100 + number);
+/// A client that keeps its connection and asks one lookup after the other. Once its connection has ended, it opens
+/// another as long as new connections come.
+fn client(
+    number: u64,
+    address: std::net::SocketAddr,
+    record: &Record,
+    seen: &Seen,
+    over: &Over,
+    ids: &AtomicU64,
+) {
+    let mut dice = Dice::new(seed() * 100 + number);
     let mut connection: Option<Connection> = None;
-    let mut asked = 0;
     while !over.get() {
-        thread::sleep(ms(dice.below(60)));
+        let since_term = seen.term.lock().unwrap().map(|at| at.elapsed());
+        if connection.is_none() && since_term.is_some_and(|since| since > NEW_CONNECTIONS_FOR) {
+            return;
+        }
         let Some(mut open) = connection.take().or_else(|| Connection::open(address)) else {
+            thread::sleep(ms(20));
             continue;
         };
-        asked += 1;
-        let id = format!("{:06x}{round:02x}{number:04x}{asked:04x}", seed());
+        let id = format!("{:08x}{:08x}", seed(), ids.fetch_add(1, Ordering::SeqCst));
         let first = dice.below(5) as u32;
         let shards: Vec<u32> = (first..first + 4).collect();
+        let sent = Instant::now();
         if !open.send(&lookup("address-history", &id, 4000, &shards, "c41e77d0")) {
             record.say(&format!(
                 "client {number} finds its connection closed before {id}"
@@ -48,39 +76,54 @@
             continue;
         }
         record.say(&format!("client {number} asks {id}"));
-        match open.answer(ms(4_600)) {
+        let answer = open.answer(ms(4_500));
+        let end = match &answer {
             Ok(answer) => {
                 record.say(&format!(
                     "client {number}: {id} answered with {}",
                     answer.status
                 ));
-                seen.answered.fetch_add(1, Ordering::SeqCst);
-                connection = (!answer.last).then_some(open);
+                End::Answered
             }
             Err(error) => {
                 record.say(&format!("client {number}: {id} has no answer: {error}"));
-                seen.unanswered.lock().unwrap().push(id);
+                End::CutOff
             }
-        }
+        };
+        seen.requests.lock().unwrap().push(Request {
+            id,
+            sent,
+            ended: Instant::now(),
+            end,
+        });
+        connection = answer.is_ok_and(|answer| !answer.last).then_some(open);
+        thread::sleep(ms(dice.between(0, 40)));
     }
 }
 
-/// One router and one upgrade of it; returns false if the round could not run.
-fn round(number: u64, trouble: bool, record: &Record, seen: &Arc<Seen>) -> bool {
-    let (parts, noted) = (AtomicU64::new(number * 11), Arc::clone(seen));
-    // Sound nodes: 80 to 200 ms for a part.
+fn main() -> ExitCode {
+    let record = Record::new(Path::new(
+        &std::env::args().nth(1).expect("the path of the record"),
+    ));
+    let trouble = trouble();
+    // Sound nodes: 80 to 200 ms for a part; 1.6 s for the parts of one heavy lookup, which is inside the 2 s within
+    // which its index is wanted.
+    let parts = AtomicU64::new(0);
     let act: Act = Arc::new(move |part: &Part| {
-        let lookup = part.id.split('.').next().unwrap_or_default().to_owned();
-        noted.forwarded.lock().unwrap().insert(lookup);
         let number = parts.fetch_add(1, Ordering::SeqCst);
+        let work = if part.text == "heavy" {
+            1_600
+        } else {
+            80 + number * 37 % 120
+        };
         Some((
-            ms(80 + number * 37 % 120),
+            ms(work),
             answer_frame(&part.id, "served", &value_of(&part.id)),
         ))
     });
-    let (_nodes, entries) = nodes(6, record, &act);
-    let discovery = Discovery::start("discovery", record, &entries);
-    let folder = Folder::new("dies");
+    let (_nodes, entries) = nodes(6, &record, &act);
+    let discovery = Discovery::start("discovery", &record, &entries);
+    let folder = Folder::new("restart");
     let (address, file) = (free_address(), folder.0.join("router.json"));
     let (settings, socket) = (folder.0.join("settings.cue"), folder.0.join("control"));
     std::fs::write(&file, config(address, discovery.address, &entries)).expect("written");
@@ -90,23 +133,55 @@
     );
     std::fs::write(&settings, control).expect("written");
     let Some(mut router) = Router::start(
-        record,
+        &record,
         &file,
         Some(&settings),
         address,
         &folder.0.join("log"),
     ) else {
-        return false;
+        record.tell("the router did not start");
+        return ExitCode::from(2);
     };
-    let over = Over::default();
+    let (seen, over, ids) = (
+        Arc::new(Seen::default()),
+        Over::default(),
+        Arc::new(AtomicU64::new(1)),
+    );
     let clients: Vec<_> = (0..CLIENTS)
-        .map(|client_number| {
-            let (record, seen, over) = (record.clone(), Arc::clone(seen), over.clone());
-            thread::spawn(move || client(number, client_number, address, &record, &seen, &over))
+        .map(|number| {
+            let (record, seen, over, ids) = (
+                record.clone(),
+                Arc::clone(&seen),
+                over.clone(),
+                Arc::clone(&ids),
+            );
+            thread::spawn(move || client(number, address, &record, &seen, &over, &ids))
         })
         .collect();
     thread::sleep(ms(2_000));
 
+    // One heavy lookup is in flight while the upgrade happens.
+    let heavy = {
+        let record = record.clone();
+        thread::spawn(move || {
+            let mut open = Connection::open(address)?;
+            record.say("the heavy lookup is asked");
+            open.send(&lookup(
+                "address-history",
+                "heavy0001",
+                6000,
+                &[0, 1, 2, 3],
+                "heavy",
+            ));
+            let answer = open.answer(ms(6_500)).ok()?;
+            record.say(&format!(
+                "the heavy lookup is answered with {}",
+                answer.status
+            ));
+            Some(answer.status)
+        })
+    };
+    thread::sleep(ms(150));
     record.say(&format!(
         "runs: target/release/ternpick upgrade --socket {}",
         socket.display()
@@ -115,77 +190,92 @@
         .args(["upgrade", "--socket"])
         .arg(&socket)
         .stdout(Stdio::piped())
-        .stderr(Stdio::piped())
         .spawn()
         .expect("the command runs");
+    let mut drains = false;
     let mut steps = BufReader::new(upgrade.stdout.take().expect("its output"));
     let mut line = String::new();
-    let _ = steps.read_line(&mut line);
-    record.say(&format!("upgrade: {}", line.trim_end()));
-    let process = line
-        .split("(process ")
-        .nth(1)
-        .and_then(|text| text.split(')').next()?.parse::<i32>().ok());
-    let Some(process) = process else { return false };
+    while steps.read_line(&mut line).unwrap_or(0) > 0 {
+        record.say(&format!("upgrade: {}", line.trim_end()));
+        drains = line.contains("the new process serves, this process drains");
+        if drains {
+            break;
+        }
+        line.clear();
+    }
+    if !drains {
+        record.tell("the upgrade did not happen");
+        return ExitCode::from(2);
+    }
+    thread::spawn(move || for _ in steps.lines() {});
+    // With trouble the planned restart begins while the old process still answers the heavy lookup; without, once the
+    // upgrade is over.
     if trouble {
-        thread::sleep(DIES_AFTER);
+        thread::sleep(ms(400));
+    } else {
+        let ended = upgrade.wait().is_ok_and(|status| status.success());
+        record.say(&format!("the upgrade has ended, well: {ended}"));
+        thread::sleep(ms(1_000));
+    }
+    record.say("SIGTERM to the process that `run` started");
+    *seen.term.lock().unwrap() = Some(Instant::now());
+    signal(router.pid(), SIGTERM);
+    let term = Instant::now();
+    while term.elapsed() < KILL_AFTER + ms(50) && router.any_lives() {
+        thread::sleep(ms(10));
+    }
+    let left = router.any_lives();
+    if left {
+        record.say("SIGKILL to all processes of the router that are left");
+        *seen.killed.lock().unwrap() = Some(Instant::now());
+        signal(-router.pid(), SIGKILL);
+    } else {
         record.say(&format!(
-            "SIGKILL to the new process {process}, {} ms after it has started",
-            DIES_AFTER.as_millis()
+            "all processes of the router have ended, {} ms after SIGTERM",
+            term.elapsed().as_millis()
         ));
-        signal(process, SIGKILL);
-    }
-    for line in steps.lines().map_while(Result::ok) {
-        record.say(&format!("upgrade: {line}"));
     }
-    let ended = upgrade.wait_with_output().expect("the command ends");
-    let status = ended.status.code();
-    let said = String::from_utf8_lossy(&ended.stderr).trim().to_owned();
-    record.say(&format!(
-        "the upgrade has ended with status {status:?} {said}"
-    ));
-    thread::sleep(ms(2_000));
     over.set();
     for client in clients {
         let _ = client.join();
     }
-    let runs = !router.has_ended();
-    record.say(&format!(
-        "the process that `run` started still runs: {runs}"
-    ));
-    // With trouble the upgrade has failed and the router has gone on running; without, the upgrade has succeeded.
-    runs && status == Some(i32::from(trouble))
-}
+    let heavy = heavy.join().ok().flatten();
+    let _ = upgrade.kill();
+    let _ = upgrade.wait();
 
-fn main() -> ExitCode {
-    let record = Record::new(Path::new(
-        &std::env::args().nth(1).expect("the path of the record"),
-    ));
-    let trouble = trouble();
-    let seen = Arc::new(Seen::default());
-    for number in 0..ROUNDS {
-        if !round(number, trouble, &record, &seen) {
-            record.tell(&format!("round {number} could not run"));
-            return ExitCode::from(2);
-        }
-    }
-    // A lookup with no answer of which no part came to a data node may have crossed the close of a connection between
-    // requests; it does not count.
-    let forwarded = seen.forwarded.lock().unwrap();
-    let (mut lost, mut crossed) = (0, 0);
-    for id in seen.unanswered.lock().unwrap().iter() {
-        if forwarded.contains(id) {
-            lost += 1;
-            record.say(&format!(
-                "LOST: {id} was read and forwarded, and its connection ended with no answer"
-            ));
-        } else {
-            crossed += 1;
+    let (mut answered, mut late, mut lost, mut early) = (0, 0, 0, 0);
+    for request in seen.requests.lock().unwrap().iter() {
+        let after_term = request.sent.checked_duration_since(term);
+        match request.end {
+            End::Answered => {
+                answered += 1;
+                late += usize::from(after_term.is_some_and(|after| after > LOST_AFTER));
+            }
+            End::CutOff => {
+                let by_kill = seen
+                    .killed
+                    .lock()
+                    .unwrap()
+                    .is_some_and(|at| request.ended >= at);
+                let waited = request.ended.duration_since(request.sent);
+                if by_kill && after_term.is_some_and(|after| after > LOST_AFTER) {
+                    lost += 1;
+                    record.say(&format!(
+                        "LOST: {} came {} ms after SIGTERM, SIGKILL found it unanswered {} ms later",
+                        request.id,
+                        after_term.unwrap_or_default().as_millis(),
+                        waited.as_millis()
+                    ));
+                } else {
+                    // The router closed the connection between requests, and this one crossed it.
+                    early += 1;
+                }
+            }
         }
     }
-    let answered = seen.answered.load(Ordering::SeqCst);
     record.tell(&format!(
-        "{ROUNDS} upgrades; {answered} lookups answered, {lost} forwarded and never answered, {crossed} not forwarded and not answered"
+        "{answered} lookups answered, {late} of them came more than 0.7 s after SIGTERM; the heavy one: {heavy:?}; {early} crossed a close; \
+         {lost} lost at SIGKILL; processes left at SIGKILL: {left}"
     ));
     if answered < 50 {
         return ExitCode::from(2);
