--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -215,6 +215,10 @@
     } else {
         let ended = upgrade.wait().is_ok_and(|status| status.success());
         record.say(&format!("the upgrade has ended, well: {ended}"));
+        if !ended {
+            record.tell("the upgrade did not end well");
+            return ExitCode::from(2);
+        }
         thread::sleep(ms(1_000));
     }
     record.say("SIGTERM to the process that `run` started");
