--- a/review/common/standins.rs
+++ b/review/common/standins.rs
@@ -6,6 +6,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -16,6 +17,8 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn getpid() -> i32;
+    fn write(descriptor: i32, bytes: *const u8, count: usize) -> isize;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -535,17 +538,20 @@
         );
         record.say(&format!("starts: {command}"));
         let log = File::options().create(true).append(true).open(log).ok()?;
-        let child = Command::new("/bin/sh")
+        let guard = guard(config.parent()?)?;
+        let pipe = guard.stdin.as_ref()?.as_raw_fd();
+        let mut shell = Command::new("/bin/sh");
+        shell
             .arg("-c")
             .arg(command)
             .env("ROUTER_CONFIG", config)
             .stdin(Stdio::null())
             .stdout(log.try_clone().ok()?)
             .stderr(log)
-            .process_group(0)
-            .spawn()
-            .ok()?;
-        let guard = guard(child.id(), config.parent()?)?;
+            .process_group(0);
+        // Runs in the new process, which already leads its group, before it becomes the shell.
+        unsafe { shell.pre_exec(move || tell_own_id(pipe)) };
+        let child = shell.spawn().ok()?;
         let router = Router {
             child,
             address,
@@ -594,16 +600,34 @@
     }
 }
 
+/// Writes the id of the calling process as a line to a pipe, without any allocation.
+fn tell_own_id(pipe: i32) -> std::io::Result<()> {
+    let mut line = [b'\n'; 12];
+    let mut first = line.len() - 1;
+    let mut id = unsafe { getpid() };
+    while id > 0 {
+        first -= 1;
+        line[first] = b'0' + (id % 10) as u8;
+        id /= 10;
+    }
+    let count = line.len() - first;
+    let written = unsafe { write(pipe, line[first..].as_ptr(), count) };
+    if written != count as isize {
+        return Err(std::io::Error::last_os_error());
+    }
+    Ok(())
+}
+
 /// Starts a shell that waits for the end of this process, however it comes, and then ends all processes of the router and
-/// removes the run's folder. It holds the reading end of a pipe whose writing end only this process has, and is in a group
-/// of its own, so that an interrupt from a terminal does not reach it.
-fn guard(group: u32, folder: &Path) -> Option<Child> {
+/// removes the run's folder. It is started before the router and reads the router's group from a pipe; the router's
+/// process writes it there before it runs the program. After that only this process holds the writing end, so that the
+/// pipe ends with it. The shell is in a group of its own, so that an interrupt from a terminal does not reach it.
+fn guard(folder: &Path) -> Option<Child> {
     Command::new("/bin/sh")
         .args([
             "-c",
-            "read -r end; kill -9 \"-$0\" 2>/dev/null; rm -rf -- \"$1\"",
+            "read -r group && { read -r end; kill -9 \"-$group\" 2>/dev/null; }; rm -rf -- \"$0\"",
         ])
-        .arg(group.to_string())
         .arg(folder)
         .stdin(Stdio::piped())
         .stdout(Stdio::null())
