--- a/router/src/stages/mod.rs
+++ b/router/src/stages/mod.rs
@@ -14,7 +14,8 @@
 //! | a connection to the node is dialled | `upstream_connection.rs`, `upstream_dial.rs` | `open`, `dial` |
 //! | the frame is written | `upstream_writer.rs` | `write_available` |
 //! | the attempt's deadline is checked | `attempt_deadline.rs` | `check` |
-//! | the node's answer is read and matched to the attempt | `upstream_reader.rs` | `handle_answer` |
+//! | the node's answer is read, and held until its length is confirmed | `upstream_reader.rs`, `answer_hold.rs` | `hold_answer` |
+//! | the answer is matched to the attempt | `upstream_reader.rs` | `handle_answer` |
 //! | the engine receives the attempt's outcome | `dispatch.rs` | `attempt_finished` |
 //! | the query is closed with an answer, a rejection or a failure | `completion.rs` | `EffectQueue::close` |
 //! | the client connection waits for that answer | `answer_wait.rs` | `wait_for_answer` |
@@ -27,6 +28,7 @@
 //! client connections in `state/clients.rs`.
 
 mod admission_wait;
+mod answer_hold;
 mod answer_wait;
 mod answer_writer;
 mod attempt_deadline;
--- a/router/src/stages/upstream_connection.rs
+++ b/router/src/stages/upstream_connection.rs
@@ -16,8 +16,8 @@
 
 use crate::router::Router;
 use crate::stages::completion::EffectQueue;
-use crate::stages::upstream_reader::UnusableInput;
-use crate::stages::{upstream_dial, upstream_reader, upstream_writer};
+use crate::stages::upstream_reader::{UnusableInput, UpstreamReader};
+use crate::stages::{upstream_dial, upstream_writer};
 use crate::state::descriptors::Peer;
 use crate::state::in_flight::AttemptKey;
 use crate::state::nodes::{Connection, ConnectionId};
@@ -122,8 +122,11 @@
         }
     }
     let written = upstream_writer::write(router, id, &stream);
-    let read = upstream_reader::read(router, id, &stream);
-    future::or(future::or(written, read), wait_until_idle(router, id)).await
+    let mut reader = UpstreamReader::new(router, id);
+    let read = reader.read(&stream);
+    let end = future::or(future::or(written, read), wait_until_idle(router, id)).await;
+    reader.finish();
+    end
 }
 
 /// Returns when the connection has been idle for so long that the node is about to close it.
--- a/router/src/stages/upstream_reader.rs
+++ b/router/src/stages/upstream_reader.rs
@@ -1,20 +1,22 @@
 //! Reads frames from nodes, and matches answers to attempts by connection and id.
 //!
-//! This is the reading half of a connection's task in `upstream_connection.rs`. The value of an answer goes to the
-//! in-flight table, the outcome of its attempt through `dispatch.rs` to the routing engine.
+//! This is the reading half of a connection's task in `upstream_connection.rs`. An answer is held until its length is
+//! confirmed (`answer_hold.rs`); then its value goes to the in-flight table, and the outcome of its attempt through
+//! `dispatch.rs` to the routing engine.
 
 use std::io::{ErrorKind, Read};
 use std::net::TcpStream;
 
 use async_io::Async;
 use ternpick::types::{AttemptOutcome, Micros};
-use ternpick_wire::frames::{self, BadFrame, ResponseStatus, ShardResponse};
+use ternpick_wire::frames::{self, BadFrame, FrameStart, ResponseStatus, ShardResponse};
 use ternpick_wire::ring::Ring;
 
 use crate::router::Router;
-use crate::stages::completion::FinishedAttempt;
-use crate::stages::dispatch;
+use crate::stages::answer_hold::{hold_time, HeldAnswer, ReadPauses};
+use crate::stages::completion::{EffectQueue, FinishedAttempt};
 use crate::stages::upstream_connection::UpstreamEnd;
+use crate::stages::{dispatch, upstream_writer};
 use crate::state::memory_budget::MemoryShare;
 use crate::state::nodes::ConnectionId;
 
@@ -22,6 +24,8 @@
 const INPUT_BOUND: usize = 16 * 1024;
 /// The maximum number of bytes of a node's error text in a log line.
 const MAX_LOGGED_BYTES: usize = 200;
+/// The letter of an answer's frame.
+const ANSWER: u8 = b'a';
 /// The maximum number of consecutive reads before other tasks run.
 const READS_IN_A_ROW: usize = 16;
 
@@ -51,54 +55,65 @@
     ConnectionRemoved,
 }
 
-/// Reads from a connection until it ends or delivers unusable data. A frame that is not completed within the dial
-/// timeout is unusable too, because it would absorb all bytes that follow it.
-pub(super) async fn read(
-    router: &Router,
-    id: ConnectionId,
-    stream: &Async<TcpStream>,
-) -> UpstreamEnd {
-    let mut reader = UpstreamReader {
-        router,
-        id,
-        input: Ring::new(INPUT_BOUND),
-        frame: Vec::new(),
-        frame_began_at: None,
-        memory: router.budget.share(),
-    };
-    loop {
-        if let Err(end) = reader.read_when_ready(stream).await {
-            return end;
-        }
-    }
-}
-
 /// The reader of one connection, with the bytes that are not complete frames yet.
-struct UpstreamReader<'a> {
+pub(super) struct UpstreamReader<'a> {
     router: &'a Router,
     id: ConnectionId,
     input: Ring,
+    /// The bytes of an incomplete frame, as [`frames::read_frame`] collects them.
     frame: Vec<u8>,
     /// When the first byte of the incomplete frame was read.
     frame_began_at: Option<Micros>,
+    pauses: ReadPauses,
+    /// The last complete answer, while it is not known whether its length is right.
+    held: Option<HeldAnswer>,
     memory: MemoryShare,
 }
 
-impl UpstreamReader<'_> {
+impl<'a> UpstreamReader<'a> {
+    /// Creates the reader of a connection that has just been established.
+    pub(super) fn new(router: &'a Router, id: ConnectionId) -> Self {
+        UpstreamReader {
+            router,
+            id,
+            input: Ring::new(INPUT_BOUND),
+            frame: Vec::new(),
+            frame_began_at: None,
+            pauses: ReadPauses::default(),
+            held: None,
+            memory: router.budget.share(),
+        }
+    }
+
+    /// Reads until the connection ends or delivers unusable data. A frame that is not completed within the dial
+    /// timeout is unusable too, because it would absorb all bytes that follow it.
+    pub(super) async fn read(&mut self, stream: &Async<TcpStream>) -> UpstreamEnd {
+        loop {
+            if let Err(end) = self.read_when_ready(stream).await {
+                return end;
+            }
+        }
+    }
+
+    /// Handles the answer that is held when the connection ends, if no byte has followed it.
+    pub(super) fn finish(&mut self) {
+        if self.frame.is_empty() {
+            // The connection has ended already, so an unusable answer changes nothing.
+            let _ = self.release_answer();
+        }
+    }
+
     /// Waits for bytes, then reads until there are none or other tasks must run.
     async fn read_when_ready(&mut self, stream: &Async<TcpStream>) -> Result<(), UpstreamEnd> {
-        let unfinished_until = self
-            .frame_began_at
-            .zip(self.router.bounds.dial_timeout)
-            .map(|(begun, limit)| begun + limit);
         let ready = self
             .router
-            .with_deadline(unfinished_until, stream.readable())
+            .with_deadline(self.deadline(), stream.readable())
             .await;
         match ready {
             Some(Ok(())) => {}
             Some(Err(_)) => return Err(UpstreamEnd::ReadFailed),
-            None => return Err(self.abandon_connection(UnusableInput::IncompleteFrame)),
+            None if self.frame.is_empty() => return self.release_answer(),
+            None => return Err(self.abandon_on_incomplete_frame()),
         }
         for _ in 0..READS_IN_A_ROW {
             match stream.get_ref().read(self.input.free()) {
@@ -108,10 +123,33 @@
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 Err(_) => return Err(UpstreamEnd::ReadFailed),
             }
+            self.pauses
+                .record_read(self.router.clock.now(), !self.frame.is_empty());
             self.handle_frames()?;
         }
         self.input.release_if_empty();
-        Ok(())
+        self.release_overdue_answer()
+    }
+
+    /// Handles an answer whose attempt is about to time out at once, if no byte has followed it. A task that waited
+    /// until then might run after the attempt has timed out.
+    fn release_overdue_answer(&mut self) -> Result<(), UpstreamEnd> {
+        let now = self.router.clock.now();
+        match &self.held {
+            Some(held) if self.frame.is_empty() && held.until <= now => self.release_answer(),
+            _ => Ok(()),
+        }
+    }
+
+    /// When the incomplete frame must be complete, or else when the held answer is released.
+    fn deadline(&self) -> Option<Micros> {
+        match self.frame_began_at {
+            Some(began_at) => {
+                let limit = self.router.bounds.dial_timeout?;
+                Some(began_at + limit)
+            }
+            None => self.held.as_ref().map(|held| held.until),
+        }
     }
 
     /// Handles all complete frames in the input buffer.
@@ -119,22 +157,21 @@
         loop {
             match frames::read_frame(&mut self.input, &mut self.frame) {
                 Ok(None) => break,
-                Ok(Some(letter)) => {
-                    if let Err(error) = handle_frame(self.router, self.id, letter, &self.frame) {
-                        return Err(self.abandon_connection(error));
-                    }
-                    self.record_reception();
-                    self.frame_began_at = None;
-                    self.frame = Vec::new();
-                }
-                Err(error) => {
-                    // The bytes read so far are not a frame, and name no attempt.
-                    self.frame.clear();
-                    return Err(self.abandon_connection(UnusableInput::Malformed(error)));
+                Ok(Some(letter)) => self.handle_complete_frame(letter)?,
+                Err(error) => return Err(self.abandon_on_invalid_frame(error)),
+            }
+        }
+        if self.held.is_some() {
+            match frames::frame_start(&self.frame) {
+                FrameStart::Frame => self.release_answer()?,
+                FrameStart::Invalid => {
+                    return Err(self.abandon_on_invalid_frame(BadFrame::WrongLength))
                 }
+                FrameStart::Undecided => {}
             }
         }
-        self.memory.set(self.frame.capacity());
+        let held_bytes = self.held.as_ref().map_or(0, |held| held.payload.capacity());
+        self.memory.set(self.frame.capacity() + held_bytes);
         self.frame_began_at = if self.frame.is_empty() {
             None
         } else {
@@ -143,12 +180,105 @@
         Ok(())
     }
 
-    /// Abandons the connection because of unusable data; the attempt that the frame names has failed.
-    fn abandon_connection(&self, error: UnusableInput) -> UpstreamEnd {
+    /// Handles a complete frame, which confirms the length of the answer before it. An answer is held.
+    fn handle_complete_frame(&mut self, letter: u8) -> Result<(), UpstreamEnd> {
+        self.release_answer()?;
+        self.frame_began_at = None;
+        let longest_pause = self.pauses.finish_frame();
+        let payload = std::mem::take(&mut self.frame);
+        self.record_reception();
+        if letter == ANSWER {
+            self.hold_answer(payload, longest_pause);
+            return Ok(());
+        }
+        handle_frame(self.router, self.id, letter, &payload).map_err(|error| {
+            let attempt_id = frames::parse_shard_request_id(&payload);
+            self.abandon_connection(error, attempt_id)
+        })
+    }
+
+    /// Holds an answer until the bytes behind it, or their absence, confirm its length.
+    fn hold_answer(&mut self, payload: Vec<u8>, longest_pause: Micros) {
+        let now = self.router.clock.now();
+        let time_left = self
+            .attempt_due(&payload)
+            .map_or(Micros(0), |due| due.since(now));
+        self.held = Some(HeldAnswer {
+            payload,
+            until: now + hold_time(longest_pause, time_left),
+        });
+    }
+
+    /// When the attempt that an answer names times out; `None` if it is not in flight.
+    fn attempt_due(&self, payload: &[u8]) -> Option<Micros> {
+        let attempt_id = frames::parse_shard_request_id(payload)?;
+        let decisions = self.router.decisions.borrow();
+        let effects = &decisions.effects;
+        let key = effects
+            .nodes
+            .connection(self.id)?
+            .attempts
+            .get(attempt_id)?;
+        Some(effects.in_flight.attempt(*key)?.due)
+    }
+
+    /// Handles the answer that is held, if there is one.
+    fn release_answer(&mut self) -> Result<(), UpstreamEnd> {
+        let Some(held) = self.held.take() else {
+            return Ok(());
+        };
+        handle_answer(self.router, self.id, &held.payload).map_err(|error| {
+            let attempt_id = frames::parse_shard_request_id(&held.payload);
+            self.abandon_connection(error, attempt_id)
+        })
+    }
+
+    /// Abandons the connection because a frame was not completed in time. The answer before it may have a wrong
+    /// length if too little of the frame is there.
+    fn abandon_on_incomplete_frame(&mut self) -> UpstreamEnd {
+        let error = UnusableInput::IncompleteFrame;
+        match self.held.take() {
+            Some(held) => {
+                let attempt_id = frames::parse_shard_request_id(&held.payload);
+                self.abandon_connection(error, attempt_id)
+            }
+            None => {
+                let attempt_id = frames::parse_incomplete_frame_id(&self.frame);
+                self.abandon_connection(error, attempt_id)
+            }
+        }
+    }
+
+    /// Abandons the connection because its bytes are no frame. The answer before them has a wrong length, unless they
+    /// are noise that cannot belong to it.
+    fn abandon_on_invalid_frame(&mut self, error: BadFrame) -> UpstreamEnd {
+        if self.is_noise_behind_last_answer() {
+            if let Err(end) = self.release_answer() {
+                return end;
+            }
+        }
+        let Some(held) = self.held.take() else {
+            // The bytes read so far are not a frame, and name no attempt.
+            return self.abandon_connection(UnusableInput::Malformed(error), None);
+        };
+        let attempt_id = frames::parse_shard_request_id(&held.payload);
+        self.abandon_connection(UnusableInput::Malformed(BadFrame::WrongLength), attempt_id)
+    }
+
+    /// Whether the bytes in `frame`, which are no frame, cannot belong to the answer before them: they are no text,
+    /// and no other answer is awaited whose beginning that answer may have absorbed.
+    fn is_noise_behind_last_answer(&self) -> bool {
+        let decisions = self.router.decisions.borrow();
+        let connection = decisions.effects.nodes.connection(self.id);
+        connection.is_some_and(|connection| connection.attempts.len() <= 1)
+            && !frames::may_continue_value(&self.frame)
+    }
+
+    /// Abandons the connection because of unusable data; the attempt that `attempt_id` names has failed.
+    fn abandon_connection(&self, error: UnusableInput, attempt_id: Option<&str>) -> UpstreamEnd {
         let now = self.router.clock.now();
         let mut decisions = self.router.decisions.borrow_mut();
         decisions.effects.now = now;
-        let attempt_id = frames::parse_shard_request_id(&self.frame);
         decisions
             .effects
             .abandon_connection(self.id, error, attempt_id);
@@ -166,6 +296,7 @@
     }
 }
 
+/// Handles a complete frame that is no answer.
 fn handle_frame(
     router: &Router,
     id: ConnectionId,
@@ -173,7 +304,6 @@
     payload: &[u8],
 ) -> Result<(), UnusableInput> {
     match letter {
-        b'a' => handle_answer(router, id, payload),
         b'l' => handle_load_report(router, id, payload),
         b'p' => Ok(()),
         b'e' => {
@@ -212,6 +342,9 @@
     let now = router.clock.now();
     let mut decisions = router.decisions.borrow_mut();
     let effects = &mut decisions.effects;
+    if !is_written(effects, id, answer.id) {
+        return Err(UnusableInput::UnknownAttempt);
+    }
     let connection = effects
         .nodes
         .connection_mut(id)
@@ -246,6 +379,14 @@
     }))
 }
 
+/// Whether the frame of the attempt that an answer names has been written, as far as the attempt is in flight.
+fn is_written(effects: &EffectQueue, id: ConnectionId, attempt_id: &str) -> bool {
+    let connection = effects.nodes.connection(id);
+    let key = connection.and_then(|connection| connection.attempts.get(attempt_id));
+    let attempt = key.and_then(|key| effects.in_flight.attempt(*key));
+    attempt.is_none_or(|attempt| upstream_writer::is_written(&effects.nodes, attempt))
+}
+
 fn handle_load_report(
     router: &Router,
     id: ConnectionId,
--- /dev/null
+++ b/router/tests/answers/main.rs
@@ -0,0 +1,8 @@
+//! Tests of what the router believes of a node's answer, and when: its length, its bytes in pieces, and its size.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod drawn;
+mod lengths;
+mod pieces;
+mod support;
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -5,13 +5,15 @@
 #![allow(dead_code)]
 
 pub(crate) mod cold;
+pub(crate) mod draw;
 pub(crate) mod faulty;
 pub(crate) mod guarded;
 pub(crate) mod release;
+pub(crate) mod scripted;
 pub(crate) mod shard_requests;
 pub(crate) mod upgradable;
 
-pub(crate) use ternpick_simulation::standins::{entry, read_head, Act, Discovery, Node};
+pub(crate) use ternpick_simulation::standins::{entry, frame, read_head, Act, Discovery, Node};
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
--- a/wire/src/frames.rs
+++ b/wire/src/frames.rs
@@ -19,6 +19,8 @@
 
 /// The size of a frame's length field.
 const LENGTH_BYTES: usize = 4;
+/// The size of a frame's length field and letter.
+const HEAD_BYTES: usize = LENGTH_BYTES + 1;
 
 /// The letters of the frames that routers send.
 mod letter {
@@ -30,12 +32,15 @@
 /// Why a node's frame is invalid. The router ends the connection on such an error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum BadFrame {
-    /// The frame's length is zero.
-    #[error("the frame is empty, expected a letter for its kind")]
+    /// The frame's length is zero, or its letter is NUL.
+    #[error("the frame has no letter for its kind")]
     NoLetter,
     /// The frame is longer than [`MAX_FRAME_BYTES`].
     #[error("the frame is longer than {MAX_FRAME_BYTES} bytes")]
     TooLong,
+    /// The bytes behind a shard response do not begin a frame, so the length of the response is wrong.
+    #[error("the bytes behind the shard response do not begin a frame")]
+    WrongLength,
     /// A shard response has no line end.
     #[error("the shard response has no line end")]
     NoLine,
@@ -103,7 +108,10 @@
         };
         if missing == 0 {
             let letter = frame[LENGTH_BYTES];
-            frame.drain(..=LENGTH_BYTES);
+            if letter == 0 {
+                return Err(BadFrame::NoLetter);
+            }
+            frame.drain(..HEAD_BYTES);
             return Ok(Some(letter));
         }
         let run = input.filled();
@@ -125,6 +133,49 @@
     }
 }
 
+/// Whether bytes are the beginning of a frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FrameStart {
+    /// They are: they hold a length and a letter.
+    Frame,
+    /// They are not, whatever follows them.
+    Invalid,
+    /// There are too few of them to tell.
+    Undecided,
+}
+
+/// Whether `bytes` begin a frame. A frame in front of them whose length is wrong by less than the size of a frame's
+/// head would leave either text or the rest of a length field here, neither of which reads as a valid length and a
+/// letter.
+pub fn frame_start(bytes: &[u8]) -> FrameStart {
+    let mut length_field = [0; LENGTH_BYTES];
+    let known = bytes.len().min(LENGTH_BYTES);
+    length_field[..known].copy_from_slice(&bytes[..known]);
+    let least_length = u32::from_le_bytes(length_field) as usize;
+    if least_length > MAX_FRAME_BYTES {
+        return FrameStart::Invalid;
+    }
+    match bytes.get(LENGTH_BYTES) {
+        _ if known == LENGTH_BYTES && least_length == 0 => FrameStart::Invalid,
+        None => FrameStart::Undecided,
+        Some(0) => FrameStart::Invalid,
+        Some(_) => FrameStart::Frame,
+    }
+}
+
+/// Whether `bytes`, which stand behind a value, may be the rest of it. Values are UTF-8 text.
+pub fn may_continue_value(bytes: &[u8]) -> bool {
+    match std::str::from_utf8(bytes) {
+        Ok(_) => true,
+        Err(error) => error.valid_up_to() > 0 || error.error_len().is_none(),
+    }
+}
+
+/// The shard request id that an incomplete frame of a shard response names. `frame` is as [`read_frame`] left it.
+pub fn parse_incomplete_frame_id(frame: &[u8]) -> Option<&str> {
+    parse_shard_request_id(frame.get(HEAD_BYTES..)?)
+}
+
 /// The shard request id at the beginning of a payload, if it is UTF-8. It can be read even if the rest of the payload
 /// is malformed.
 pub fn parse_shard_request_id(payload: &[u8]) -> Option<&str> {
--- a/wire/src/frames/tests.rs
+++ b/wire/src/frames/tests.rs
@@ -118,3 +118,66 @@
     assert_eq!(bytes[..5], [payload.len() as u8 + 1, 0, 0, 0, b'q']);
     assert_eq!(encode_cancel("x.3"), b"\x04\x00\x00\x00cx.3");
 }
+
+#[test]
+fn a_frame_shows_its_start_with_its_letter() {
+    let frame = encode_frame(b'a', b"x.1 served 0 -\nvalue");
+    for length in 0..=frame.len() {
+        let expected = if length < HEAD_BYTES {
+            FrameStart::Undecided
+        } else {
+            FrameStart::Frame
+        };
+        assert_eq!(frame_start(&frame[..length]), expected, "{length} bytes");
+    }
+}
+
+/// The bytes from the wrong end of an answer on: the rest of its value and the next frame, or the rest of the next
+/// frame's length.
+#[test]
+fn no_bytes_behind_a_wrong_length_show_the_start_of_a_frame() {
+    for next_length in 1..=u32::from(u16::MAX) {
+        let mut next = next_length.to_le_bytes().to_vec();
+        next.extend_from_slice(b"ax.2 served");
+        let cut_short = ["3", "63", "d63", "4d63", "54d63", "é", "\u{7f}\u{2}"]
+            .map(|rest| [rest.as_bytes(), &next].concat());
+        let run_over = [1, 2, 3].map(|excess| next[excess..].to_vec());
+        for behind in cut_short.into_iter().chain(run_over) {
+            for length in 0..HEAD_BYTES {
+                assert_ne!(frame_start(&behind[..length]), FrameStart::Frame);
+            }
+            assert_eq!(
+                frame_start(&behind),
+                FrameStart::Invalid,
+                "{behind:?} before a frame of {next_length} bytes"
+            );
+        }
+    }
+}
+
+#[test_case(b"63", true; "text")]
+#[test_case(b"\0\0\0a", true; "the rest of a length field")]
+#[test_case(b"\xc3", true; "the beginning of a character")]
+#[test_case(b"63\xff", true; "text before noise")]
+#[test_case(b"\xff\xff", false; "no text")]
+#[test_case(b"\xa963", false; "the end of a character")]
+fn only_text_may_continue_a_value(bytes: &[u8], expected: bool) {
+    assert_eq!(may_continue_value(bytes), expected);
+}
+
+#[test_case(b"\x14\0\0\0ax.1 ser", Some("x.1"); "a part of its line")]
+#[test_case(b"\x14\0\0\0a", Some(""); "its head")]
+#[test_case(b"\x14\0", None; "a part of its length")]
+fn reads_the_shard_request_id_of_an_incomplete_frame(frame: &[u8], expected: Option<&str>) {
+    assert_eq!(parse_incomplete_frame_id(frame), expected);
+}
+
+#[test]
+fn rejects_a_frame_without_a_letter() {
+    let mut ring = Ring::new(1024);
+    assert!(ring.push(b"\x01\0\0\0\0"));
+    assert_eq!(
+        read_frame(&mut ring, &mut Vec::new()),
+        Err(BadFrame::NoLetter)
+    );
+}
