--- a/router/src/stages/answer_writer.rs
+++ b/router/src/stages/answer_writer.rs
@@ -5,6 +5,11 @@
 use crate::stages::client_connection::{ClientConnection, ConnectionEnd};
 use crate::state::clients::Answer;
 
+/// The status of a query that may have run and has no answer.
+const BAD_GATEWAY: u16 = 502;
+/// The body of the failure that replaces an answer too long for the output buffer.
+const ANSWER_TOO_LONG: &str = "failed: its answer is too long\n";
+
 /// Whether this status reports a malformed request. The bytes after such a request may be misread as a request, so the
 /// connection is closed.
 fn is_malformed_request(status: u16) -> bool {
@@ -32,11 +37,7 @@
         } else {
             body
         };
-        let bytes = http::encode_response(status, &headers, &body, is_last);
-        if !self.io.output.push(&bytes) {
-            tracing::warn!(bytes = body.len(), "answer does not fit the output buffer");
-            return Err(ConnectionEnd::AnswerTooLong);
-        }
+        let is_last = self.queue_answer(status, &headers, &body, is_last) || is_last;
         self.io.account_memory(0);
         let written = self.write_in_time().await;
         self.io.account_memory(0);
@@ -50,6 +51,24 @@
         Ok(())
     }
 
+    /// Puts an answer into the output buffer. One that does not fit is replaced by a failure, because a client must not
+    /// be left without an answer; returns whether the connection ends for it.
+    fn queue_answer(&mut self, status: u16, headers: &str, body: &str, is_last: bool) -> bool {
+        let bytes = http::encode_response(status, headers, body, is_last);
+        if self.io.output.push(&bytes) {
+            return false;
+        }
+        tracing::error!(
+            bytes = bytes.len(),
+            status,
+            "answer does not fit the output buffer"
+        );
+        let failure = http::encode_response(BAD_GATEWAY, "", ANSWER_TOO_LONG, true);
+        // The buffer is empty between answers, and has room for this one.
+        let _ = self.io.output.push(&failure);
+        true
+    }
+
     /// Writes the output buffer; returns false if the client does not accept it in time. The time limit is the
     /// longest deadline of any client, and during a shutdown the exit of the process.
     async fn write_in_time(&mut self) -> bool {
--- a/router/src/stages/client_connection.rs
+++ b/router/src/stages/client_connection.rs
@@ -43,8 +43,6 @@
     LastAnswerWritten,
     /// The answer could not be written in full.
     AnswerNotWritten,
-    /// The answer does not fit the output buffer.
-    AnswerTooLong,
 }
 
 impl fmt::Display for ConnectionEnd {
@@ -64,7 +62,6 @@
             }
             ConnectionEnd::LastAnswerWritten => "the last answer was written",
             ConnectionEnd::AnswerNotWritten => "the answer could not be written",
-            ConnectionEnd::AnswerTooLong => "the answer does not fit the output buffer",
         })
     }
 }
--- a/router/src/stages/mod.rs
+++ b/router/src/stages/mod.rs
@@ -15,7 +15,7 @@
 //! | the frame is written | `upstream_writer.rs` | `write_available` |
 //! | the attempt's deadline is checked | `attempt_deadline.rs` | `check` |
 //! | the node's answer is read, and held until its length is confirmed | `upstream_reader.rs`, `answer_hold.rs` | `hold_answer` |
-//! | the answer is matched to the attempt | `upstream_reader.rs` | `handle_answer` |
+//! | the answer is matched to the attempt, and its value checked | `upstream_frames.rs` | `handle_answer` |
 //! | the engine receives the attempt's outcome | `dispatch.rs` | `attempt_finished` |
 //! | the query is closed with an answer, a rejection or a failure | `completion.rs` | `EffectQueue::close` |
 //! | the client connection waits for that answer | `answer_wait.rs` | `wait_for_answer` |
@@ -41,6 +41,7 @@
 mod tls_stream;
 mod upstream_connection;
 mod upstream_dial;
+mod upstream_frames;
 mod upstream_reader;
 
 pub(crate) mod admission;
--- a/router/src/stages/upstream_reader.rs
+++ b/router/src/stages/upstream_reader.rs
@@ -1,29 +1,25 @@
-//! Reads frames from nodes, and matches answers to attempts by connection and id.
+//! Reads frames from nodes, and holds each answer until its length is confirmed (`answer_hold.rs`).
 //!
-//! This is the reading half of a connection's task in `upstream_connection.rs`. An answer is held until its length is
-//! confirmed (`answer_hold.rs`); then its value goes to the in-flight table, and the outcome of its attempt through
-//! `dispatch.rs` to the routing engine.
+//! This is the reading half of a connection's task in `upstream_connection.rs`. `upstream_frames.rs` handles complete
+//! frames.
 
 use std::io::{ErrorKind, Read};
 use std::net::TcpStream;
 
 use async_io::Async;
-use ternpick::types::{AttemptOutcome, Micros};
-use ternpick_wire::frames::{self, BadFrame, FrameStart, ResponseStatus, ShardResponse};
+use ternpick::types::Micros;
+use ternpick_wire::frames::{self, BadFrame, FrameStart};
 use ternpick_wire::ring::Ring;
 
 use crate::router::Router;
 use crate::stages::answer_hold::{hold_time, HeldAnswer, ReadPauses};
-use crate::stages::completion::{EffectQueue, FinishedAttempt};
 use crate::stages::upstream_connection::UpstreamEnd;
-use crate::stages::{dispatch, upstream_writer};
+use crate::stages::upstream_frames::{handle_answer, handle_frame};
 use crate::state::memory_budget::MemoryShare;
 use crate::state::nodes::ConnectionId;
 
 /// The bound of the input buffer, in bytes.
 const INPUT_BOUND: usize = 16 * 1024;
-/// The maximum number of bytes of a node's error text in a log line.
-const MAX_LOGGED_BYTES: usize = 200;
 /// The letter of an answer's frame.
 const ANSWER: u8 = b'a';
 /// The maximum number of consecutive reads before other tasks run.
@@ -47,6 +43,9 @@
     /// The node has answered an attempt that was never sent on this connection.
     #[error("an answer with an unknown id")]
     UnknownAttempt,
+    /// An answer's value is too long for any response of its query.
+    #[error("an answer whose value is too long for a response")]
+    ValueTooLong,
     /// A load report is not UTF-8.
     #[error("a load report is not UTF-8")]
     ReportNotText,
@@ -295,112 +294,3 @@
         }
     }
 }
-
-/// Handles a complete frame that is no answer.
-fn handle_frame(
-    router: &Router,
-    id: ConnectionId,
-    letter: u8,
-    payload: &[u8],
-) -> Result<(), UnusableInput> {
-    match letter {
-        b'l' => handle_load_report(router, id, payload),
-        b'p' => Ok(()),
-        b'e' => {
-            let text = String::from_utf8_lossy(&payload[..payload.len().min(MAX_LOGGED_BYTES)]);
-            tracing::debug!(%text, "a node reports an error");
-            Err(UnusableInput::RejectedByNode)
-        }
-        _ => Err(UnusableInput::UnknownKind),
-    }
-}
-
-fn handle_answer(router: &Router, id: ConnectionId, payload: &[u8]) -> Result<(), UnusableInput> {
-    let answer = frames::parse_shard_response(payload).map_err(UnusableInput::Malformed)?;
-    let outcome = match answer.status {
-        ResponseStatus::Served => AttemptOutcome::Satisfied,
-        ResponseStatus::Failed => AttemptOutcome::MayHaveRun,
-        ResponseStatus::NotStarted => AttemptOutcome::NeverRan,
-    };
-    let Some(finished) = finish_attempt(router, id, &answer, outcome)? else {
-        return Ok(());
-    };
-    let load_report =
-        frames::parse_load_report(answer.load_report, &router.bounds.load_metric_names);
-    dispatch::attempt_finished(router, finished, &load_report);
-    Ok(())
-}
-
-/// Removes the attempt that an answer names from its connection and from the in-flight table; returns `None` if the
-/// attempt has already ended.
-fn finish_attempt(
-    router: &Router,
-    id: ConnectionId,
-    answer: &ShardResponse,
-    outcome: AttemptOutcome,
-) -> Result<Option<FinishedAttempt>, UnusableInput> {
-    let now = router.clock.now();
-    let mut decisions = router.decisions.borrow_mut();
-    let effects = &mut decisions.effects;
-    if !is_written(effects, id, answer.id) {
-        return Err(UnusableInput::UnknownAttempt);
-    }
-    let connection = effects
-        .nodes
-        .connection_mut(id)
-        .ok_or(UnusableInput::ConnectionRemoved)?;
-    let Some(key) = connection.attempts.remove(answer.id) else {
-        // An answer to an abandoned attempt is normal, and a second answer is harmless. An answer to an attempt that
-        // was never on this connection belongs to another attempt, which would otherwise wait until its deadline.
-        return if connection.is_finished(answer.id) {
-            Ok(None)
-        } else {
-            Err(UnusableInput::UnknownAttempt)
-        };
-    };
-    let Some(attempt) = effects.in_flight.finish(key) else {
-        return Ok(None);
-    };
-    connection.mark_finished(&attempt.id, now);
-    if let Some((query, _)) = effects.in_flight.shard_request(&attempt) {
-        query
-            .admission
-            .span
-            .in_scope(|| tracing::debug!(attempt = &*attempt.id, ?outcome, "attempt answered"));
-    }
-    if outcome == AttemptOutcome::Satisfied {
-        effects.in_flight.store_value(&attempt, answer.value);
-    }
-    effects.nodes.wake_retired(id);
-    Ok(Some(FinishedAttempt {
-        key,
-        attempt,
-        outcome,
-    }))
-}
-
-/// Whether the frame of the attempt that an answer names has been written, as far as the attempt is in flight.
-fn is_written(effects: &EffectQueue, id: ConnectionId, attempt_id: &str) -> bool {
-    let connection = effects.nodes.connection(id);
-    let key = connection.and_then(|connection| connection.attempts.get(attempt_id));
-    let attempt = key.and_then(|key| effects.in_flight.attempt(*key));
-    attempt.is_none_or(|attempt| upstream_writer::is_written(&effects.nodes, attempt))
-}
-
-fn handle_load_report(
-    router: &Router,
-    id: ConnectionId,
-    payload: &[u8],
-) -> Result<(), UnusableInput> {
-    let text = std::str::from_utf8(payload).map_err(|_| UnusableInput::ReportNotText)?;
-    let node = {
-        let decisions = router.decisions.borrow();
-        let connection = decisions.effects.nodes.connection(id);
-        connection.ok_or(UnusableInput::ConnectionRemoved)?.node
-    };
-    let report = frames::parse_load_report(text.trim_end(), &router.bounds.load_metric_names);
-    router.apply(|engine, now, effects| {
-        engine.health_check_finished(now, node, &report, effects);
-    });
-    Ok(())
-}
--- a/router/src/state/in_flight.rs
+++ b/router/src/state/in_flight.rs
@@ -8,6 +8,9 @@
 use std::rc::Rc;
 
 use ternpick::types::{AttemptNo, CustomerNo, Micros, NodeId, QueryId, ShardNo, ShardRequestId};
+use ternpick_wire::http::MAX_BODY_BYTES;
+use ternpick_wire::query;
+use thiserror::Error;
 
 use crate::fleet::PolicyMark;
 use crate::state::clients::PendingResponse;
@@ -68,10 +71,25 @@
     pub(crate) idempotency_key: Option<Rc<str>>,
     /// Its shard requests, in the order in which the response lists them.
     pub(crate) shard_requests: Vec<InFlightShardRequest>,
+    /// The size of the response's body without the values.
+    empty_response_bytes: usize,
+    /// The size of the values so far, as the response's body encodes them.
+    value_bytes: usize,
     /// The slot in which the client's connection waits for the response.
     pub(crate) reply: Rc<PendingResponse>,
 }
 
+/// Why the response of a query cannot hold a value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(crate) enum ValueTooLong {
+    /// The value is too long for any response of the query, so no node made it for this shard request.
+    #[error("the value is too long for a response")]
+    ByItself,
+    /// The value is too long together with those of other shard requests, of which any may be wrong.
+    #[error("the value is too long for a response with the other values")]
+    WithOthers,
+}
+
 /// The progress of an attempt towards its node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptProgress {
@@ -182,6 +200,8 @@
             .enumerate()
             .map(|(position, shard)| self.add_shard_request(query, position, shard))
             .collect();
+        let response_shards = shard_requests.iter().map(|request| request.shard);
+        let empty_response_bytes = query::empty_response_bytes(response_shards);
         let ids = shard_requests.iter().map(|request| request.id).collect();
         let request_id = Rc::<str>::from(request_id);
         self.request_ids.insert(Rc::clone(&request_id));
@@ -191,6 +211,8 @@
             statement: statement.into(),
             idempotency_key: idempotency_key.map(Rc::from),
             shard_requests,
+            empty_response_bytes,
+            value_bytes: 0,
             reply,
         };
         self.queries.insert(query, in_flight);
@@ -334,13 +356,41 @@
         });
     }
 
+    /// Whether the response of a query can hold the value that a node returned for one of its shard requests. A value
+    /// that would be ignored fits.
+    pub(crate) fn check_value(
+        &self,
+        attempt: &OutgoingAttempt,
+        value: &str,
+    ) -> Result<(), ValueTooLong> {
+        let Some((query, shard_request)) = self.shard_request(attempt) else {
+            return Ok(());
+        };
+        if shard_request.value.is_some() {
+            return Ok(());
+        }
+        let alone = query.empty_response_bytes + query::encoded_value_bytes(value);
+        if alone > MAX_BODY_BYTES {
+            Err(ValueTooLong::ByItself)
+        } else if alone + query.value_bytes > MAX_BODY_BYTES {
+            Err(ValueTooLong::WithOthers)
+        } else {
+            Ok(())
+        }
+    }
+
     /// Stores the value that a node returned for a shard request. Values after the first one are ignored.
     pub(crate) fn store_value(&mut self, attempt: &OutgoingAttempt, value: &str) {
-        let query = self.queries.get_mut(&attempt.query);
-        let shard_request = query.and_then(|query| query.shard_requests.get_mut(attempt.position));
-        if let Some(shard_request) = shard_request {
-            self.answered += usize::from(shard_request.value.is_none());
-            shard_request.value.get_or_insert_with(|| value.into());
+        let Some(query) = self.queries.get_mut(&attempt.query) else {
+            return;
+        };
+        let Some(shard_request) = query.shard_requests.get_mut(attempt.position) else {
+            return;
+        };
+        if shard_request.value.is_none() {
+            shard_request.value = Some(value.into());
+            query.value_bytes += query::encoded_value_bytes(value);
+            self.answered += 1;
         }
     }
 
--- a/router/tests/answers/drawn.rs
+++ b/router/tests/answers/drawn.rs
@@ -16,6 +16,8 @@
 const QUERIES: u64 = 12;
 /// Of so many answers, one is spoilt.
 const SPOILT_ONE_IN: u64 = 3;
+/// The longest answer that is written in short pieces, which take up a pause each.
+const MAX_BYTE_BY_BYTE: usize = 2_000;
 const INDEXES: [&str; 3] = ["whole", "half", "once"];
 
 /// What is wrong with an answer.
@@ -31,9 +33,10 @@
     CutOff,
     Noise,
     Letter,
+    TooLong,
 }
 
-const KINDS: [Spoilt; 10] = [
+const KINDS: [Spoilt; 11] = [
     Spoilt::Length,
     Spoilt::LengthBit,
     Spoilt::End,
@@ -44,6 +47,7 @@
     Spoilt::CutOff,
     Spoilt::Noise,
     Spoilt::Letter,
+    Spoilt::TooLong,
 ];
 
 /// A value of one to four-byte characters, quotes and control characters, of up to some hundred bytes.
@@ -85,6 +89,7 @@
         Spoilt::Noise => (0..draw.between(1, 90))
             .map(|_| draw.below(256) as u8)
             .collect(),
+        Spoilt::TooLong => answer_bytes(id, &"\u{1}".repeat(60_000), 0),
         Spoilt::Letter => frame(b'z', &format!("{id} served 5 -\n{value}")),
     }
 }
@@ -92,7 +97,11 @@
 /// The pieces in which bytes are written.
 fn split(draw: &mut Draw, bytes: &[u8]) -> Vec<Step> {
     let pause = Duration::from_micros(draw.one(&[0, 0, 300, 1_000]));
-    let longest_piece = draw.one(&[1, 7, 4_096, 4_096]);
+    let longest_piece = if bytes.len() > MAX_BYTE_BY_BYTE {
+        4_096
+    } else {
+        draw.one(&[1, 7, 4_096, 4_096])
+    };
     let mut steps = Vec::new();
     let mut rest = bytes;
     while !rest.is_empty() {
--- a/router/tests/answers/main.rs
+++ b/router/tests/answers/main.rs
@@ -5,4 +5,5 @@
 mod drawn;
 mod lengths;
 mod pieces;
+mod sizes;
 mod support;
--- a/wire/src/query.rs
+++ b/wire/src/query.rs
@@ -5,6 +5,7 @@
 mod tests;
 
 use std::collections::BTreeSet;
+use std::io;
 
 use serde_json::{json, Value};
 use ternpick::types::{Micros, ShardNo};
@@ -98,6 +99,36 @@
     body["statement"].as_str().ok_or(BadQuery::NoStatement)
 }
 
+/// The size of the body of a response in which each of these shards has an empty value, in bytes.
+pub fn empty_response_bytes(shards: impl Iterator<Item = ShardNo>) -> usize {
+    encode_response_body(false, shards.map(|shard| (shard, ""))).len()
+}
+
+/// The number of bytes that a value takes up in the body of a response, with JSON's escapes and without quotes.
+pub fn encoded_value_bytes(value: &str) -> usize {
+    let mut count = ByteCount(0);
+    // Counting does not fail, and a text has a JSON form.
+    let _ = serde_json::to_writer(&mut count, value);
+    count.0.saturating_sub(QUOTES_BYTES)
+}
+
+/// The size of the quotes of a JSON string.
+const QUOTES_BYTES: usize = 2;
+
+/// Counts the bytes that are written to it.
+struct ByteCount(usize);
+
+impl io::Write for ByteCount {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0 += bytes.len();
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Encodes the body of a response; `complete` tells the client whether all shards have a value.
 pub fn encode_response_body<'a>(
     complete: bool,
