--- a/router/tests/answers/drawn.rs
+++ b/router/tests/answers/drawn.rs
@@ -7,6 +7,7 @@
 
 use crate::common::draw::Draw;
 use crate::common::scripted::{answer_bytes, Call, Step};
+use crate::common::spoilt;
 use crate::common::*;
 use crate::support::*;
 
@@ -20,36 +21,6 @@
 const MAX_BYTE_BY_BYTE: usize = 2_000;
 const INDEXES: [&str; 3] = ["whole", "half", "once"];
 
-/// What is wrong with an answer.
-#[derive(Clone, Copy, Debug)]
-enum Spoilt {
-    Length,
-    LengthBit,
-    End,
-    Id,
-    Line,
-    Nul,
-    NotText,
-    CutOff,
-    Noise,
-    Letter,
-    TooLong,
-}
-
-const KINDS: [Spoilt; 11] = [
-    Spoilt::Length,
-    Spoilt::LengthBit,
-    Spoilt::End,
-    Spoilt::Id,
-    Spoilt::Line,
-    Spoilt::Nul,
-    Spoilt::NotText,
-    Spoilt::CutOff,
-    Spoilt::Noise,
-    Spoilt::Letter,
-    Spoilt::TooLong,
-];
-
 /// A value of one to four-byte characters, quotes and control characters, of up to some hundred bytes.
 fn value_drawn(seed: u64, id: &str) -> String {
     let hash = u64::from_str_radix(&value_of(id), 16).expect("a number");
@@ -62,38 +33,6 @@
     (0..length).map(|_| draw.one(&letters)).collect()
 }
 
-fn spoil(draw: &mut Draw, kind: Spoilt, id: &str, value: &str) -> Vec<u8> {
-    let sound = answer_bytes(id, value, 0);
-    let served = |line: &str, value: &str| frame(b'a', &format!("{line}\n{value}"));
-    match kind {
-        Spoilt::Length => {
-            let least = -(value.len() as i64) - 30;
-            let excess = least + draw.below((100 - least) as u64) as i64;
-            answer_bytes(id, value, if excess == 0 { -1 } else { excess })
-        }
-        Spoilt::LengthBit => {
-            let mut bytes = sound;
-            bytes[draw.below(4) as usize] ^= 1 << draw.below(8);
-            bytes
-        }
-        Spoilt::End => served(&format!("{id} perhaps 5 -"), value),
-        Spoilt::Id => served(&format!("x{id} served 5 -"), value),
-        Spoilt::Line => served(&format!("{id} served 5"), value),
-        Spoilt::Nul => served(&format!("{id} served 5 -"), &format!("{value}\0")),
-        Spoilt::NotText => {
-            let mut bytes = answer_bytes(id, &format!("{value}?"), 0);
-            *bytes.last_mut().expect("a byte") = 0xff;
-            bytes
-        }
-        Spoilt::CutOff => sound[..draw.below(sound.len() as u64) as usize].to_vec(),
-        Spoilt::Noise => (0..draw.between(1, 90))
-            .map(|_| draw.below(256) as u8)
-            .collect(),
-        Spoilt::TooLong => answer_bytes(id, &"\u{1}".repeat(60_000), 0),
-        Spoilt::Letter => frame(b'z', &format!("{id} served 5 -\n{value}")),
-    }
-}
-
 /// The pieces in which bytes are written.
 fn split(draw: &mut Draw, bytes: &[u8]) -> Vec<Step> {
     let pause = Duration::from_micros(draw.one(&[0, 0, 300, 1_000]));
@@ -126,8 +65,7 @@
             .lock()
             .expect("no thread panicked")
             .insert(call.id.clone());
-        let kind = draw.one(&KINDS);
-        spoil(&mut draw, kind, &call.id, &value)
+        spoilt::draw_answer(&mut draw, &call.id, &value)
     } else {
         answer_bytes(&call.id, &value, 0)
     };
--- a/router/tests/common/mod.rs
+++ b/router/tests/common/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod release;
 pub(crate) mod scripted;
 pub(crate) mod shard_requests;
+pub(crate) mod spoilt;
 pub(crate) mod upgradable;
 
 pub(crate) use ternpick_simulation::standins::{entry, frame, read_head, Act, Discovery, Node};
@@ -245,6 +246,11 @@
 
 /// Reads up to the last byte of an answer: its status; if the connection ends before, whether not one byte came.
 pub(crate) fn status_of(stream: &mut TcpStream) -> Result<u16, bool> {
+    response_of(stream).map(|(status, _)| status)
+}
+
+/// Reads up to the last byte of an answer: its status and body; if the connection ends before, whether not one byte came.
+pub(crate) fn response_of(stream: &mut TcpStream) -> Result<(u16, String), bool> {
     let (mut bytes, mut some) = (Vec::new(), [0; 4096]);
     loop {
         match stream.read(&mut some) {
@@ -265,11 +271,12 @@
             .and_then(|n| n.parse().ok())
             .expect("a length");
         if body.len() >= length {
-            return Ok(head
+            let status = head
                 .split(' ')
                 .nth(1)
                 .and_then(|n| n.parse().ok())
-                .expect("a status"));
+                .expect("a status");
+            return Ok((status, body.to_owned()));
         }
     }
 }
--- a/router/tests/drawn/clients.rs
+++ b/router/tests/drawn/clients.rs
@@ -20,6 +20,8 @@
     /// Clients send for so long: where processes are told to end, up to the kill.
     pub(crate) load: Duration,
     pub(crate) events: Arc<Mutex<Vec<(u64, Observation)>>>,
+    /// Values that were served and that no node made, with the ids of their requests.
+    pub(crate) wrong_values: Arc<Mutex<Vec<String>>>,
 }
 
 impl Record {
@@ -46,6 +48,18 @@
             .push((at, sent));
     }
 
+    /// Compares the values of a response with those that nodes make for their shards.
+    fn check_values(&self, id: &str, body: &str) {
+        let body: serde_json::Value = serde_json::from_str(body).expect("JSON");
+        for piece in body["pieces"].as_array().expect("pieces") {
+            let (shard, value) = (&piece["tablet"], &piece["cell"]);
+            if *value != format!("v{shard}") {
+                let mut wrong = self.wrong_values.lock().expect("no test thread panicked");
+                wrong.push(format!("{id}: {value} for shard {shard}"));
+            }
+        }
+    }
+
     pub(crate) fn saw(&self, saw: Observation) {
         self.events
             .lock()
@@ -104,8 +118,11 @@
     /// be used again.
     fn receive(self, stream: &mut TcpStream, rested: bool, record: &Record) -> bool {
         let id = self.id;
-        match status_of(stream) {
-            Ok(status) => {
+        match response_of(stream) {
+            Ok((status, body)) => {
+                if status == 200 {
+                    record.check_values(&id, &body);
+                }
                 record.saw(Observation::Answered { id, status });
                 return true;
             }
--- a/router/tests/drawn/plays.rs
+++ b/router/tests/drawn/plays.rs
@@ -33,6 +33,7 @@
 fn play_scenario(seed: u64, scenario: &Scenario) -> Outcome {
     let load = |at| Duration::from_millis(at) + KILL;
     let stage = Stage::set(scenario.stop_at.map_or(LOAD, load));
+    stage.spoil_answers(seed, scenario);
     let mut routers = start_routers(seed, scenario, &stage);
     let began = Instant::now();
     thread::scope(|scope| {
--- a/router/tests/drawn/scenario.rs
+++ b/router/tests/drawn/scenario.rs
@@ -28,6 +28,8 @@
     pub(crate) stop_at: Option<u64>,
     pub(crate) signals: &'static [Signal],
     pub(crate) crowd: Option<Crowd>,
+    /// Of so many answers of the nodes one is spoilt; none if it is not set.
+    pub(crate) spoilt_one_in: Option<u64>,
 }
 
 impl Scenario {
@@ -52,6 +54,7 @@
         let stop_at = (draw.below(4) > 0).then(|| draw.between(600, 1600));
         let signals = draw.one(&SERIES);
         let crowd = (draw.below(3) == 0 && routers == 1).then(|| Crowd::draw(&mut draw));
+        let spoilt_one_in = draw.one(&[None, Some(6), Some(30)]);
         Scenario {
             routers,
             kinds,
@@ -65,6 +68,7 @@
             stop_at,
             signals,
             crowd,
+            spoilt_one_in,
         }
     }
 
--- a/router/tests/drawn/stage.rs
+++ b/router/tests/drawn/stage.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread::{self, Scope};
 use std::time::{Duration, Instant};
 
@@ -10,7 +10,8 @@
 use ternpick_history::requests::{check, Limits, Observation};
 
 use crate::clients::{client, resting_clients, watch, Record, LONGEST};
-use crate::common::*;
+use crate::common::{spoilt, *};
+use crate::faults::Draw;
 use crate::scenario::Scenario;
 
 /// Clients that ask one after another, of each router.
@@ -39,6 +40,7 @@
             began: Instant::now(),
             load,
             events: Arc::default(),
+            wrong_values: Arc::default(),
         };
         let nodes: Vec<Node> = (0..3).map(|_| Node::start([Act::Serve; 2])).collect();
         for (at, node) in nodes.iter().enumerate() {
@@ -65,6 +67,26 @@
         entries.join(",")
     }
 
+    /// Has the nodes spoil answers as the scenario says.
+    pub(crate) fn spoil_answers(&self, seed: u64, scenario: &Scenario) {
+        let Some(one_in) = scenario.spoilt_one_in else {
+            return;
+        };
+        for (number, node) in self.nodes.iter().enumerate() {
+            let draw = Mutex::new(Draw::new(seed << 8 ^ number as u64));
+            node.alter_answers(Arc::new(move |id, sound| {
+                let mut draw = draw
+                    .lock()
+                    .expect("no test thread panicked with the lock held");
+                if draw.below(one_in) > 0 {
+                    return sound;
+                }
+                let shard = id.rsplit('.').next().unwrap_or_default();
+                spoilt::draw_answer(&mut draw, id, &format!("v{shard}"))
+            }));
+        }
+    }
+
     /// The settings of the platform, with the longest deadline of the clients.
     pub(crate) fn settings() -> String {
         SETTINGS.replace(
@@ -191,6 +213,8 @@
         .iter()
         .map(|of| format!("{of:?}"))
         .collect();
+    let wrong_values = record.wrong_values.lock().expect("no test thread panicked");
+    breaks.extend(wrong_values.iter().map(|of| format!("wrong value: {of}")));
     if log.contains("panicked") {
         breaks.push("a process panicked".into());
     }
--- a/router/tests/drawn/upgrades.rs
+++ b/router/tests/drawn/upgrades.rs
@@ -85,6 +85,7 @@
 pub(crate) fn play(seed: u64) -> Outcome {
     let scenario = UpgradeScenario::draw(seed);
     let stage = Stage::set(scenario.load());
+    stage.spoil_answers(seed, &scenario.faults);
     let (record, listed) = (stage.record.clone(), stage.listed("Ready"));
     let folder = tempfile::tempdir().expect("a folder");
     let faults = ternpick_fault_injection::Plan {
--- a/simulation/src/standins.rs
+++ b/simulation/src/standins.rs
@@ -62,11 +62,16 @@
     told: SyncSender<(char, String)>,
     /// Hears of each frame as it is read, before anything is done with it.
     watcher: Mutex<Option<Watcher>>,
+    /// Changes the bytes of each answer before they are written.
+    alteration: Mutex<Option<Alteration>>,
     sends: Mutex<HashMap<String, u64>>,
 }
 
 type Watcher = Arc<dyn Fn(char, &str) + Send + Sync>;
 
+/// Makes other bytes of an answer; it gets the id of the shard request and the answer's own bytes.
+pub type Alteration = Arc<dyn Fn(&str, Vec<u8>) -> Vec<u8> + Send + Sync>;
+
 pub struct Node {
     pub address: SocketAddr,
     /// By shard: the first, and all others.
@@ -107,6 +112,7 @@
             streams: Arc::clone(&streams),
             told,
             watcher: Mutex::default(),
+            alteration: Mutex::default(),
             sends: Mutex::default(),
         });
         let (address, frames) = (listener.local_addr()?, Mutex::new(frames));
@@ -144,6 +150,11 @@
         *lock(&self.shared.watcher) = watcher;
     }
 
+    /// Changes the bytes of each answer from now on.
+    pub fn alter_answers(&self, alteration: Alteration) {
+        *lock(&self.shared.alteration) = Some(alteration);
+    }
+
     pub fn recovers(&self) {
         *lock(&self.shared.suffers) = None;
     }
@@ -210,6 +221,11 @@
             };
             let act = lock(&shared.acts)[shard.min(1)];
             let bytes = answer(&id, shard, act, suffers);
+            let alteration = lock(&shared.alteration).clone();
+            let bytes = match alteration {
+                Some(alteration) if !bytes.is_empty() => alteration(&id, bytes),
+                _ => bytes,
+            };
             let ends = act == Act::Reset || suffers == Some(Fault::Cut);
             if stream.write_all(&bytes).is_err() || ends {
                 return drop(stream.shutdown(Shutdown::Both));
