--- a/simulation/src/fleet/crew.rs
+++ b/simulation/src/fleet/crew.rs
@@ -99,9 +99,9 @@
         }
         listings.change(round, |of| of.ready = false);
         std::thread::sleep(FIXED);
-        round.iter().for_each(|at| nodes[*at].suffers(Fault::Stall));
+        round.iter().for_each(|at| nodes[*at].inject(Fault::Stall));
         std::thread::sleep(Duration::from_micros(plan.work));
-        round.iter().for_each(|at| nodes[*at].recovers());
+        round.iter().for_each(|at| nodes[*at].clear_fault());
         listings.change(round, |of| of.ready = true);
         std::thread::sleep(FIXED);
         worked.back += round.len();
@@ -260,7 +260,7 @@
                 by: name.clone(),
             });
             // While it is worked on it answers nothing.
-            self.nodes[machine].suffers(Fault::Stall);
+            self.nodes[machine].inject(Fault::Stall);
             std::thread::sleep(if std::mem::take(&mut vanishes) {
                 self.work * 5
             } else {
@@ -296,7 +296,7 @@
                 ProposalStatus::Well | ProposalStatus::Broken => {}
             }
             if !matches!(fate, ProposalStatus::Late | ProposalStatus::Never) {
-                self.nodes[machine].recovers();
+                self.nodes[machine].clear_fault();
             }
             // From here on it may get work again.
             self.history.note(EventKind::Returned {
@@ -320,7 +320,7 @@
     }
 
     fn mends(&self, machine: usize) {
-        self.nodes[machine].recovers();
+        self.nodes[machine].clear_fault();
         self.listings.change(&[machine], |of| of.ready = true);
     }
 
--- a/simulation/src/fleet/mod.rs
+++ b/simulation/src/fleet/mod.rs
@@ -464,7 +464,7 @@
                 self.routers.relay.set(weather(step.kind))
             }
             Kind::FullDisk => self.routers.full_disk(whom, true),
-            Kind::NodeStall => self.nodes[step.other % self.nodes.len()].suffers(Fault::Stall),
+            Kind::NodeStall => self.nodes[step.other % self.nodes.len()].inject(Fault::Stall),
             Kind::NodeCut => self.routers.all[whom].pipes[step.other % self.nodes.len()].cut(true),
             Kind::DiscoveryDown => self.routers.all[whom]
                 .discovery
@@ -548,7 +548,7 @@
                 // One that was just starting has ended for want of room.
                 self.routers.start_again(whom, Disk::AsItWas)?;
             }
-            Kind::NodeStall => self.nodes[step.other % self.nodes.len()].recovers(),
+            Kind::NodeStall => self.nodes[step.other % self.nodes.len()].clear_fault(),
             Kind::NodeCut => self.routers.all[whom].pipes[step.other % self.nodes.len()].cut(false),
             Kind::DiscoveryDown => self.routers.all[whom]
                 .discovery
--- a/simulation/src/load/mod.rs
+++ b/simulation/src/load/mod.rs
@@ -179,8 +179,8 @@
                     Step::Begins(fault) => nodes
                         .iter()
                         .take(fault.nodes)
-                        .for_each(|node| node.suffers(fault.kind)),
-                    Step::Ends(fault) => nodes.iter().take(fault.nodes).for_each(Node::recovers),
+                        .for_each(|node| node.inject(fault.kind)),
+                    Step::Ends(fault) => nodes.iter().take(fault.nodes).for_each(Node::clear_fault),
                     Step::Event(event) => {
                         let at = Instant::now();
                         let said = routers.play(event.kind, event.router)?;
