--- a/router/src/stages/answer_hold.rs
+++ b/router/src/stages/answer_hold.rs
@@ -6,48 +6,68 @@
 
 use ternpick::types::Micros;
 
-/// The least time for which an answer is held, unless a frame follows. The bytes of one write arrive within it.
+/// The least time for which an answer that came in pieces is held, unless a frame follows.
 const MIN_HOLD: Micros = Micros(2_000);
 /// The longest time for which an answer is held if no byte follows.
 const MAX_HOLD: Micros = Micros(30_000);
-/// The multiple of the longest pause within a frame after which no more bytes of the same write are expected.
+/// The multiple of the longest pause within a frame after which no more bytes of the same node are expected.
 const PAUSE_FACTOR: f64 = 2.0;
 
 /// An answer whose length is not confirmed yet.
 pub(super) struct HeldAnswer {
     /// The payload of its frame.
     pub(super) payload: Vec<u8>,
+    /// The longest pause within its frame; `None` if the frame's bytes arrived together.
+    pub(super) longest_pause: Option<Micros>,
     /// Until when it is held if no byte follows it.
     pub(super) until: Micros,
 }
 
-/// The pauses between the reads that deliver a frame. A node whose bytes come in pieces may send the rest of an answer
-/// as long after its wrong end as it paused before.
+/// The pauses of the bytes of a frame. A node whose bytes come in pieces may send the rest of an answer as long after its
+/// wrong end as it paused before, also where the answer itself came together.
 #[derive(Default)]
-pub(super) struct ReadPauses {
-    last_read_at: Option<Micros>,
-    longest: Micros,
+pub(super) struct Pauses {
+    last_arrival: Option<Micros>,
+    longest_in_frame: Option<Micros>,
 }
 
-impl ReadPauses {
-    /// Records a read at `now`; `in_frame` tells whether it continues a frame.
-    pub(super) fn record_read(&mut self, now: Micros, in_frame: bool) {
-        if let Some(last) = self.last_read_at.filter(|_| in_frame) {
-            self.longest = self.longest.max(now.since(last));
+impl Pauses {
+    /// Records that bytes have arrived at `now`, after a wait; `in_frame` tells whether they continue a frame.
+    pub(super) fn record_arrival(&mut self, now: Micros, in_frame: bool) {
+        if let Some(last) = self.last_arrival.filter(|_| in_frame) {
+            self.longest_in_frame = self.longest_in_frame.max(Some(now.since(last)));
         }
-        self.last_read_at = Some(now);
+        self.last_arrival = Some(now);
     }
 
-    /// Returns the longest pause within the frame that is now complete, and begins the next frame.
-    pub(super) fn finish_frame(&mut self) -> Micros {
-        std::mem::take(&mut self.longest)
+    /// Returns the longest pause within the frame that is now complete, and begins the next frame. Returns `None` if
+    /// the frame's bytes arrived together.
+    pub(super) fn finish_frame(&mut self) -> Option<Micros> {
+        self.longest_in_frame.take()
     }
 }
 
-/// Returns how long to hold an answer that no byte follows. `longest_pause` is the longest pause within its frame,
-/// `time_left` the time until its attempt times out; no more than half of that is used, so that the answer counts.
-pub(super) fn hold_time(longest_pause: Micros, time_left: Micros) -> Micros {
-    longest_pause
+/// How the payload of an answer arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Arrival {
+    /// All of it together, with a value, from a node whose frames come so.
+    Together,
+    /// Without a value, which may follow in a write of its own.
+    WithoutValue,
+    /// In pieces, or from a node whose recent frames came in pieces, with this longest pause.
+    InPieces(Micros),
+}
+
+/// Returns how long to hold an answer that no byte follows. The bytes of one write arrive together, so that an answer
+/// that arrived so is not held. `time_left` is the time until its attempt times out; no more than half of that is
+/// used, so that the answer counts.
+pub(super) fn hold_time(arrival: Arrival, time_left: Micros) -> Micros {
+    let pause = match arrival {
+        Arrival::Together => return Micros(0),
+        Arrival::WithoutValue => Micros(0),
+        Arrival::InPieces(longest_pause) => longest_pause,
+    };
+    pause
         .times(PAUSE_FACTOR)
         .clamp(MIN_HOLD, MAX_HOLD)
         .min(time_left.times(0.5))
--- a/router/src/stages/completion.rs
+++ b/router/src/stages/completion.rs
@@ -246,7 +246,7 @@
         let values = record
             .shard_requests
             .iter()
-            .filter_map(|request| Some((request.shard, request.value.as_deref()?)));
+            .filter_map(|request| Some((request.shard, &*request.value.as_ref()?.text)));
         let body = query::encode_response_body(complete, values);
         self.counts.satisfied += 1;
         self.close(id, 200, String::new(), body);
--- a/router/src/stages/completion/tests.rs
+++ b/router/src/stages/completion/tests.rs
@@ -196,8 +196,10 @@
         .in_flight
         .finish(fixture.attempt)
         .expect("an attempt");
-    fixture.effects.in_flight.store_value(&attempt, "first");
-    fixture.effects.in_flight.store_value(&attempt, "second");
+    let (_, number) = fixture.attempt;
+    let in_flight = &mut fixture.effects.in_flight;
+    in_flight.store_value(number, &attempt, "first");
+    in_flight.store_value(number, &attempt, "second");
     assert_eq!(
         fixture.effects.in_flight.load(),
         2,
@@ -217,6 +219,36 @@
     );
 }
 
+#[test]
+fn a_withdrawn_value_is_not_part_of_the_answer() {
+    let mut fixture = Fixture::new(Progress::Written);
+    let key = fixture.attempt;
+    let attempt = fixture.effects.in_flight.finish(key).expect("an attempt");
+    let in_flight = &mut fixture.effects.in_flight;
+    in_flight.store_value(key.1, &attempt, "wrong");
+    let other = (key.0, AttemptNo(key.1 .0 + 1));
+    assert_eq!(
+        in_flight.withdraw_value(other),
+        None,
+        "another attempt's value"
+    );
+    assert_eq!(in_flight.withdraw_value(key), Some(fixture.query));
+    assert_eq!(in_flight.withdraw_value(key), None, "withdrawn already");
+    assert_eq!(in_flight.load(), 3, "the query and its two shard requests");
+    in_flight.store_value(other.1, &attempt, "right");
+    fixture.effects.answer(fixture.query, false);
+    assert_eq!(
+        fixture.effects.in_flight.withdraw_value(other),
+        None,
+        "answered"
+    );
+    let answer = fixture.reply.answer.borrow_mut().take().expect("an answer");
+    assert_eq!(
+        answer.2,
+        r#"{"full":false,"pieces":[{"cell":"right","tablet":0}]}"#
+    );
+}
+
 #[test]
 fn an_attempt_is_checked_after_the_dial_timeout_and_at_its_deadline() {
     let mut fixture = Fixture::new(Progress::Written);
--- a/router/src/stages/dispatch.rs
+++ b/router/src/stages/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::router::Router;
 use crate::stages::completion::{CancelFrame, FinishedAttempt};
 use crate::stages::{attempt_deadline, upstream_writer};
+use crate::state::in_flight::AttemptKey;
 
 /// A query that admission has entered in the in-flight table.
 pub(super) struct NewQuery {
@@ -109,6 +110,16 @@
     });
 }
 
+/// Withdraws the value that an attempt returned, because it was found to be wrong, if its query is still in flight.
+pub(super) fn answer_withdrawn(router: &Router, key: AttemptKey) {
+    router.apply(|engine, now, effects| {
+        let (shard_request, number) = key;
+        if let Some(query) = effects.in_flight.withdraw_value(key) {
+            engine.answer_withdrawn(now, query, shard_request, number, effects);
+        }
+    });
+}
+
 /// Applies ended attempts, attempt checks and timers until none is due.
 fn apply_due(router: &Router) {
     while apply_next_due(router) {}
--- a/router/src/stages/upstream_frames.rs
+++ b/router/src/stages/upstream_frames.rs
@@ -10,8 +10,9 @@
 use crate::stages::completion::{EffectQueue, FinishedAttempt};
 use crate::stages::upstream_reader::UnusableInput;
 use crate::stages::{dispatch, upstream_writer};
-use crate::state::in_flight::ValueTooLong;
+use crate::state::in_flight::AttemptKey;
 use crate::state::nodes::ConnectionId;
+use crate::state::response_size::ValueTooLong;
 
 /// The maximum number of bytes of a node's error text in a log line.
 const MAX_LOGGED_BYTES: usize = 200;
@@ -35,12 +36,12 @@
     }
 }
 
-/// Passes an answer, whose length is confirmed, to the attempt that it names.
+/// Passes an answer to the attempt that it names. Returns that attempt, unless it has ended before.
 pub(super) fn handle_answer(
     router: &Router,
     id: ConnectionId,
     payload: &[u8],
-) -> Result<(), UnusableInput> {
+) -> Result<Option<AttemptKey>, UnusableInput> {
     let answer = frames::parse_shard_response(payload).map_err(UnusableInput::Malformed)?;
     let outcome = match answer.status {
         ResponseStatus::Served => AttemptOutcome::Satisfied,
@@ -48,12 +49,13 @@
         ResponseStatus::NotStarted => AttemptOutcome::NeverRan,
     };
     let Some(finished) = finish_attempt(router, id, &answer, outcome)? else {
-        return Ok(());
+        return Ok(None);
     };
     let load_report =
         frames::parse_load_report(answer.load_report, &router.bounds.load_metric_names);
+    let key = finished.key;
     dispatch::attempt_finished(router, finished, &load_report);
-    Ok(())
+    Ok(Some(key))
 }
 
 /// Removes the attempt that an answer names from its connection and from the in-flight table; returns `None` if the
@@ -92,7 +94,10 @@
             .in_scope(|| tracing::debug!(attempt = &*attempt.id, ?outcome, "attempt answered"));
     }
     if outcome == AttemptOutcome::Satisfied {
-        effects.in_flight.store_value(&attempt, answer.value);
+        let (_, number) = key;
+        effects
+            .in_flight
+            .store_value(number, &attempt, answer.value);
     }
     effects.nodes.wake_retired(id);
     Ok(Some(FinishedAttempt {
--- a/router/src/stages/upstream_reader.rs
+++ b/router/src/stages/upstream_reader.rs
@@ -12,9 +12,11 @@
 use ternpick_wire::ring::Ring;
 
 use crate::router::Router;
-use crate::stages::answer_hold::{hold_time, HeldAnswer, ReadPauses};
+use crate::stages::answer_hold::{hold_time, Arrival, HeldAnswer, Pauses};
+use crate::stages::dispatch;
 use crate::stages::upstream_connection::UpstreamEnd;
 use crate::stages::upstream_frames::{handle_answer, handle_frame};
+use crate::state::in_flight::AttemptKey;
 use crate::state::memory_budget::MemoryShare;
 use crate::state::nodes::ConnectionId;
 
@@ -63,9 +65,11 @@
     frame: Vec<u8>,
     /// When the first byte of the incomplete frame was read.
     frame_began_at: Option<Micros>,
-    pauses: ReadPauses,
+    pauses: Pauses,
     /// The last complete answer, while it is not known whether its length is right.
     held: Option<HeldAnswer>,
+    /// The attempt of the last answer, while nothing has confirmed its length but that no byte followed it in time.
+    unconfirmed: Option<AttemptKey>,
     memory: MemoryShare,
 }
 
@@ -78,8 +82,9 @@
             input: Ring::new(INPUT_BOUND),
             frame: Vec::new(),
             frame_began_at: None,
-            pauses: ReadPauses::default(),
+            pauses: Pauses::default(),
             held: None,
+            unconfirmed: None,
             memory: router.budget.share(),
         }
     }
@@ -94,11 +99,14 @@
         }
     }
 
-    /// Handles the answer that is held when the connection ends, if no byte has followed it.
+    /// Handles the answer that is held when the connection ends, if no byte has followed it. If bytes have followed the
+    /// last answer that begin no frame, its value is withdrawn.
     pub(super) fn finish(&mut self) {
         if self.frame.is_empty() {
             // The connection has ended already, so an unusable answer changes nothing.
             let _ = self.release_answer();
+        } else {
+            self.withdraw_unconfirmed_answer();
         }
     }
 
@@ -114,6 +122,8 @@
             None if self.frame.is_empty() => return self.release_answer(),
             None => return Err(self.abandon_on_incomplete_frame()),
         }
+        self.pauses
+            .record_arrival(self.router.clock.now(), !self.frame.is_empty());
         for _ in 0..READS_IN_A_ROW {
             match stream.get_ref().read(self.input.free()) {
                 Ok(0) => return Err(UpstreamEnd::ClosedByNode),
@@ -122,17 +132,15 @@
                 Err(error) if error.kind() == ErrorKind::Interrupted => continue,
                 Err(_) => return Err(UpstreamEnd::ReadFailed),
             }
-            self.pauses
-                .record_read(self.router.clock.now(), !self.frame.is_empty());
             self.handle_frames()?;
         }
         self.input.release_if_empty();
-        self.release_overdue_answer()
+        self.release_answer_in_time()
     }
 
-    /// Handles an answer whose attempt is about to time out at once, if no byte has followed it. A task that waited
-    /// until then might run after the attempt has timed out.
-    fn release_overdue_answer(&mut self) -> Result<(), UpstreamEnd> {
+    /// Handles an answer that need not be held any longer. Without another wait, since its attempt may be about to time
+    /// out.
+    fn release_answer_in_time(&mut self) -> Result<(), UpstreamEnd> {
         let now = self.router.clock.now();
         match &self.held {
             Some(held) if self.frame.is_empty() && held.until <= now => self.release_answer(),
@@ -160,9 +168,9 @@
                 Err(error) => return Err(self.abandon_on_invalid_frame(error)),
             }
         }
-        if self.held.is_some() {
+        if self.held.is_some() || self.unconfirmed.is_some() {
             match frames::frame_start(&self.frame) {
-                FrameStart::Frame => self.release_answer()?,
+                FrameStart::Frame => self.confirm_answer()?,
                 FrameStart::Invalid => {
                     return Err(self.abandon_on_invalid_frame(BadFrame::WrongLength))
                 }
@@ -181,7 +189,7 @@
 
     /// Handles a complete frame, which confirms the length of the answer before it. An answer is held.
     fn handle_complete_frame(&mut self, letter: u8) -> Result<(), UpstreamEnd> {
-        self.release_answer()?;
+        self.confirm_answer()?;
         self.frame_began_at = None;
         let longest_pause = self.pauses.finish_frame();
         let payload = std::mem::take(&mut self.frame);
@@ -197,17 +205,42 @@
     }
 
     /// Holds an answer until the bytes behind it, or their absence, confirm its length.
-    fn hold_answer(&mut self, payload: Vec<u8>, longest_pause: Micros) {
+    fn hold_answer(&mut self, payload: Vec<u8>, longest_pause: Option<Micros>) {
         let now = self.router.clock.now();
+        let arrival = match longest_pause.max(self.recent_pause(now)) {
+            Some(pause) => Arrival::InPieces(pause),
+            None if frames::is_served_without_value(&payload) => Arrival::WithoutValue,
+            None => Arrival::Together,
+        };
         let time_left = self
             .attempt_due(&payload)
             .map_or(Micros(0), |due| due.since(now));
         self.held = Some(HeldAnswer {
             payload,
-            until: now + hold_time(longest_pause, time_left),
+            longest_pause,
+            until: now + hold_time(arrival, time_left),
         });
     }
 
+    /// The longest pause that the node has recently made within the frame of an answer.
+    fn recent_pause(&self, now: Micros) -> Option<Micros> {
+        let decisions = self.router.decisions.borrow();
+        let nodes = &decisions.effects.nodes;
+        let node = nodes.connection(self.id)?.node;
+        nodes.node(node)?.recent_pause.longest(now)
+    }
+
+    /// Records a pause that the node has made within the frame of an answer.
+    fn record_pause(&self, pause: Micros) {
+        let now = self.router.clock.now();
+        let mut decisions = self.router.decisions.borrow_mut();
+        let nodes = &mut decisions.effects.nodes;
+        let node = nodes.connection(self.id).map(|connection| connection.node);
+        if let Some(node) = node.and_then(|node| nodes.node_mut(node)) {
+            node.recent_pause.record(now, pause);
+        }
+    }
+
     /// When the attempt that an answer names times out; `None` if it is not in flight.
     fn attempt_due(&self, payload: &[u8]) -> Option<Micros> {
         let attempt_id = frames::parse_shard_request_id(payload)?;
@@ -221,15 +254,34 @@
         Some(effects.in_flight.attempt(*key)?.due)
     }
 
+    /// Handles the answer that is held, if there is one, as a frame has begun behind the last answer.
+    fn confirm_answer(&mut self) -> Result<(), UpstreamEnd> {
+        self.release_answer()?;
+        self.unconfirmed = None;
+        Ok(())
+    }
+
     /// Handles the answer that is held, if there is one.
     fn release_answer(&mut self) -> Result<(), UpstreamEnd> {
         let Some(held) = self.held.take() else {
             return Ok(());
         };
-        handle_answer(self.router, self.id, &held.payload).map_err(|error| {
+        let attempt = handle_answer(self.router, self.id, &held.payload).map_err(|error| {
             let attempt_id = frames::parse_shard_request_id(&held.payload);
             self.abandon_connection(error, attempt_id)
-        })
+        })?;
+        if let Some(pause) = held.longest_pause {
+            self.record_pause(pause);
+        }
+        self.unconfirmed = attempt;
+        Ok(())
+    }
+
+    /// Withdraws the value of the last answer, because the bytes that have followed it begin no frame.
+    fn withdraw_unconfirmed_answer(&mut self) {
+        if let Some(attempt) = self.unconfirmed.take() {
+            dispatch::answer_withdrawn(self.router, attempt);
+        }
     }
 
     /// Abandons the connection because a frame was not completed in time. The answer before it may have a wrong
@@ -242,6 +294,7 @@
                 self.abandon_connection(error, attempt_id)
             }
             None => {
+                self.withdraw_unconfirmed_answer();
                 let attempt_id = frames::parse_incomplete_frame_id(&self.frame);
                 self.abandon_connection(error, attempt_id)
             }
@@ -257,6 +310,9 @@
             }
         }
         let Some(held) = self.held.take() else {
+            if frames::may_continue_value(&self.frame) {
+                self.withdraw_unconfirmed_answer();
+            }
             // The bytes read so far are not a frame, and name no attempt.
             return self.abandon_connection(UnusableInput::Malformed(error), None);
         };
--- a/router/src/state/in_flight.rs
+++ b/router/src/state/in_flight.rs
@@ -7,15 +7,13 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::rc::Rc;
 
-use ternpick::types::{AttemptNo, CustomerNo, Micros, NodeId, QueryId, ShardNo, ShardRequestId};
-use ternpick_wire::http::MAX_BODY_BYTES;
-use ternpick_wire::query;
-use thiserror::Error;
+use ternpick::types::{AttemptNo, Micros, NodeId, QueryId, ShardNo, ShardRequestId};
 
-use crate::fleet::PolicyMark;
+pub(crate) use crate::state::admission_record::AdmissionRecord;
 use crate::state::clients::PendingResponse;
 pub(crate) use crate::state::ids::AttemptKey;
 use crate::state::ids::ConnectionId;
+use crate::state::response_size::{ResponseSize, ValueTooLong};
 
 /// A shard request of a query in flight, with its value once a node has answered it.
 pub(crate) struct InFlightShardRequest {
@@ -29,34 +27,15 @@
     /// not carry two attempts of the same shard request.
     pub(crate) carried_by: Vec<ConnectionId>,
     /// The value of the first successful response.
-    pub(crate) value: Option<Box<str>>,
+    pub(crate) value: Option<StoredValue>,
 }
 
-/// When a query was admitted, for which tenant, and on which terms.
-pub(crate) struct AdmissionRecord {
-    /// The tenant whose limits it counts against; `None` if the router does not distinguish tenants.
-    pub(crate) tenant: Option<CustomerNo>,
-    /// When it was admitted.
-    pub(crate) admitted_at: Micros,
-    /// Its latency objective.
-    pub(crate) latency_objective: Micros,
-    /// The policy that applies to it; `None` if the router follows no fleet policy.
-    pub(crate) mark: Option<PolicyMark>,
-    /// The tracing span in which all stages log the query.
-    pub(crate) span: tracing::Span,
-}
-
-impl Default for AdmissionRecord {
-    /// The record of a query without a tenant, admitted at time zero, without a latency objective.
-    fn default() -> Self {
-        AdmissionRecord {
-            tenant: None,
-            admitted_at: Micros(0),
-            latency_objective: Micros(u64::MAX),
-            mark: None,
-            span: tracing::Span::none(),
-        }
-    }
+/// The value that a node returned for a shard request.
+pub(crate) struct StoredValue {
+    /// The value.
+    pub(crate) text: Box<str>,
+    /// The attempt that it answers.
+    attempt: AttemptNo,
 }
 
 /// A query that has been admitted and has no final response yet.
@@ -71,25 +50,12 @@
     pub(crate) idempotency_key: Option<Rc<str>>,
     /// Its shard requests, in the order in which the response lists them.
     pub(crate) shard_requests: Vec<InFlightShardRequest>,
-    /// The size of the response's body without the values.
-    empty_response_bytes: usize,
-    /// The size of the values so far, as the response's body encodes them.
-    value_bytes: usize,
+    /// The size of its response with the values so far.
+    response_size: ResponseSize,
     /// The slot in which the client's connection waits for the response.
     pub(crate) reply: Rc<PendingResponse>,
 }
 
-/// Why the response of a query cannot hold a value.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
-pub(crate) enum ValueTooLong {
-    /// The value is too long for any response of the query, so no node made it for this shard request.
-    #[error("the value is too long for a response")]
-    ByItself,
-    /// The value is too long together with those of other shard requests, of which any may be wrong.
-    #[error("the value is too long for a response with the other values")]
-    WithOthers,
-}
-
 /// The progress of an attempt towards its node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AttemptProgress {
@@ -201,7 +167,7 @@
             .map(|(position, shard)| self.add_shard_request(query, position, shard))
             .collect();
         let response_shards = shard_requests.iter().map(|request| request.shard);
-        let empty_response_bytes = query::empty_response_bytes(response_shards);
+        let response_size = ResponseSize::new(response_shards);
         let ids = shard_requests.iter().map(|request| request.id).collect();
         let request_id = Rc::<str>::from(request_id);
         self.request_ids.insert(Rc::clone(&request_id));
@@ -211,8 +177,7 @@
             statement: statement.into(),
             idempotency_key: idempotency_key.map(Rc::from),
             shard_requests,
-            empty_response_bytes,
-            value_bytes: 0,
+            response_size,
             reply,
         };
         self.queries.insert(query, in_flight);
@@ -363,24 +328,21 @@
         attempt: &OutgoingAttempt,
         value: &str,
     ) -> Result<(), ValueTooLong> {
-        let Some((query, shard_request)) = self.shard_request(attempt) else {
-            return Ok(());
-        };
-        if shard_request.value.is_some() {
-            return Ok(());
-        }
-        let alone = query.empty_response_bytes + query::encoded_value_bytes(value);
-        if alone > MAX_BODY_BYTES {
-            Err(ValueTooLong::ByItself)
-        } else if alone + query.value_bytes > MAX_BODY_BYTES {
-            Err(ValueTooLong::WithOthers)
-        } else {
-            Ok(())
+        match self.shard_request(attempt) {
+            Some((query, shard_request)) if shard_request.value.is_none() => {
+                query.response_size.check(value)
+            }
+            _ => Ok(()),
         }
     }
 
     /// Stores the value that a node returned for a shard request. Values after the first one are ignored.
-    pub(crate) fn store_value(&mut self, attempt: &OutgoingAttempt, value: &str) {
+    pub(crate) fn store_value(
+        &mut self,
+        number: AttemptNo,
+        attempt: &OutgoingAttempt,
+        value: &str,
+    ) {
         let Some(query) = self.queries.get_mut(&attempt.query) else {
             return;
         };
@@ -388,12 +350,29 @@
             return;
         };
         if shard_request.value.is_none() {
-            shard_request.value = Some(value.into());
-            query.value_bytes += query::encoded_value_bytes(value);
+            shard_request.value = Some(StoredValue {
+                text: value.into(),
+                attempt: number,
+            });
+            query.response_size.add(value);
             self.answered += 1;
         }
     }
 
+    /// Removes the value that an attempt returned. Returns its query; `None` if that has ended, or has the value of
+    /// another attempt.
+    pub(crate) fn withdraw_value(&mut self, (id, number): AttemptKey) -> Option<QueryId> {
+        let location = *self.shard_requests.get(&id)?;
+        let query = self.queries.get_mut(&location.query)?;
+        let shard_request = query.shard_requests.get_mut(location.position)?;
+        let value = shard_request
+            .value
+            .take_if(|value| value.attempt == number)?;
+        query.response_size.remove(&value.text);
+        self.answered -= 1;
+        Some(location.query)
+    }
+
     /// The time of the next check of an attempt.
     pub(crate) fn next_check(&self) -> Option<Micros> {
         self.checks.first().map(|check| check.at)
--- a/router/src/state/mod.rs
+++ b/router/src/state/mod.rs
@@ -1,5 +1,6 @@
 //! The state of a running router. Each file owns one part of it. Nothing here does I/O or makes routing decisions.
 
+pub(crate) mod admission_record;
 pub(crate) mod client_transfer;
 pub(crate) mod clients;
 pub(crate) mod connection;
@@ -11,5 +12,7 @@
 pub(crate) mod log_limit;
 pub(crate) mod memory_budget;
 pub(crate) mod nodes;
+pub(crate) mod recent_pause;
+pub(crate) mod response_size;
 pub(crate) mod shutdown;
 pub(crate) mod wake_time;
--- a/router/src/state/nodes.rs
+++ b/router/src/state/nodes.rs
@@ -12,6 +12,7 @@
 pub(crate) use crate::state::connection::Connection;
 use crate::state::descriptors::DescriptorPermit;
 pub(crate) use crate::state::ids::ConnectionId;
+use crate::state::recent_pause::RecentPause;
 
 /// A node of the endpoint list, or a node that is gone from the list and still has connections.
 pub(crate) struct Node {
@@ -21,6 +22,8 @@
     pub(crate) address: SocketAddr,
     /// Its state in the endpoint list.
     pub(crate) state: EndpointState,
+    /// The longest pause that it has recently made within a frame.
+    pub(crate) recent_pause: RecentPause,
     connections: Vec<ConnectionId>,
 }
 
@@ -54,6 +57,7 @@
             name: name.to_owned(),
             address,
             state,
+            recent_pause: RecentPause::default(),
             connections: Vec::new(),
         });
         let moved = node.address != address;
@@ -136,6 +140,11 @@
         self.nodes.get(&id)
     }
 
+    /// The node with this id, for changes.
+    pub(crate) fn node_mut(&mut self, id: NodeId) -> Option<&mut Node> {
+        self.nodes.get_mut(&id)
+    }
+
     /// How many nodes are known.
     pub(crate) fn count(&self) -> usize {
         self.nodes.len()
--- a/src/routing/attempts.rs
+++ b/src/routing/attempts.rs
@@ -2,7 +2,7 @@
 
 use crate::actions::Actions;
 use crate::types::{
-    Attempt, AttemptNo, AttemptOutcome, InFlightAttempt, Micros, NodeId, Query, QueryId,
+    Attempt, AttemptNo, AttemptOutcome, InFlightAttempt, IndexNo, Micros, NodeId, Query, QueryId,
     RecentSend, ShardRequest, ShardRequestId,
 };
 
@@ -95,6 +95,39 @@
         }
     }
 
+    /// Handles an answer that had counted and was found to be wrong: its attempt has failed and may have run. The caller
+    /// keeps the answer's value only while the query is in flight, so that nothing is left to do for other queries.
+    pub fn answer_withdrawn(
+        &mut self,
+        now: Micros,
+        query: QueryId,
+        request: ShardRequestId,
+        attempt: AttemptNo,
+        out: &mut dyn Actions,
+    ) {
+        self.now = now;
+        if let Some((index, failed)) = self.withdraw_answer(query, request, attempt) {
+            let latency = now.since(failed.sent_at);
+            self.record_outcome(failed.node, index, latency, AttemptOutcome::MayHaveRun);
+        }
+        self.run_rules(out);
+    }
+
+    /// Records that an answered attempt has failed. Returns the index of its query and the attempt.
+    fn withdraw_answer(
+        &mut self,
+        query: QueryId,
+        request: ShardRequestId,
+        attempt: AttemptNo,
+    ) -> Option<(IndexNo, Attempt)> {
+        let query = self.queries.get_mut(&query)?;
+        let request = query.requests.iter_mut().find(|sent| sent.id == request)?;
+        let attempt = request.attempts.get_mut(usize::from(attempt.0))?;
+        attempt.outcome = Some(AttemptOutcome::MayHaveRun);
+        request.answered = false;
+        Some((query.index, *attempt))
+    }
+
     /// Sends a shard request to a node if this is still allowed. A plan may contain retries of several requests, and
     /// each may use up the retry budget on which the next one relied.
     pub(super) fn send_attempt(
--- a/wire/src/frames.rs
+++ b/wire/src/frames.rs
@@ -222,6 +222,14 @@
     })
 }
 
+/// Whether the payload of an `a` frame is that of a served shard request with an empty value.
+pub fn is_served_without_value(payload: &[u8]) -> bool {
+    payload.ends_with(b"\n")
+        && parse_shard_response(payload).is_ok_and(|response| {
+            response.status == ResponseStatus::Served && response.value.is_empty()
+        })
+}
+
 /// Parses a load report into the values of `columns`, which are load metric names of the settings, in their order. A
 /// missing or unreadable value is NaN. The result is empty if there is no report.
 pub fn parse_load_report(text: &str, columns: &[String]) -> Vec<f64> {
--- a/wire/src/frames/tests.rs
+++ b/wire/src/frames/tests.rs
@@ -165,6 +165,14 @@
     assert_eq!(may_continue_value(bytes), expected);
 }
 
+#[test_case(b"x.1 served 0 -\n", true; "served without a value")]
+#[test_case(b"x.1 served 0 -\nv\n", false; "a value that ends in a line end")]
+#[test_case(b"x.1 skipped 0 -\n", false; "not started")]
+#[test_case(b"x.1 served 0\n", false; "malformed")]
+fn recognises_a_served_response_without_a_value(payload: &[u8], expected: bool) {
+    assert_eq!(is_served_without_value(payload), expected);
+}
+
 #[test_case(b"\x14\0\0\0ax.1 ser", Some("x.1"); "a part of its line")]
 #[test_case(b"\x14\0\0\0a", Some(""); "its head")]
 #[test_case(b"\x14\0", None; "a part of its length")]
