--- a/router/src/stages/upstream_reader.rs
+++ b/router/src/stages/upstream_reader.rs
@@ -63,6 +63,8 @@
     input: Ring,
     /// The bytes of an incomplete frame, as [`frames::read_frame`] collects them.
     frame: Vec<u8>,
+    /// When the bytes that are being handled were read.
+    now: Micros,
     /// When the first byte of the incomplete frame was read.
     frame_began_at: Option<Micros>,
     pauses: Pauses,
@@ -81,6 +83,7 @@
             id,
             input: Ring::new(INPUT_BOUND),
             frame: Vec::new(),
+            now: router.clock.now(),
             frame_began_at: None,
             pauses: Pauses::default(),
             held: None,
@@ -122,8 +125,8 @@
             None if self.frame.is_empty() => return self.release_answer(),
             None => return Err(self.abandon_on_incomplete_frame()),
         }
-        self.pauses
-            .record_arrival(self.router.clock.now(), !self.frame.is_empty());
+        self.now = self.router.clock.now();
+        self.pauses.record_arrival(self.now, !self.frame.is_empty());
         for _ in 0..READS_IN_A_ROW {
             match stream.get_ref().read(self.input.free()) {
                 Ok(0) => return Err(UpstreamEnd::ClosedByNode),
@@ -141,9 +144,8 @@
     /// Handles an answer that need not be held any longer. Without another wait, since its attempt may be about to time
     /// out.
     fn release_answer_in_time(&mut self) -> Result<(), UpstreamEnd> {
-        let now = self.router.clock.now();
         match &self.held {
-            Some(held) if self.frame.is_empty() && held.until <= now => self.release_answer(),
+            Some(held) if self.frame.is_empty() && held.until <= self.now => self.release_answer(),
             _ => Ok(()),
         }
     }
@@ -182,7 +184,7 @@
         self.frame_began_at = if self.frame.is_empty() {
             None
         } else {
-            self.frame_began_at.or(Some(self.router.clock.now()))
+            self.frame_began_at.or(Some(self.now))
         };
         Ok(())
     }
@@ -206,38 +208,36 @@
 
     /// Holds an answer until the bytes behind it, or their absence, confirm its length.
     fn hold_answer(&mut self, payload: Vec<u8>, longest_pause: Option<Micros>) {
-        let now = self.router.clock.now();
-        let arrival = match longest_pause.max(self.recent_pause(now)) {
+        let arrival = match longest_pause.max(self.recent_pause()) {
             Some(pause) => Arrival::InPieces(pause),
             None if frames::is_served_without_value(&payload) => Arrival::WithoutValue,
             None => Arrival::Together,
         };
         let time_left = self
             .attempt_due(&payload)
-            .map_or(Micros(0), |due| due.since(now));
+            .map_or(Micros(0), |due| due.since(self.now));
         self.held = Some(HeldAnswer {
             payload,
             longest_pause,
-            until: now + hold_time(arrival, time_left),
+            until: self.now + hold_time(arrival, time_left),
         });
     }
 
     /// The longest pause that the node has recently made within the frame of an answer.
-    fn recent_pause(&self, now: Micros) -> Option<Micros> {
+    fn recent_pause(&self) -> Option<Micros> {
         let decisions = self.router.decisions.borrow();
         let nodes = &decisions.effects.nodes;
         let node = nodes.connection(self.id)?.node;
-        nodes.node(node)?.recent_pause.longest(now)
+        nodes.node(node)?.recent_pause.longest(self.now)
     }
 
     /// Records a pause that the node has made within the frame of an answer.
     fn record_pause(&self, pause: Micros) {
-        let now = self.router.clock.now();
         let mut decisions = self.router.decisions.borrow_mut();
         let nodes = &mut decisions.effects.nodes;
         let node = nodes.connection(self.id).map(|connection| connection.node);
         if let Some(node) = node.and_then(|node| nodes.node_mut(node)) {
-            node.recent_pause.record(now, pause);
+            node.recent_pause.record(self.now, pause);
         }
     }
 
@@ -341,7 +341,7 @@
     }
 
     fn record_reception(&self) {
-        let now = self.router.clock.now();
+        let now = self.now;
         let mut decisions = self.router.decisions.borrow_mut();
         decisions.effects.nodes.last_received = now;
         if let Some(connection) = decisions.effects.nodes.connection_mut(self.id) {
--- a/wire/src/query.rs
+++ b/wire/src/query.rs
@@ -99,9 +99,24 @@
     body["statement"].as_str().ok_or(BadQuery::NoStatement)
 }
 
+/// The size of the body of a response without shards, of which the longer form is not complete, in bytes.
+const EMPTY_BODY_BYTES: usize = r#"{"full":false,"pieces":[]}"#.len();
+/// The size of a shard with an empty value in the body of a response, without the shard's number.
+const EMPTY_PIECE_BYTES: usize = r#"{"cell":"","tablet":}"#.len();
+
 /// The size of the body of a response in which each of these shards has an empty value, in bytes.
 pub fn empty_response_bytes(shards: impl Iterator<Item = ShardNo>) -> usize {
-    encode_response_body(false, shards.map(|shard| (shard, ""))).len()
+    let (mut bytes, mut count) = (EMPTY_BODY_BYTES, 0_usize);
+    for shard in shards {
+        bytes += EMPTY_PIECE_BYTES + decimal_digits(shard.0);
+        count += 1;
+    }
+    let commas = count.saturating_sub(1);
+    bytes + commas
+}
+
+fn decimal_digits(number: u32) -> usize {
+    number.checked_ilog10().map_or(1, |log| log as usize + 1)
 }
 
 /// The number of bytes that a value takes up in the body of a response, with JSON's escapes and without quotes.
--- a/wire/src/query/tests.rs
+++ b/wire/src/query/tests.rs
@@ -51,13 +51,16 @@
     );
 }
 
+#[test_case(&[]; "no shards")]
 #[test_case(&[""]; "empty")]
 #[test_case(&["5be2a07c", "12"]; "plain")]
 #[test_case(&["\u{1}\u{7f}\"\\\n\r\t\u{8}", "\u{e9}\u{1f980}"]; "escaped and longer than a byte")]
 fn the_size_of_a_response_is_that_of_its_shards_and_values(values: &[&str]) {
-    let pieces = || (9..).map(ShardNo).zip(values.iter().copied());
-    let text = encode_response_body(false, pieces());
-    let shards = pieces().map(|(shard, _)| shard);
     let sizes: usize = values.iter().map(|value| encoded_value_bytes(value)).sum();
-    assert_eq!(empty_response_bytes(shards) + sizes, text.len());
+    for first_shard in [0, 9, 99, 1_000] {
+        let pieces = || (first_shard..).map(ShardNo).zip(values.iter().copied());
+        let text = encode_response_body(false, pieces());
+        let shards = pieces().map(|(shard, _)| shard);
+        assert_eq!(empty_response_bytes(shards) + sizes, text.len());
+    }
 }
