--- a/router/tests/answers/lengths.rs
+++ b/router/tests/answers/lengths.rs
@@ -20,6 +20,8 @@
     OneWrite,
     /// Its line, its value up to the end that the wrong length gives, and the rest.
     ThreeWrites,
+    /// One up to the end that the wrong length gives, and one behind it.
+    AtWrongEnd,
     ByteByByte(Duration),
 }
 
@@ -32,6 +34,12 @@
 fn steps(bytes: &[u8], excess: i64, split: Split) -> Vec<Step> {
     match split {
         Split::OneWrite => vec![Step::Write(bytes.to_vec())],
+        Split::AtWrongEnd if excess < 0 => {
+            let end = bytes.len() - excess.unsigned_abs() as usize;
+            let (first, rest) = bytes.split_at(end);
+            vec![Step::Write(first.to_vec()), Step::Write(rest.to_vec())]
+        }
+        Split::AtWrongEnd => vec![Step::Write(bytes.to_vec())],
         Split::ThreeWrites => {
             let line_end = bytes.len() - VALUE_BYTES;
             let wrong_end = bytes.len() - excess.min(0).unsigned_abs() as usize;
@@ -58,6 +66,7 @@
 #[test_case("whole", Split::ByteByByte(Duration::ZERO); "byte by byte")]
 #[test_case("whole", Split::ByteByByte(MILLISECOND); "byte by byte with pauses")]
 #[test_case("whole", Split::ByteByByte(Duration::from_millis(3)); "byte by byte with long pauses")]
+#[test_case("whole", Split::AtWrongEnd; "in two writes")]
 fn a_value_whose_length_is_wrong_is_never_served(index: &'static str, split: Split) {
     for excess in EXCESS {
         // The first attempt of each first shard is answered with a wrong length.
