review: scripts end their routers when they are interrupted, and are formatted

Need: a script must end all processes that it has started, however it ends. Change: signals end the case in order, and a router gets SIGKILL when its case dies; unused stand-in code is gone; formatted by rustfmt.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -24,13 +24,21 @@
           "stopSendingWithin":500000,"warmWithin":14000000}}"#;
 
 fn query(id: &str, statement: String) -> Query {
-    Query { id: id.into(), class: "address-history", shards: vec![0, 1, 2, 3], statement, deadline_ms: 5_000, key: None }
+    Query {
+        id: id.into(),
+        class: "address-history",
+        shards: vec![0, 1, 2, 3],
+        statement,
+        deadline_ms: 5_000,
+        key: None,
+    }
 }
 
 fn main() {
     begin(Duration::from_secs(100));
-    let nodes: Vec<Arc<Node>> =
-        (0..12).map(|n| Node::start(&format!("s-{n}"), n % 3, Mode::Serve(WORK))).collect();
+    let nodes: Vec<Arc<Node>> = (0..12)
+        .map(|n| Node::start(&format!("s-{n}"), n % 3, Mode::Serve(WORK)))
+        .collect();
     let discovery = Discovery::start(&nodes);
     let router = Router::start("n0", &discovery, SETTINGS);
     let warm = Client::connect(router.address).ask(&query("warm", "warm".into()));
@@ -66,7 +74,11 @@
             }
         }
         if let Some(mut usual) = usual {
-            check(&theirs, usual.receive(&id, sent + Duration::from_secs(5)), &mut breaks);
+            check(
+                &theirs,
+                usual.receive(&id, sent + Duration::from_secs(5)),
+                &mut breaks,
+            );
         }
         check(&bad, answer, &mut breaks);
         sleep(1_000);
@@ -79,10 +91,21 @@
     let Some(answer) = answer.filter(|answer| answer.status == 200) else {
         return;
     };
-    let cells = answer.body.split("\"cell\":\"").skip(1).filter_map(|rest| rest.split('"').next());
+    let cells = answer
+        .body
+        .split("\"cell\":\"")
+        .skip(1)
+        .filter_map(|rest| rest.split('"').next());
     for cell in cells {
-        if !query.shards.iter().any(|shard| cell == value_of(&query.statement, *shard)) {
-            breaks.push(format!("the client that asked {} as {} was given {cell}", query.statement, query.id));
+        if !query
+            .shards
+            .iter()
+            .any(|shard| cell == value_of(&query.statement, *shard))
+        {
+            breaks.push(format!(
+                "the client that asked {} as {} was given {cell}",
+                query.statement, query.id
+            ));
         }
     }
 }
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -26,8 +26,9 @@
 fn main() {
     begin(Duration::from_secs(100));
     let serve = Mode::Serve(Duration::from_millis(60));
-    let nodes: Vec<Arc<Node>> =
-        (0..140).map(|n| Node::start(&format!("s-5be2a{n:03x}"), n % 35, serve)).collect();
+    let nodes: Vec<Arc<Node>> = (0..140)
+        .map(|n| Node::start(&format!("s-5be2a{n:03x}"), n % 35, serve))
+        .collect();
     let old = Discovery::start(&nodes);
     let new = Discovery::start(&nodes);
     if trouble() {
@@ -44,7 +45,14 @@
             let id = format!("c-{count}");
             let statement = format!("s{id}");
             let shards = (0..7).map(|shard| (shard + 7 * count) % 70).collect();
-            client.ask(&Query { id, class: "slot-search", shards, statement, deadline_ms: 6_000, key: None });
+            client.ask(&Query {
+                id,
+                class: "slot-search",
+                shards,
+                statement,
+                deadline_ms: 6_000,
+                key: None,
+            });
             sleep(60);
         }
     });
@@ -52,12 +60,20 @@
     router.move_discovery(&old, &new);
     let moved_at = Instant::now();
     sleep(2_000);
-    let draining: Vec<String> = nodes.iter().filter(|node| !node.parts().is_empty()).take(20).map(|node| node.name.clone()).collect();
+    let draining: Vec<String> = nodes
+        .iter()
+        .filter(|node| !node.parts().is_empty())
+        .take(20)
+        .map(|node| node.name.clone())
+        .collect();
     let had = Instant::now();
     new.set_status(&draining, "Terminating");
     let _ = asking.join();
     let counts_as_told = (moved_at + TOLD_WITHIN).max(had + Duration::from_secs(6));
-    note(&format!("the change counts as told at {} ms", ms(counts_as_told)));
+    note(&format!(
+        "the change counts as told at {} ms",
+        ms(counts_as_told)
+    ));
     let late: Vec<_> = nodes
         .iter()
         .filter(|node| draining.contains(&node.name))
@@ -66,7 +82,11 @@
         .collect();
     let mut breaks = Vec::new();
     if !late.is_empty() {
-        breaks.push(format!("{} parts went to draining nodes more than {} ms after the change counts as told", late.len(), GRACE.as_millis()));
+        breaks.push(format!(
+            "{} parts went to draining nodes more than {} ms after the change counts as told",
+            late.len(),
+            GRACE.as_millis()
+        ));
     }
     verdict(&breaks)
 }
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -7,13 +7,16 @@
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 pub const SIGHUP: i32 = 1;
+pub const SIGINT: i32 = 2;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
@@ -21,27 +24,49 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    #[link_name = "signal"]
+    fn set_handler(signal: i32, handler: extern "C" fn(i32)) -> usize;
+    fn prctl(option: i32, argument: usize) -> i32;
 }
 
+/// `PR_SET_PDEATHSIG` of Linux: the signal that a process gets when the thread that has started it ends.
+const SIGNAL_ON_PARENTS_END: i32 = 1;
+
 // ---------------------------------------------------------------- time and record
 
 static START: OnceLock<Instant> = OnceLock::new();
 static RECORD: OnceLock<Mutex<File>> = OnceLock::new();
 static CHILDREN: Mutex<Vec<i32>> = Mutex::new(Vec::new());
 static FOLDER: OnceLock<PathBuf> = OnceLock::new();
+static INTERRUPTED: AtomicBool = AtomicBool::new(false);
+
+extern "C" fn interrupted(_: i32) {
+    INTERRUPTED.store(true, Ordering::SeqCst);
+}
 
 /// Opens the record named by the first argument, makes a temporary folder, and ends the case after `limit`.
 pub fn begin(limit: Duration) {
     START.get_or_init(Instant::now);
-    let path = std::env::args().nth(1).unwrap_or_else(|| "record.txt".into());
+    let path = std::env::args()
+        .nth(1)
+        .unwrap_or_else(|| "record.txt".into());
     let file = File::create(path).expect("the record cannot be written");
     let _ = RECORD.set(Mutex::new(file));
     let folder = std::env::temp_dir().join(format!("ternpick-review-2-{}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("no temporary folder");
     let _ = FOLDER.set(folder);
+    for number in [SIGHUP, SIGINT, SIGTERM] {
+        // SAFETY: the handler only stores a flag.
+        unsafe {
+            set_handler(number, interrupted);
+        }
+    }
     thread::spawn(move || {
-        thread::sleep(limit);
-        note("the case took too long");
+        let until = Instant::now() + limit;
+        while Instant::now() < until && !INTERRUPTED.load(Ordering::SeqCst) {
+            sleep(20);
+        }
+        note("the case was interrupted, or took too long");
         end(2);
     });
 }
@@ -52,13 +77,16 @@
 
 /// Milliseconds since the start of the case.
 pub fn ms(at: Instant) -> u128 {
-    at.duration_since(*START.get().expect("begin was not called")).as_millis()
+    at.duration_since(*START.get().expect("begin was not called"))
+        .as_millis()
 }
 
 pub fn note(line: &str) {
     let now = ms(Instant::now());
     if let Some(record) = RECORD.get() {
-        let mut file = record.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+        let mut file = record
+            .lock()
+            .unwrap_or_else(|poisoned| poisoned.into_inner());
         let _ = writeln!(file, "{now:>7} ms  {line}");
     }
 }
@@ -70,7 +98,11 @@
 
 /// Ends all processes that the case has started, and the case with this status.
 pub fn end(status: i32) -> ! {
-    for pid in CHILDREN.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).drain(..) {
+    for pid in CHILDREN
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+        .drain(..)
+    {
         signal(pid, SIGCONT);
         signal(pid, SIGKILL);
     }
@@ -118,12 +150,9 @@
 }
 
 pub fn unix_ms() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis())
-}
-
-/// Ends this process too when the case ends: a router has started it.
-pub fn ends_with_case(pid: i32) {
-    CHILDREN.lock().unwrap().push(pid);
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis())
 }
 
 // ---------------------------------------------------------------- data nodes
@@ -164,11 +193,14 @@
 
 impl Node {
     pub fn start(name: &str, group: u32, mode: Mode) -> Arc<Node> {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|_| cannot_run("no free port"));
+        let listener =
+            TcpListener::bind("127.0.0.1:0").unwrap_or_else(|_| cannot_run("no free port"));
         let node = Arc::new(Node {
             name: name.to_owned(),
             group,
-            address: listener.local_addr().unwrap_or_else(|_| cannot_run("no address")),
+            address: listener
+                .local_addr()
+                .unwrap_or_else(|_| cannot_run("no address")),
             mode: Mutex::new(mode),
             parts: Mutex::default(),
             cancelled: Mutex::default(),
@@ -250,7 +282,10 @@
             Mode::Serve(time) => time,
             Mode::Silent => return,
             Mode::Drain => {
-                note(&format!("node {} drains and turns {} away", self.name, part.id));
+                note(&format!(
+                    "node {} drains and turns {} away",
+                    self.name, part.id
+                ));
                 let line = format!("{} skipped 1 -\n", part.id);
                 send(writer, b'a', line.as_bytes());
                 return;
@@ -261,7 +296,10 @@
             thread::sleep(time);
             let line = format!("{} served 1 util=0.10,qps=2,queue=0\n", part.id);
             let value = value_of(&part.statement, part.shard);
-            note(&format!("node {} answers {} with {value}", node.name, part.id));
+            note(&format!(
+                "node {} answers {} with {value}",
+                node.name, part.id
+            ));
             send(&writer, b'a', &[line.as_bytes(), value.as_bytes()].concat());
         });
     }
@@ -330,8 +368,6 @@
     delay: Duration,
     /// Whether the body of an answer comes in chunks, one for each word of the JSON text.
     chunked: bool,
-    /// Whether every answer has the whole list.
-    whole: bool,
 }
 
 pub struct Discovery {
@@ -342,7 +378,8 @@
 
 impl Discovery {
     pub fn start(nodes: &[Arc<Node>]) -> Arc<Discovery> {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap_or_else(|_| cannot_run("no free port"));
+        let listener =
+            TcpListener::bind("127.0.0.1:0").unwrap_or_else(|_| cannot_run("no free port"));
         let entries = nodes.iter().map(|node| Listed {
             node: Arc::clone(node),
             status: "Ready",
@@ -350,8 +387,14 @@
             index: 1,
         });
         let discovery = Arc::new(Discovery {
-            address: listener.local_addr().unwrap_or_else(|_| cannot_run("no address")),
-            list: Mutex::new(List { index: 1, entries: entries.collect(), ..List::default() }),
+            address: listener
+                .local_addr()
+                .unwrap_or_else(|_| cannot_run("no address")),
+            list: Mutex::new(List {
+                index: 1,
+                entries: entries.collect(),
+                ..List::default()
+            }),
             changed: Condvar::new(),
         });
         let shared = Arc::clone(&discovery);
@@ -376,7 +419,9 @@
             }
         }
         list.had.insert(index, Instant::now());
-        note(&format!("discovery has version {index}: {names:?} {status}"));
+        note(&format!(
+            "discovery has version {index}: {names:?} {status}"
+        ));
         self.changed.notify_all();
         index
     }
@@ -384,7 +429,10 @@
     /// Makes each answer that is written from now on this much later.
     pub fn set_delay(&self, delay: Duration) {
         self.list.lock().unwrap().delay = delay;
-        note(&format!("discovery answers {} ms late from now on", delay.as_millis()));
+        note(&format!(
+            "discovery answers {} ms late from now on",
+            delay.as_millis()
+        ));
     }
 
     /// Writes the body of each answer in chunks from now on, one for each word of the JSON text.
@@ -393,14 +441,15 @@
         note("discovery writes its answers in chunks, word by word");
     }
 
-    /// Answers each call with the whole list from now on.
-    pub fn set_whole(&self) {
-        self.list.lock().unwrap().whole = true;
-    }
-
     /// When a version was first written to a router.
     pub fn written(&self, index: u64) -> Option<Instant> {
-        self.list.lock().unwrap().written.range(index..).map(|(_, at)| *at).min()
+        self.list
+            .lock()
+            .unwrap()
+            .written
+            .range(index..)
+            .map(|(_, at)| *at)
+            .min()
     }
 
     fn serve(&self, mut stream: TcpStream) {
@@ -408,7 +457,9 @@
         while let Some(target) = read_head(&mut stream) {
             let field = |name: &str| -> Option<u64> {
                 let query = target.split('?').nth(1)?;
-                query.split('&').find_map(|pair| pair.strip_prefix(name)?.parse().ok())
+                query
+                    .split('&')
+                    .find_map(|pair| pair.strip_prefix(name)?.parse().ok())
             };
             let after = field("after=");
             let wait = Duration::from_millis(field("wait_ms=").unwrap_or(0).min(60_000));
@@ -416,12 +467,20 @@
             let body = self.answer(after, wait);
             let (index, body) = body;
             let chunked = self.list.lock().unwrap().chunked;
-            let response = if chunked { chunked_response(&body) } else { plain_response(&body) };
+            let response = if chunked {
+                chunked_response(&body)
+            } else {
+                plain_response(&body)
+            };
             if stream.write_all(response.as_bytes()).is_err() {
-                note(&format!("discovery cannot answer {target}: the caller has left"));
+                note(&format!(
+                    "discovery cannot answer {target}: the caller has left"
+                ));
                 return;
             }
-            note(&format!("discovery has answered {target} with version {index}"));
+            note(&format!(
+                "discovery has answered {target} with version {index}"
+            ));
             let mut list = self.list.lock().unwrap();
             list.written.entry(index).or_insert_with(Instant::now);
         }
@@ -441,7 +500,7 @@
         drop(list);
         thread::sleep(delay);
         let list = self.list.lock().unwrap();
-        (list.index, list_text(&list, after.filter(|_| !list.whole)))
+        (list.index, list_text(&list, after))
     }
 
     /// The whole list, as a router's configuration has it.
@@ -458,7 +517,8 @@
 /// A response whose body comes in chunks, one for each word of the JSON text, as from an encoder that writes its words
 /// straight to the connection.
 fn chunked_response(body: &str) -> String {
-    let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let head =
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
     let mut text = head.to_owned();
     let mut word = String::new();
     let mut in_text = false;
@@ -540,10 +600,22 @@
         let rows: Vec<String> = self
             .shards
             .iter()
-            .map(|shard| format!("{{\"tablet\":{shard},\"fraction\":{:.6}}}", 1.0 / count as f64))
+            .map(|shard| {
+                format!(
+                    "{{\"tablet\":{shard},\"fraction\":{:.6}}}",
+                    1.0 / count as f64
+                )
+            })
             .collect();
-        let body = format!("{{\"tablets\":[{}],\"statement\":\"{}\"}}", rows.join(","), self.statement);
-        let key = self.key.as_ref().map_or(String::new(), |key| format!("Idempotency-Key: {key}\r\n"));
+        let body = format!(
+            "{{\"tablets\":[{}],\"statement\":\"{}\"}}",
+            rows.join(","),
+            self.statement
+        );
+        let key = self
+            .key
+            .as_ref()
+            .map_or(String::new(), |key| format!("Idempotency-Key: {key}\r\n"));
         format!(
             "POST /{} HTTP/1.1\r\nHost: backend.local\r\nReq-Id: {}\r\nReq-Kind: {}\r\nReq-Deadline-Ms: {}\r\n{key}\
              Content-Length: {}\r\n\r\n{body}",
@@ -570,7 +642,8 @@
 
 impl Client {
     pub fn connect(address: SocketAddr) -> Client {
-        let stream = TcpStream::connect(address).unwrap_or_else(|_| cannot_run("the router does not accept"));
+        let stream = TcpStream::connect(address)
+            .unwrap_or_else(|_| cannot_run("the router does not accept"));
         let _ = stream.set_nodelay(true);
         Client { stream }
     }
@@ -594,7 +667,11 @@
     pub fn receive(&mut self, id: &str, until: Instant) -> Option<Answer> {
         let answer = read_response(&mut self.stream, until);
         match &answer {
-            Some(answer) => note(&format!("client gets {} for {id}: {}", answer.status, answer.body.trim_end())),
+            Some(answer) => note(&format!(
+                "client gets {} for {id}: {}",
+                answer.status,
+                answer.body.trim_end()
+            )),
             None => note(&format!("client has no answer for {id}")),
         }
         answer
@@ -602,7 +679,10 @@
 
     pub fn ask(&mut self, query: &Query) -> Option<Answer> {
         let sent = self.send(query);
-        self.receive(&query.id, sent + Duration::from_millis(query.deadline_ms + 500))
+        self.receive(
+            &query.id,
+            sent + Duration::from_millis(query.deadline_ms + 500),
+        )
     }
 }
 
@@ -631,14 +711,20 @@
     let status = head.split(' ').nth(1)?.parse().ok()?;
     let length = head.lines().find_map(|line| {
         let (name, value) = line.split_once(':')?;
-        name.eq_ignore_ascii_case("content-length").then(|| value.trim().parse::<usize>().ok())?
+        name.eq_ignore_ascii_case("content-length")
+            .then(|| value.trim().parse::<usize>().ok())?
     });
     let body = &bytes[end + 4..];
     if body.len() < length.unwrap_or(0) {
         return None;
     }
     let closes = head.to_ascii_lowercase().contains("connection: close");
-    Some(Answer { status, body: String::from_utf8_lossy(body).into_owned(), closes, at: Instant::now() })
+    Some(Answer {
+        status,
+        body: String::from_utf8_lossy(body).into_owned(),
+        closes,
+        at: Instant::now(),
+    })
 }
 
 // ---------------------------------------------------------------- routers
@@ -647,7 +733,7 @@
     pub address: SocketAddr,
     pub pid: i32,
     pub config: PathBuf,
-    child: Child,
+    _child: Child,
 }
 
 impl Router {
@@ -662,14 +748,26 @@
             discovery.address,
             discovery.known()
         );
-        std::fs::write(&config, text).unwrap_or_else(|_| cannot_run("the configuration cannot be written"));
-        let log = File::create(folder().join(format!("{name}.log"))).unwrap_or_else(|_| cannot_run("no log"));
-        let command = std::fs::read_to_string("deploy/balancer.toml").ok().and_then(|text| {
-            let line = text.lines().find(|line| line.starts_with("run = "))?;
-            line.split('"').nth(1).map(str::to_owned)
-        });
+        std::fs::write(&config, text)
+            .unwrap_or_else(|_| cannot_run("the configuration cannot be written"));
+        let log = File::create(folder().join(format!("{name}.log")))
+            .unwrap_or_else(|_| cannot_run("no log"));
+        let command = std::fs::read_to_string("deploy/balancer.toml")
+            .ok()
+            .and_then(|text| {
+                let line = text.lines().find(|line| line.starts_with("run = "))?;
+                line.split('"').nth(1).map(str::to_owned)
+            });
         let command = command.unwrap_or_else(|| cannot_run("the deploy file has no command"));
-        let child = Command::new("/bin/sh")
+        let mut start = Command::new("/bin/sh");
+        // SAFETY: prctl takes two numbers and touches no memory. The router ends with the case, however that ends.
+        unsafe {
+            start.pre_exec(|| {
+                prctl(SIGNAL_ON_PARENTS_END, SIGKILL as usize);
+                Ok(())
+            });
+        }
+        let child = start
             .args(["-c", &command])
             .env("ROUTER_NAME", name)
             .env("ROUTER_LISTEN", address.to_string())
@@ -683,7 +781,12 @@
             .unwrap_or_else(|_| cannot_run("the router cannot be started"));
         let pid = child.id() as i32;
         CHILDREN.lock().unwrap().push(pid);
-        let router = Router { address, pid, config, child };
+        let router = Router {
+            address,
+            pid,
+            config,
+            _child: child,
+        };
         router.wait_until_ready();
         note(&format!("router {name} serves"));
         router
@@ -693,7 +796,8 @@
         let until = Instant::now() + Duration::from_secs(20);
         while Instant::now() < until {
             if let Ok(mut stream) = TcpStream::connect(self.address) {
-                let _ = stream.write_all(b"GET /_health HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+                let _ = stream
+                    .write_all(b"GET /_health HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
                 let answer = read_response(&mut stream, Instant::now() + Duration::from_secs(2));
                 if answer.is_some_and(|answer| answer.status == 200) {
                     return;
@@ -713,20 +817,19 @@
             1,
         );
         let beside = self.config.with_extension("new");
-        let replaced = std::fs::write(&beside, text).and_then(|()| std::fs::rename(&beside, &self.config));
+        let replaced =
+            std::fs::write(&beside, text).and_then(|()| std::fs::rename(&beside, &self.config));
         if replaced.is_err() {
             cannot_run("the configuration cannot be replaced");
         }
-        self.signal(SIGHUP, "SIGHUP: a new configuration names another discovery");
+        self.signal(
+            SIGHUP,
+            "SIGHUP: a new configuration names another discovery",
+        );
     }
 
     pub fn signal(&self, number: i32, name: &str) {
         signal(self.pid, number);
         note(&format!("router gets {name}"));
     }
-
-    /// Whether the process has ended.
-    pub fn has_ended(&mut self) -> bool {
-        self.child.try_wait().ok().flatten().is_some()
-    }
 }
