Keep attempts off connections that await an answer under their id

The other client had left, or its query had failed at its deadline.

Cause: an answer names only the request id and the shard, and is matched by its connection. Nodes answer what they have begun, also after a cancel. A connection forgot which answers it awaited when the router stopped waiting for them; only attempts of one query were kept apart.

Change: state/carried_attempts.rs owns which answers may still arrive on a connection: from when an attempt is queued until its answer has come or the connection has ended. The upstream writer assigns no attempt to a connection that awaits an answer under its id. A connection with 1,024 ended attempts without an answer takes no more. Of the alternatives, closing the old connection breaks other clients' attempts, and rejecting the id refuses repeats for as long as a silent node takes. A further connection costs a handshake; one id opens no third one to a node (503, nothing ran), or a client could open them without end.

--- a/router/src/stages/completion.rs
+++ b/router/src/stages/completion.rs
@@ -158,9 +158,7 @@
         match attempt.progress {
             AttemptProgress::Ordered => self.ordered_attempts.retain(|ordered| *ordered != key),
             AttemptProgress::Waiting(id) => self.remove_waiting(id, key),
-            AttemptProgress::Queued(id, end) => {
-                self.nodes.remove_attempt(id, &attempt.id, end, self.now)
-            }
+            AttemptProgress::Queued(id, end) => self.nodes.end_unanswered(id, &attempt.id, end),
         }
         self.finished_attempts.push_back(FinishedAttempt {
             key,
--- a/router/src/stages/completion/tests.rs
+++ b/router/src/stages/completion/tests.rs
@@ -94,7 +94,7 @@
             Progress::HalfWritten => 5,
             Progress::Written => 10,
         };
-        connection.attempts.insert("r.0".into(), attempt);
+        connection.attempts.add("r.0".into(), attempt);
         connection.queued_bytes = 10;
         connection.written_bytes = written;
         let queued = AttemptProgress::Queued(self.connection, 10);
@@ -110,7 +110,7 @@
 
     fn nothing_is_in_flight(&self) -> bool {
         let connection = self.connection();
-        let carries = !connection.attempts.is_empty() || !connection.waiting.is_empty();
+        let carries = connection.attempts.in_flight_count() > 0 || !connection.waiting.is_empty();
         self.effects.in_flight.next_check().is_none()
             && self.effects.ordered_attempts.is_empty()
             && !carries
--- a/router/src/stages/upstream_connection.rs
+++ b/router/src/stages/upstream_connection.rs
@@ -180,7 +180,7 @@
     id: ConnectionId,
 ) -> Option<Vec<(AttemptKey, AttemptOutcome)>> {
     let connection = effects.nodes.connection(id)?;
-    let mut carried: Vec<AttemptKey> = connection.attempts.values().copied().collect();
+    let mut carried: Vec<AttemptKey> = connection.attempts.in_flight().collect();
     carried.sort();
     let waiting = connection.waiting.iter().flatten().copied();
     let outcomes = waiting
--- a/router/src/stages/upstream_frames.rs
+++ b/router/src/stages/upstream_frames.rs
@@ -10,6 +10,7 @@
 use crate::stages::completion::{EffectQueue, FinishedAttempt};
 use crate::stages::upstream_reader::UnusableInput;
 use crate::stages::{dispatch, upstream_writer};
+use crate::state::carried_attempts::AnswerOwner;
 use crate::state::in_flight::AttemptKey;
 use crate::state::nodes::ConnectionId;
 use crate::state::response_size::ValueTooLong;
@@ -76,19 +77,17 @@
         .nodes
         .connection_mut(id)
         .ok_or(UnusableInput::ConnectionRemoved)?;
-    let Some(key) = connection.attempts.remove(answer.id) else {
-        // An answer to an abandoned attempt is normal, and a second answer is harmless. An answer to an attempt that
-        // was never on this connection belongs to another attempt, which would otherwise wait until its deadline.
-        return if connection.is_finished(answer.id) {
-            Ok(None)
-        } else {
-            Err(UnusableInput::UnknownAttempt)
-        };
+    let key = match connection.attempts.record_answer(answer.id, now) {
+        AnswerOwner::InFlight(key) => key,
+        // An answer to an abandoned attempt is normal, and a second answer is harmless.
+        AnswerOwner::Ended | AnswerOwner::Answered => return Ok(None),
+        // An answer to an attempt that was never on this connection belongs to another attempt, which would otherwise
+        // wait until its deadline.
+        AnswerOwner::Unknown => return Err(UnusableInput::UnknownAttempt),
     };
     let Some(attempt) = effects.in_flight.finish(key) else {
         return Ok(None);
     };
-    connection.mark_finished(&attempt.id, now);
     effects.in_flight.record_outcome(&attempt, outcome);
     if let Some((query, _)) = effects.in_flight.shard_request(&attempt) {
         query
@@ -121,7 +120,7 @@
 ) -> Result<AttemptOutcome, UnusableInput> {
     let connection = effects.nodes.connection(id);
     let key = connection.and_then(|connection| connection.attempts.get(answer.id));
-    let Some(attempt) = key.and_then(|key| effects.in_flight.attempt(*key)) else {
+    let Some(attempt) = key.and_then(|key| effects.in_flight.attempt(key)) else {
         return Ok(outcome);
     };
     if !upstream_writer::is_written(&effects.nodes, attempt) {
--- a/router/src/stages/upstream_reader.rs
+++ b/router/src/stages/upstream_reader.rs
@@ -306,7 +306,7 @@
             .connection(self.id)?
             .attempts
             .get(attempt_id)?;
-        Some(effects.in_flight.attempt(*key)?.due)
+        Some(effects.in_flight.attempt(key)?.due)
     }
 
     /// Handles the answer that is held, if there is one, as a frame has begun behind the last answer.
@@ -382,7 +382,7 @@
     fn is_noise_behind_last_answer(&self) -> bool {
         let decisions = self.router.decisions.borrow();
         let connection = decisions.effects.nodes.connection(self.id);
-        connection.is_some_and(|connection| connection.attempts.len() <= 1)
+        connection.is_some_and(|connection| connection.attempts.awaited_count() <= 1)
             && !frames::may_continue_value(&self.frame)
     }
 
--- a/router/src/stages/upstream_writer.rs
+++ b/router/src/stages/upstream_writer.rs
@@ -19,10 +19,14 @@
 use crate::stages::completion::EffectQueue;
 use crate::stages::upstream_connection::{self, UpstreamEnd};
 use crate::state::in_flight::{AttemptKey, AttemptProgress, InFlightTable, OutgoingAttempt};
-use crate::state::nodes::{ConnectionId, Nodes};
+use crate::state::nodes::{Connection, ConnectionId, Nodes};
 
 pub(crate) use crate::stages::upstream_dial::dial;
 
+/// The most connections to a node on which answers under one id may be awaited for earlier queries when a query with
+/// this id opens another. More would let one client that repeats its id open connections without end.
+const MAX_CONNECTIONS_PER_ID: usize = 2;
+
 /// The result of a non-blocking write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Written {
@@ -98,8 +102,18 @@
     node: NodeId,
     frame: Vec<AttemptKey>,
 ) {
-    let connection = find_connection(effects, node, &frame)
-        .or_else(|| upstream_connection::open(router, effects, node));
+    let (frame, connection) = match find_connection(effects, node, &frame) {
+        Some(id) => (frame, Some(id)),
+        None => {
+            let frame = end_excess_repeats(effects, node, frame);
+            if frame.is_empty() {
+                return;
+            }
+            let connection = find_connection(effects, node, &frame)
+                .or_else(|| upstream_connection::open(router, effects, node));
+            (frame, connection)
+        }
+    };
     let Some(id) = connection else {
         // The router itself is short of resources, which does not count against the node.
         for key in frame {
@@ -120,8 +134,48 @@
     let _ = write_available(effects, id);
 }
 
-/// Returns the first usable connection that may carry the attempts of `frame` and has carried no attempt of the same
-/// shard requests, because an answer is matched by its connection and shard request.
+/// Ends the attempts for which another connection to their node would have to be opened, although answers under their
+/// ids are awaited on [`MAX_CONNECTIONS_PER_ID`] connections for earlier queries. Returns the others.
+fn end_excess_repeats(
+    effects: &mut EffectQueue,
+    node: NodeId,
+    frame: Vec<AttemptKey>,
+) -> Vec<AttemptKey> {
+    let (excess, rest) = frame
+        .into_iter()
+        .partition(|key| is_excess_repeat(effects, node, *key));
+    for key in excess {
+        effects.end_attempt(key, AttemptOutcome::Unsent);
+    }
+    rest
+}
+
+fn is_excess_repeat(effects: &EffectQueue, node: NodeId, key: AttemptKey) -> bool {
+    let Some(attempt) = effects.in_flight.attempt(key) else {
+        return false;
+    };
+    let earlier = effects
+        .nodes
+        .awaiting_answer(node, &attempt.id)
+        .filter(|id| !effects.in_flight.carried(key, *id));
+    earlier.count() >= MAX_CONNECTIONS_PER_ID
+}
+
+/// Whether a connection may carry an attempt: an answer is matched by its connection and id, so none may be awaited
+/// under the attempt's id, and no other attempt of the same shard request may have been assigned to the connection.
+fn may_carry(
+    in_flight: &InFlightTable,
+    key: AttemptKey,
+    id: ConnectionId,
+    connection: &Connection,
+) -> bool {
+    let awaits_answer = in_flight
+        .attempt(key)
+        .is_some_and(|attempt| connection.attempts.awaits_answer(&attempt.id));
+    !awaits_answer && !in_flight.carried(key, id)
+}
+
+/// Returns the first usable connection that has room for the attempts of `frame` and may carry each of them.
 fn find_connection(
     effects: &EffectQueue,
     node: NodeId,
@@ -130,9 +184,11 @@
     let usable = effects.nodes.usable(node);
     let mut fitting = usable.filter(|(id, connection)| {
         let waiting: usize = connection.waiting.iter().map(Vec::len).sum();
-        let carried = connection.attempts.len() + waiting;
+        let carried = connection.attempts.in_flight_count() + waiting;
         carried + frame.len() <= effects.bounds.max_attempts_per_connection
-            && !frame.iter().any(|key| effects.in_flight.carried(*key, *id))
+            && frame
+                .iter()
+                .all(|key| may_carry(&effects.in_flight, *key, *id, connection))
     });
     fitting.next().map(|(id, _)| id)
 }
@@ -176,7 +232,7 @@
         let end = connection.queued_bytes;
         for key in keys {
             if let Some(attempt) = in_flight.attempt(key) {
-                connection.attempts.insert(Rc::clone(&attempt.id), key);
+                connection.attempts.add(Rc::clone(&attempt.id), key);
                 in_flight.set_progress(key, AttemptProgress::Queued(id, end));
             }
         }
--- a/router/src/state/connection.rs
+++ b/router/src/state/connection.rs
@@ -4,7 +4,7 @@
 //! it and do the socket I/O; nothing here reads or writes a socket.
 
 use std::cell::Cell;
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 
@@ -14,21 +14,10 @@
 use ternpick::types::{Micros, NodeId};
 use ternpick_wire::ring::Ring;
 
+use crate::state::carried_attempts::CarriedAttempts;
 use crate::state::descriptors::DescriptorPermit;
 use crate::state::ids::AttemptKey;
 
-/// How long a connection remembers a finished attempt. A response that arrives later ends the connection.
-pub(crate) const FINISHED_REMEMBERED_FOR: Micros = Micros(10_000_000);
-/// The most finished attempts that a connection remembers.
-pub(crate) const FINISHED_REMEMBERED: usize = 1024;
-
-/// A finished attempt, for which a late or second response may still arrive.
-pub(crate) struct FinishedAttempt {
-    finished_at: Micros,
-    /// The shard request's id on the wire.
-    wire_id: Rc<str>,
-}
-
 /// A connection to a node, from the decision to open it until it is removed.
 pub(crate) struct Connection {
     /// The node that it connects to.
@@ -47,12 +36,10 @@
     pub(crate) queued_bytes: u64,
     /// The total number of bytes ever written from `output` to the socket.
     pub(crate) written_bytes: u64,
-    /// Unfinished attempts that have been queued or sent on it, by the id that their responses carry.
-    pub(crate) attempts: HashMap<Rc<str>, AttemptKey>,
+    /// The attempts that have been queued or sent on it.
+    pub(crate) attempts: CarriedAttempts,
     /// Attempts that wait until it is connected or its buffer has room; each inner list shares a frame.
     pub(crate) waiting: VecDeque<Vec<AttemptKey>>,
-    /// Recently finished attempts; bounded by age and by number.
-    pub(crate) finished: VecDeque<FinishedAttempt>,
     /// The number of load reports that the router has requested on it and not received.
     pub(crate) awaited_reports: usize,
     /// When a frame was last queued or received on it.
@@ -87,9 +74,8 @@
             output: Ring::new(max_output_bytes),
             queued_bytes: 0,
             written_bytes: 0,
-            attempts: HashMap::new(),
+            attempts: CarriedAttempts::default(),
             waiting: VecDeque::new(),
-            finished: VecDeque::new(),
             awaited_reports: 0,
             last_used: now,
             last_received: Micros(0),
@@ -102,7 +88,7 @@
 
     /// Whether it has no attempts and nothing to write.
     pub(crate) fn is_idle(&self) -> bool {
-        self.attempts.is_empty() && self.waiting.is_empty() && self.output.is_empty()
+        self.attempts.in_flight_count() == 0 && self.waiting.is_empty() && self.output.is_empty()
     }
 
     /// Whether it accepts more attempts.
@@ -120,35 +106,16 @@
     /// names by its `wire_id`, or else the oldest one; the other attempts may have run.
     pub(crate) fn abandon_on_bad_input(&mut self, wire_id: Option<&str>) {
         let named_attempt = wire_id.and_then(|wire_id| self.attempts.get(wire_id));
-        self.bad_input_attempt = named_attempt
-            .or_else(|| self.attempts.values().min())
-            .copied();
+        self.bad_input_attempt = named_attempt.or_else(|| self.attempts.in_flight().min());
         self.abandoned = true;
     }
 
-    /// Remembers that an attempt on this connection is finished.
-    pub(crate) fn mark_finished(&mut self, wire_id: &Rc<str>, now: Micros) {
-        while self.oldest_finished_expires(now) {
-            self.finished.pop_front();
+    /// Ends an attempt that has no answer. If too many are unanswered, it accepts no more attempts.
+    pub(crate) fn end_unanswered(&mut self, wire_id: &Rc<str>) {
+        self.attempts.end_unanswered(wire_id);
+        if self.attempts.is_full() {
+            self.retire();
         }
-        self.finished.push_back(FinishedAttempt {
-            finished_at: now,
-            wire_id: Rc::clone(wire_id),
-        });
-    }
-
-    fn oldest_finished_expires(&self, now: Micros) -> bool {
-        let full = self.finished.len() >= FINISHED_REMEMBERED;
-        self.finished
-            .front()
-            .is_some_and(|oldest| full || now.since(oldest.finished_at) > FINISHED_REMEMBERED_FOR)
-    }
-
-    /// Whether it remembers a finished attempt with this id.
-    pub(crate) fn is_finished(&self, wire_id: &str) -> bool {
-        self.finished
-            .iter()
-            .any(|attempt| *attempt.wire_id == *wire_id)
     }
 
     /// Counts a load report that has been received; returns false if none was requested.
--- a/router/src/state/mod.rs
+++ b/router/src/state/mod.rs
@@ -1,6 +1,7 @@
 //! The state of a running router. Each file owns one part of it. Nothing here does I/O or makes routing decisions.
 
 pub(crate) mod admission_record;
+pub(crate) mod carried_attempts;
 pub(crate) mod client_transfer;
 pub(crate) mod client_turns;
 pub(crate) mod clients;
--- a/router/src/state/nodes.rs
+++ b/router/src/state/nodes.rs
@@ -160,6 +160,17 @@
         usable(true).chain(usable(false))
     }
 
+    /// A node's connections on which an answer under this id may still arrive.
+    pub(crate) fn awaiting_answer<'a>(
+        &'a self,
+        node: NodeId,
+        wire_id: &'a str,
+    ) -> impl Iterator<Item = ConnectionId> + 'a {
+        self.connections_of(node)
+            .filter(move |(_, connection)| connection.attempts.awaits_answer(wire_id))
+            .map(|(id, _)| id)
+    }
+
     fn connections_of(&self, id: NodeId) -> impl Iterator<Item = (ConnectionId, &Connection)> {
         let ids = self
             .nodes
@@ -197,23 +208,16 @@
         self.connections.get_mut(&id)
     }
 
-    /// Removes a finished attempt from its connection. `frame_end` is the connection's byte count at the end of the
+    /// Ends an attempt without an answer on its connection. `frame_end` is the connection's byte count at the end of the
     /// attempt's frame. If the frame is not written completely, the connection is abandoned: the rest of the frame
     /// must not be sent, since the attempt is finished, and an incomplete frame would make the following ones
     /// unreadable.
-    pub(crate) fn remove_attempt(
-        &mut self,
-        id: ConnectionId,
-        wire_id: &Rc<str>,
-        frame_end: u64,
-        now: Micros,
-    ) {
+    pub(crate) fn end_unanswered(&mut self, id: ConnectionId, wire_id: &Rc<str>, frame_end: u64) {
         let Some(connection) = self.connections.get_mut(&id) else {
             return;
         };
-        connection.attempts.remove(wire_id);
+        connection.end_unanswered(wire_id);
         connection.abandoned |= connection.written_bytes < frame_end;
-        connection.mark_finished(wire_id, now);
         if !connection.is_usable() {
             connection.wake.notify(1);
         }
--- a/router/src/state/nodes/tests.rs
+++ b/router/src/state/nodes/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
-use crate::state::connection::{FINISHED_REMEMBERED, FINISHED_REMEMBERED_FOR};
+use crate::state::carried_attempts::MAX_UNANSWERED;
 use crate::state::descriptors::{Descriptors, Peer};
+use ternpick::types::{AttemptNo, ShardRequestId};
 use test_case::test_case;
 
 fn address(port: u16) -> SocketAddr {
@@ -132,34 +133,23 @@
     assert!(nodes.retire_longest_idle() && !nodes.retire_longest_idle());
 }
 
+/// Guards against a connection that carries attempts without end for a node that answers none that were given up.
 #[test]
-fn a_connection_remembers_finished_attempts_by_number_and_age() {
-    let (mut nodes, _, id) = connected();
+fn a_connection_with_too_many_unanswered_attempts_accepts_no_more() {
+    let (mut nodes, node, id) = connected();
     let wire_id = |number: usize| Rc::<str>::from(format!("x.{number}"));
-    (0..2 * FINISHED_REMEMBERED)
-        .for_each(|number| nodes.remove_attempt(id, &wire_id(number), 0, Micros(7)));
-    let is_remembered = |nodes: &Nodes, number| {
-        nodes
-            .connection(id)
-            .is_some_and(|connection| connection.is_finished(&wire_id(number)))
-    };
-    assert_eq!(
-        [
-            0,
-            FINISHED_REMEMBERED - 1,
-            FINISHED_REMEMBERED,
-            2 * FINISHED_REMEMBERED - 1
-        ]
-        .map(|number| is_remembered(&nodes, number)),
-        [false, false, true, true]
-    );
-    nodes.remove_attempt(id, &wire_id(0), 0, Micros(8) + FINISHED_REMEMBERED_FOR);
-    assert_eq!(
-        nodes
-            .connection(id)
-            .map(|connection| connection.finished.len()),
-        Some(1)
+    for number in 0..MAX_UNANSWERED {
+        assert_eq!(nodes.usable(node).count(), 1, "after {number}");
+        let connection = nodes.connection_mut(id).expect("a connection");
+        let key = (ShardRequestId(number as u64), AttemptNo(0));
+        connection.attempts.add(wire_id(number), key);
+        nodes.end_unanswered(id, &wire_id(number), 0);
+    }
+    assert_eq!(nodes.usable(node).count(), 0);
+    assert!(
+        (0..MAX_UNANSWERED).all(|number| nodes.awaiting_answer(node, &wire_id(number)).eq([id]))
     );
+    assert_eq!(nodes.awaiting_answer(node, "x.other").count(), 0);
 }
 
 #[test_case(Some("x.2"), 2; "the attempt that the input names")]
@@ -168,17 +158,12 @@
 fn bad_input_is_held_against_one_attempt(wire_id: Option<&str>, shard_request: u64) {
     let (mut nodes, _, id) = connected();
     let connection = nodes.connection_mut(id).expect("a connection");
-    let key = |shard_request| {
-        (
-            ternpick::types::ShardRequestId(shard_request),
-            ternpick::types::AttemptNo(0),
-        )
-    };
-    connection.attempts.extend([
-        ("x.2".into(), key(2)),
-        ("x.1".into(), key(1)),
-        ("x.3".into(), key(3)),
-    ]);
+    let key = |shard_request| (ShardRequestId(shard_request), AttemptNo(0));
+    for number in [2, 1, 3] {
+        connection
+            .attempts
+            .add(format!("x.{number}").into(), key(number));
+    }
     connection.abandon_on_bad_input(wire_id);
     assert_eq!(
         (connection.bad_input_attempt, connection.abandoned),
--- a/router/tests/answers/main.rs
+++ b/router/tests/answers/main.rs
@@ -5,5 +5,6 @@
 mod drawn;
 mod lengths;
 mod pieces;
+mod repeated_ids;
 mod sizes;
 mod support;
--- a/simulation/src/standins/node.rs
+++ b/simulation/src/standins/node.rs
@@ -33,6 +33,8 @@
 #[derive(Clone, Copy, PartialEq)]
 pub enum Act {
     Serve,
+    /// Serves a value made of the statement and the shard ([`echoed_value`]).
+    Echo,
     Broke,
     Skipped,
     Silent,
@@ -215,6 +217,7 @@
     number: u64,
     id: String,
     shard: usize,
+    statement: String,
 }
 
 /// The service of one connection ends: the router has closed it, or the node does.
@@ -269,7 +272,7 @@
                 return Ok(());
             };
             let act = lock(&self.shared.acts)[request.shard.min(1)];
-            let bytes = self.altered(&request.id, answer(&request.id, request.shard, act, fault));
+            let bytes = self.altered(&request.id, answer(&request, act, fault));
             let ends = act == Act::Reset || fault == Some(Fault::Cut);
             if self.stream.write_all(&bytes).is_err() || ends {
                 let _ = self.stream.shutdown(Shutdown::Both);
@@ -351,27 +354,34 @@
                 number: self.last_number,
                 id,
                 shard,
+                statement: more.get(..length).unwrap_or_default().to_owned(),
             }));
             rest = more.get(length..).unwrap_or_default();
         }
     }
 }
 
+/// The value that [`Act::Echo`] makes for a shard of a statement.
+pub fn echoed_value(statement: &str, shard: usize) -> String {
+    format!("{statement}/{shard}")
+}
+
 /// The bytes of the answer to a shard request.
-fn answer(id: &str, shard: usize, act: Act, fault: Option<Fault>) -> Vec<u8> {
+fn answer(request: &Pending, act: Act, fault: Option<Fault>) -> Vec<u8> {
+    let shard = request.shard;
     let (id, end) = match act {
-        Act::Serve | Act::Chatty => (id, "served"),
+        Act::Serve | Act::Echo | Act::Chatty => (&request.id[..], "served"),
         Act::Misnamed => ("other.7", "served"),
-        Act::Broke => (id, "broke"),
-        Act::Skipped => (id, "skipped"),
-        Act::Nonsense => (id, "perhaps"),
+        Act::Broke => (&request.id[..], "broke"),
+        Act::Skipped => (&request.id[..], "skipped"),
+        Act::Nonsense => (&request.id[..], "perhaps"),
         Act::Unfinished => return b"\xff\0\0\0a".to_vec(),
         Act::Silent | Act::Reset => return Vec::new(),
     };
-    let value = if end == "served" {
-        format!("v{shard}")
-    } else {
-        String::new()
+    let value = match (end, act) {
+        ("served", Act::Echo) => echoed_value(&request.statement, shard),
+        ("served", _) => format!("v{shard}"),
+        _ => String::new(),
     };
     let whole = frame(b'a', &format!("{id} {end} 5 queue=1\n{value}"));
     match (act, fault) {
