Read overdue calls of discovery on while the next ones are made

Cause: watch_schedule.rs took it that no answer arrives later than 1 s past a call's wait (2 s for a poll). The bound decides when another call is made; it also closed the call under way. Nothing was different for the next call, so that a discovery slower than the bound was never read, for as long as it was slow.

Change: an overdue call stays open (lifecycle/discovery_calls.rs) while the next one is made at the same time as before. The first answer of any counts and closes earlier calls; a list older than what a later call brought is ignored. At most four overdue calls are open, and the earliest makes room after 30 s. Longer bounds would have found a dead discovery later. endpoint_list.rs and discovery_calls.rs are split off watch.rs.

--- a/router/src/lifecycle/mod.rs
+++ b/router/src/lifecycle/mod.rs
@@ -1,8 +1,8 @@
 //! The life of a router process, from the command line to its exit.
 //!
 //! - starting: [`cli`], [`config`], [`settings`], [`build`], [`start`], [`sockets`], [`logging`], [`clock`];
-//! - serving: [`run`], [`signals`], [`reload`], [`control`], [`watch`], [`tls`], [`key_sources`], [`http_client`],
-//!   [`socket_io`];
+//! - serving: [`run`], [`signals`], [`reload`], [`control`], [`watch`], [`discovery_calls`], [`endpoint_list`], [`tls`],
+//!   [`key_sources`], [`http_client`], [`socket_io`];
 //! - stopping: [`stop`];
 //! - hot restart: [`upgrade`] (old process), [`takeover`] (new process), [`hot_restart_link`],
 //!   [`snapshot`], [`forwarded_ids`], [`capacity_share`], [`parent`];
@@ -14,6 +14,8 @@
 pub(crate) mod clock;
 pub(crate) mod config;
 pub(crate) mod control;
+pub(crate) mod discovery_calls;
+pub(crate) mod endpoint_list;
 pub(crate) mod forwarded_ids;
 pub(crate) mod hot_restart_link;
 pub(crate) mod http_client;
--- a/router/src/lifecycle/snapshot.rs
+++ b/router/src/lifecycle/snapshot.rs
@@ -12,7 +12,7 @@
 use ternpick::types::{EndpointState, Micros, NodeId};
 use ternpick_tenant_limits::LimitsSnapshot;
 
-use crate::lifecycle::watch::{self, MalformedList};
+use crate::lifecycle::endpoint_list::{apply_endpoint_list, MalformedList};
 use crate::router::{Decisions, Router};
 use crate::stages::auth_filter::AuthFilter;
 
@@ -243,7 +243,7 @@
     let version = list["index"].as_u64().unwrap_or(0);
     let previous_version = router.discovery.list_version();
     router.discovery.set_list_version(version);
-    if let Err(error) = watch::apply_endpoint_list(router, list) {
+    if let Err(error) = apply_endpoint_list(router, list) {
         router.discovery.set_list_version(previous_version);
         return Err(error);
     }
--- a/router/src/lifecycle/start.rs
+++ b/router/src/lifecycle/start.rs
@@ -24,7 +24,7 @@
 use crate::lifecycle::takeover::{PreviousProcess, TakeoverError};
 use crate::lifecycle::tls::{self, Tls, TlsError};
 use crate::lifecycle::upgrade::{self, LaunchSpec, Upgrades};
-use crate::lifecycle::{key_sources, logging, run, signals, takeover, watch};
+use crate::lifecycle::{endpoint_list, key_sources, logging, run, signals, takeover, watch};
 use crate::router::Router;
 use crate::stages::{dispatch, listener};
 use crate::state::turns::Stage;
@@ -223,7 +223,8 @@
         if self.known_endpoints.is_null() {
             return;
         }
-        if let Err(error) = watch::apply_endpoint_list(&self.router, &self.known_endpoints) {
+        if let Err(error) = endpoint_list::apply_endpoint_list(&self.router, &self.known_endpoints)
+        {
             tracing::warn!(%error, "endpoint list of the configuration ignored");
         }
     }
--- a/router/src/lifecycle/watch.rs
+++ b/router/src/lifecycle/watch.rs
@@ -1,8 +1,7 @@
 //! The watch of the endpoint list at discovery. Calls follow one another until one fails; then the routing engine
-//! requests the next call.
+//! requests the next call. An overdue call is read on while the next ones are made (`discovery_calls.rs`).
 //!
-//! The watch is one task of the router. [`apply_endpoint_list`] also applies the lists of the configuration and of a
-//! snapshot.
+//! The watch is one task of the router. `endpoint_list.rs` applies the lists.
 
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -12,15 +11,13 @@
 use event_listener::EventListener;
 use futures_lite::future;
 use serde_json::Value;
-use ternpick::routing::RoutingEngine;
-use ternpick::types::{Endpoint, EndpointState, Micros};
-use ternpick::watch_schedule::{Poll, WatchSchedule};
+use ternpick::types::Micros;
+use ternpick::watch_schedule::WatchSchedule;
 use ternpick_wire::discovery;
 
-use crate::lifecycle::http_client::{self, HttpError};
+use crate::lifecycle::discovery_calls::{self, CallTerms, EndedCall, OpenCalls, WatchError};
+use crate::lifecycle::endpoint_list::{apply_endpoint_list, MalformedList};
 use crate::router::Router;
-use crate::stages::completion::EffectQueue;
-use crate::stages::upstream_writer;
 
 /// The delay after a response that has no changes and came before the requested wait was over. Some discovery services
 /// end each watch after 200 ms.
@@ -30,94 +27,16 @@
 /// up the router's time. Discovery regards a watch as unbroken if the next call comes within 200 ms.
 const MIN_CALL_INTERVAL: Micros = Micros(20_000);
 
-/// An endpoint list is not valid.
-#[derive(Debug, thiserror::Error)]
-#[error("{reason}")]
-pub(crate) struct MalformedList {
-    reason: String,
-}
-
-/// Why a call of the watch failed.
-#[derive(Debug, thiserror::Error)]
-enum WatchError {
-    #[error("no complete response within the timeout")]
-    TimedOut,
-    #[error("{0}")]
-    Http(#[from] HttpError),
-    #[error("{0}")]
-    Malformed(#[from] MalformedList),
-}
-
-/// Applies an endpoint list: addresses to the router's node table, everything else to the routing engine. Returns its
-/// version.
-pub(crate) fn apply_endpoint_list(router: &Router, list: &Value) -> Result<u64, MalformedList> {
-    let (version, complete) = discovery::version(list).map_err(|error| MalformedList {
-        reason: error.to_string(),
-    })?;
-    let entries = list["endpoints"].as_array().map_or(&[][..], Vec::as_slice);
-    router.apply(|engine, now, effects| {
-        let endpoints: Vec<Endpoint> = entries
-            .iter()
-            .filter_map(|entry| apply_entry(router, engine, effects, entry, complete))
-            .collect();
-        if complete {
-            let listed: Vec<_> = endpoints.iter().map(|endpoint| endpoint.node).collect();
-            effects.nodes.retire_unlisted(&listed);
-            keep_only_in_fleet(router, entries);
-        }
-        let gone = endpoints
-            .iter()
-            .filter(|endpoint| endpoint.state == EndpointState::Gone)
-            .count();
-        let entries = endpoints.len();
-        tracing::debug!(version, entries, gone, "endpoint list applied");
-        engine.endpoints_changed(now, &endpoints, complete, effects);
-        effects.nodes.forget_gone();
-    });
-    Ok(version)
-}
-
-/// Applies an entry of the list and returns it as an endpoint for the routing engine; none if it is not valid.
-fn apply_entry(
-    router: &Router,
-    engine: &RoutingEngine,
-    effects: &mut EffectQueue,
-    entry: &Value,
-    complete: bool,
-) -> Option<Endpoint> {
-    match discovery::parse_entry(entry, &effects.bounds.zone_names) {
-        Ok((name, address, mut endpoint)) => {
-            if let Some(fleet) = &router.fleet {
-                fleet.endpoint_listed(&name, &mut endpoint);
-            }
-            let (node, address_is_new) = effects.nodes.apply_entry(&name, address, endpoint.state);
-            endpoint.node = node;
-            // Logged because the routing engine's log lines name nodes by these ids.
-            if address_is_new {
-                let node = format_args!("{:x}", node.0);
-                tracing::info!(%node, name, %address, "endpoint list: node at a new address");
-            }
-            Some(endpoint)
-        }
-        Err(error) => {
-            tracing::warn!(%error, %entry, "endpoint list: entry skipped");
-            // An invalid entry of a complete list does not remove the node that it names: the node keeps its endpoint.
-            let name = entry["name"].as_str().filter(|_| complete)?;
-            let node = engine.nodes.get(&effects.nodes.id_of(name)?)?;
-            Some(node.endpoint)
-        }
-    }
-}
-
-fn keep_only_in_fleet(router: &Router, entries: &[Value]) {
-    let Some(fleet) = &router.fleet else {
-        return;
-    };
-    let names = entries
-        .iter()
-        .filter_map(|entry| entry["name"].as_str())
-        .collect();
-    fleet.retain_listed_endpoints(&names);
+/// What the watch does next.
+enum WatchEvent {
+    /// The address of discovery has changed.
+    DiscoveryMoved,
+    /// The routing engine requests a call.
+    CallRequested,
+    /// The current call is overdue.
+    CurrentOverdue,
+    /// A call has ended.
+    Ended(EndedCall),
 }
 
 /// Watches the endpoint list when the routing engine requests it, from the version that the router started with.
@@ -135,6 +54,7 @@
     discovery: SocketAddr,
     /// The connection of the last call, if it can be reused.
     connection: Option<Async<TcpStream>>,
+    calls: OpenCalls,
     /// The last known version, after which changes are requested; without it the complete list is requested.
     known_version: Option<u64>,
     /// Whether calls follow one another; otherwise the watch waits for a request of the routing engine.
@@ -152,6 +72,7 @@
             schedule,
             discovery: router.discovery.address(),
             connection: None,
+            calls: OpenCalls::default(),
             known_version: None,
             active: false,
             requested: router.discovery.watch_requested(),
@@ -161,21 +82,21 @@
         }
     }
 
-    /// Waits for a request if the watch is not active, else makes one call.
+    /// Begins a call if one is due, then handles the next event.
     async fn step(&mut self) {
         let moved = self.router.discovery.moved();
         self.follow_discovery();
-        if !self.active {
-            self.wait_for_request(moved).await;
-            return;
+        if self.active && !self.calls.has_current() {
+            self.begin_call();
         }
-        let began = self.router.clock.now();
-        let poll = self.schedule.next(self.known_version.is_some());
-        let wait = poll.wait;
-        match self.call_unless_moved(moved, began, poll).await {
-            None => {}
-            Some(Ok(version)) => self.succeeded(version, began, wait).await,
-            Some(Err(error)) => self.failed(&error),
+        match self.next_event(moved).await {
+            WatchEvent::DiscoveryMoved => {}
+            WatchEvent::CallRequested => self.call_requested(),
+            WatchEvent::CurrentOverdue => {
+                self.calls.mark_overdue(self.router.clock.now());
+                self.failed(&WatchError::TimedOut);
+            }
+            WatchEvent::Ended(call) => self.ended(call).await,
         }
     }
 
@@ -189,12 +110,48 @@
         self.discovery = address;
         self.active = true;
         self.connection = None;
+        self.calls.close_all();
         self.failing = false;
         self.known_version = None;
     }
 
-    async fn wait_for_request(&mut self, moved: EventListener) {
-        future::or(&mut self.requested, moved).await;
+    fn begin_call(&mut self) {
+        let terms = CallTerms {
+            began: self.router.clock.now(),
+            poll: self.schedule.next(self.known_version.is_some()),
+            after: self.known_version,
+        };
+        let router = Rc::clone(&self.router);
+        let connection = self.connection.take();
+        let exchange = discovery_calls::call(router, self.discovery, connection, terms);
+        self.calls.begin(terms, exchange);
+    }
+
+    async fn next_event(&mut self, moved: EventListener) -> WatchEvent {
+        let overdue_at = self.calls.overdue_at();
+        let is_active = self.active;
+        let requested = &mut self.requested;
+        let calls = &mut self.calls;
+        let moved = async {
+            moved.await;
+            WatchEvent::DiscoveryMoved
+        };
+        let requested = async {
+            if is_active {
+                future::pending::<()>().await;
+            }
+            requested.await;
+            WatchEvent::CallRequested
+        };
+        let ended = async { WatchEvent::Ended(calls.next_ended().await) };
+        let event = future::or(moved, future::or(ended, requested));
+        self.router
+            .with_peer_deadline(overdue_at, event)
+            .await
+            .unwrap_or(WatchEvent::CurrentOverdue)
+    }
+
+    fn call_requested(&mut self) {
         self.requested = self.router.discovery.watch_requested();
         self.active = true;
         if self.first_request {
@@ -203,59 +160,56 @@
         }
     }
 
-    /// Makes one call and applies its list. If discovery's address changes, abandons the call at once and returns none.
-    async fn call_unless_moved(
-        &mut self,
-        moved: EventListener,
-        began: Micros,
-        poll: Poll,
-    ) -> Option<Result<u64, WatchError>> {
-        let router = Rc::clone(&self.router);
-        let called = async {
-            let call = self.call(poll.wait);
-            let deadline = began + poll.timeout;
-            Some(router.with_peer_deadline(Some(deadline), call).await)
-        };
-        let abandoned = async {
-            moved.await;
-            None
-        };
-        let answered = future::or(abandoned, called).await?;
-        let list = answered.unwrap_or(Err(WatchError::TimedOut));
-        Some(list.and_then(|list| Ok(apply_endpoint_list(&router, &list)?)))
+    /// Applies the response of a call that has ended. The failure of an overdue call changes nothing, as a later call
+    /// has begun or will begin.
+    async fn ended(&mut self, call: EndedCall) {
+        let terms = call.terms;
+        let applied = call.result.and_then(|response| {
+            let version = self.apply(terms, &response.list)?;
+            Ok((version, response.connection))
+        });
+        match applied {
+            Ok((version, connection)) => self.succeeded(terms, version, connection).await,
+            Err(error) if call.was_current => self.failed(&error),
+            Err(error) => tracing::debug!(%error, "endpoint list: overdue watch call failed"),
+        }
     }
 
-    async fn call(&mut self, wait: Micros) -> Result<Value, WatchError> {
-        let stream = match self.connection.take() {
-            Some(stream) => stream,
-            // The dial timeout detects an unreachable machine much earlier than the timeout of the call.
-            None => upstream_writer::dial(&self.router, self.discovery)
-                .await
-                .map_err(|_| HttpError::NotConnected)?,
-        };
-        let host = self.discovery.to_string();
-        let request = discovery::watch_request(&host, self.known_version, wait);
-        let response = http_client::exchange(&stream, &request, discovery::MAX_LIST_BYTES).await?;
-        if !response.closes_connection() {
-            self.connection = Some(stream);
-        }
-        let list = discovery::parse(response.body()).map_err(|error| MalformedList {
+    /// Applies the list of a response, and returns the version that is known then. A list that discovery made before
+    /// one that has been applied in the meantime is ignored.
+    fn apply(&self, terms: CallTerms, list: &Value) -> Result<u64, MalformedList> {
+        let (version, _) = discovery::version(list).map_err(|error| MalformedList {
             reason: error.to_string(),
         })?;
-        Ok(list)
+        match self.known_version {
+            Some(known) if is_outdated(terms.after, version, known) => Ok(known),
+            _ => apply_endpoint_list(&self.router, list),
+        }
     }
 
-    async fn succeeded(&mut self, version: u64, began: Micros, wait: Micros) {
+    async fn succeeded(
+        &mut self,
+        terms: CallTerms,
+        version: u64,
+        connection: Option<Async<TcpStream>>,
+    ) {
         self.schedule.answered();
         self.router.discovery.set_list_version(version);
         let unchanged = self.known_version == Some(version);
-        let early = self.router.clock.now().since(began) < wait;
+        let early = self.router.clock.now().since(terms.began) < terms.poll.wait;
         self.known_version = Some(version);
+        self.active = true;
         self.failing = false;
+        self.calls.close_earlier(terms.began);
+        if self.calls.has_current() {
+            return;
+        }
+        self.connection = connection;
         if unchanged && early {
             Timer::after(EARLY_RESPONSE_PAUSE).await;
         } else {
-            Timer::at(self.router.clock.instant(began + MIN_CALL_INTERVAL)).await;
+            let next = terms.began + MIN_CALL_INTERVAL;
+            Timer::at(self.router.clock.instant(next)).await;
         }
     }
 
@@ -283,3 +237,13 @@
             .apply(|engine, now, effects| engine.endpoint_watch_failed(now, effects));
     }
 }
+
+/// Whether a list of `version`, for a call that asked for changes after `asked_after`, is older than the list of version
+/// `known`, which a later call brought. If the call asked for changes after the known version, a lower one is that of a
+/// discovery which has begun anew.
+fn is_outdated(asked_after: Option<u64>, version: u64, known: u64) -> bool {
+    asked_after != Some(known) && version < known
+}
+
+#[cfg(test)]
+mod tests;
--- a/router/tests/endings/discovery.rs
+++ b/router/tests/endings/discovery.rs
@@ -79,6 +79,59 @@
     );
 }
 
+/// How discovery is slow.
+#[derive(Clone, Copy)]
+enum Slowness {
+    /// Each answer comes so many milliseconds late.
+    Late(u64),
+    /// The head of each answer comes at once, its body in pieces over so many milliseconds.
+    InPieces(u64),
+}
+
+/// How long the tests below let discovery be slow before the change, so that its calls overlap.
+const SLOW_BEFORE: Duration = Duration::from_secs(3);
+
+/// Guards against a list that is never read, and drains that are never learned, while each answer of discovery comes just
+/// behind the time after which its call is overdue: the calls were closed at that time, each in the same way.
+#[test_case(Slowness::Late(1_200), 0; "answers 1 200 ms late")]
+#[test_case(Slowness::Late(2_200), 0; "answers 2 200 ms late")]
+#[test_case(Slowness::Late(2_200), 1_000; "answers 2 200 ms late, at another phase")]
+#[test_case(Slowness::Late(2_900), 0; "answers 2 900 ms late")]
+#[test_case(Slowness::Late(2_900), 1_500; "answers 2 900 ms late, at another phase")]
+#[test_case(Slowness::InPieces(2_700), 0; "bodies in pieces over 2 700 ms")]
+fn applies_a_change_within_six_seconds_while_discovery_is_slow(slowness: Slowness, phase_ms: u64) {
+    let (router, nodes, discovery) = Router::with(&[Act::Serve, Act::Serve]);
+    discovery.set(|roster| roster.version = 1);
+    discovery.wait_until(|roster| roster.calls >= 1 && roster.asked == 1);
+    discovery.set(|roster| match slowness {
+        Slowness::Late(ms) => roster.delay = Duration::from_millis(ms),
+        Slowness::InPieces(ms) => roster.body_time = Duration::from_millis(ms),
+    });
+    thread::sleep(SLOW_BEFORE + Duration::from_millis(phase_ms));
+    let change = entry("s0", nodes[0].address, "Terminating");
+    discovery.set(|roster| (roster.version, roster.changes) = (2, change));
+    let had = Instant::now();
+    // The router's next call carries the version of the change.
+    eventually("the change is known", || {
+        let mut known = false;
+        discovery.set(|roster| known = roster.asked == 2);
+        assert!(
+            had.elapsed() < CHANGE_KNOWN_WITHIN,
+            "after {:?}",
+            had.elapsed()
+        );
+        known
+    });
+    let record = Record::of(&nodes[..1]);
+    let then = Instant::now();
+    for id in 0..8 {
+        let answer = ask(&mut router.connect(), "whole", &format!("r{id}"));
+        assert_eq!(answer.0, 200);
+    }
+    let sent = record.shard_requests_after(then);
+    assert_eq!(sent, 0, "the draining node gets no new shard requests");
+}
+
 /// A response from discovery without a length is complete when its connection ends; the next call uses a new connection.
 #[test]
 fn accepts_a_list_without_a_length_when_its_connection_ends() {
--- a/simulation/src/standins/discovery.rs
+++ b/simulation/src/standins/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery on a thread for each connection: answers each call for a version later than the caller's, or with 503 while
 //! it is down.
 
-use std::io::{Read, Write};
+use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -9,6 +9,9 @@
 
 use super::{lock, read_head, BOUND};
 
+/// The number of pieces in which a body is written over [`Roster::body_time`].
+const BODY_PIECES: u32 = 8;
+
 /// Discovery, with the endpoint list that it serves.
 #[derive(Clone, Default)]
 pub struct Discovery(pub Arc<(Mutex<Roster>, Condvar)>);
@@ -29,6 +32,10 @@
     pub cut: bool,
     /// Answers have no length and last until their connection ends.
     pub endless: bool,
+    /// How much later than otherwise each answer is written. It holds the list as it was before.
+    pub delay: Duration,
+    /// The time over which the body of each answer is written in [`BODY_PIECES`] pieces, behind its head.
+    pub body_time: Duration,
     /// The version that the last call named.
     pub asked: u64,
     /// The number of calls.
@@ -92,6 +99,22 @@
     Silent,
 }
 
+/// Writes the head of an answer at once, and its body in pieces over `body_time`.
+fn write_slowly(stream: &mut TcpStream, answer: &str, body_time: Duration) -> io::Result<()> {
+    let head_bytes = answer.find("\r\n\r\n").map_or(answer.len(), |end| end + 4);
+    let (head, body) = answer.split_at(head_bytes);
+    if body_time.is_zero() {
+        return stream.write_all(answer.as_bytes());
+    }
+    stream.write_all(head.as_bytes())?;
+    let piece_bytes = body.len().div_ceil(BODY_PIECES as usize).max(1);
+    for piece in body.as_bytes().chunks(piece_bytes) {
+        thread::sleep(body_time / BODY_PIECES);
+        stream.write_all(piece)?;
+    }
+    Ok(())
+}
+
 impl Discovery {
     /// Serves at an address of its own.
     ///
@@ -123,7 +146,10 @@
                 return;
             }
             let answer = roster.answer(call.after);
-            if stream.write_all(answer.as_bytes()).is_err() || roster.endless {
+            let (delay, body_time, endless) = (roster.delay, roster.body_time, roster.endless);
+            drop(roster);
+            thread::sleep(delay);
+            if write_slowly(&mut stream, &answer, body_time).is_err() || endless {
                 return;
             }
         }
--- a/src/watch_schedule.rs
+++ b/src/watch_schedule.rs
@@ -1,11 +1,12 @@
-//! The schedule of the calls that watch the endpoint list: when the next call is made and when a call times out.
+//! The schedule of the calls that watch the endpoint list: when the next call is made, when a call is overdue, and how
+//! long an overdue call is read on.
 //!
 //! The timings are chosen so that the steps together, not only each on its own, reveal a change in time, even if
 //! a watch stops responding. The schedule only computes what to do next; the caller reads the clock and makes the
 //! calls.
 //!
 //! A change counts as known [`NOTIFIED_WITHIN`] after discovery has it and is reachable. Only an answer shows that a
-//! watch is alive, so a call waits only as long as there is time for all the steps that follow a time-out:
+//! watch is alive, so a call waits only as long as there is time for all the steps that follow an overdue call:
 //!
 //! | step | at most |
 //! | --- | --- |
@@ -13,6 +14,11 @@
 //! | the time until its answer is overdue | [`OVERDUE_AFTER`] |
 //! | an immediate poll of the list, queued behind other callers | twice [`OVERDUE_AFTER`] |
 //! | or, if that poll is refused within [`OVERDUE_AFTER`], a pause and another poll | the rest, 1 s |
+//!
+//! These times find a discovery that is down or unreachable. They must not decide whether the answer of a slow one is
+//! read: discovery works through calls in turn, and if each answer came just behind its call's time, closing the call
+//! would fail in the same way for ever. So an overdue call stays open while the next one is made, and the first answer of
+//! any counts. A call is overdue by the time since it began, also if a part of its answer has arrived.
 
 use nanorand::Rng;
 
@@ -27,24 +33,29 @@
 /// The longest time that a call waits for a change. Each wait is drawn at random between two thirds of this time and
 /// all of it, so that callers whose watches were answered or timed out together spread out.
 pub const LONGEST_WAIT: Micros = Micros(3_000_000);
-/// The time past its wait after which a call times out. No answer arrives later than that, since discovery would
-/// have rejected the call long before.
+/// The time past its wait after which a call is overdue and another one is made.
 pub const OVERDUE_AFTER: Micros = Micros(1_000_000);
+/// The most overdue calls that are open at once. Together with the pauses between calls, it leaves each the time within
+/// which a change has to become known.
+pub const MAX_OVERDUE_CALLS: usize = 4;
+/// How long a call is open before a later overdue call may take its place. A connection whose peer has vanished never
+/// ends by itself.
+pub const OVERDUE_READ_FOR: Micros = Micros(30_000_000);
 
 /// The timing of one call to discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Poll {
     /// The time for which discovery may wait for a change before it answers.
     pub wait: Micros,
-    /// The time after which the call times out, from its beginning.
-    pub timeout: Micros,
+    /// The time after which the call is overdue, from its beginning.
+    pub overdue_after: Micros,
 }
 
 /// The schedule of the calls with which one router watches the endpoint list.
 pub struct WatchSchedule {
     longest_wait: Micros,
     rng: RandomSource,
-    /// Whether a call has timed out and none has been answered since. The next call then asks for changes without
+    /// Whether a call was overdue and none has been answered since. The next call then asks for changes without
     /// waiting for one.
     polls_without_wait: bool,
 }
@@ -66,14 +77,14 @@
         if self.polls_without_wait || !version_is_known {
             return Poll {
                 wait: Micros(0),
-                timeout: OVERDUE_AFTER.times(2.0),
+                overdue_after: OVERDUE_AFTER.times(2.0),
             };
         }
         let longest = self.longest_wait.0;
         let wait = Micros(self.rng.0.generate_range(longest * 2 / 3..=longest));
         Poll {
             wait,
-            timeout: wait + OVERDUE_AFTER,
+            overdue_after: wait + OVERDUE_AFTER,
         }
     }
 
@@ -82,12 +93,12 @@
         self.polls_without_wait = false;
     }
 
-    /// Records that a call has failed and returns whether the next one follows immediately. A call that timed out
-    /// cost discovery nothing, so one immediate poll may follow it. After a call that was refused or cut off, the
-    /// usual pause applies.
-    pub fn failed(&mut self, timed_out: bool) -> bool {
-        let follows_at_once = timed_out && !self.polls_without_wait;
-        self.polls_without_wait |= timed_out;
+    /// Records that a call has failed or is overdue, and returns whether the next one follows immediately. One
+    /// immediate poll follows an overdue call, whose connection may be dead. After a call that was refused or cut off,
+    /// the usual pause applies.
+    pub fn failed(&mut self, is_overdue: bool) -> bool {
+        let follows_at_once = is_overdue && !self.polls_without_wait;
+        self.polls_without_wait |= is_overdue;
         follows_at_once
     }
 }
--- a/src/watch_schedule/tests.rs
+++ b/src/watch_schedule/tests.rs
@@ -12,8 +12,8 @@
         assert!(schedule.failed(true), "an immediate poll follows");
         let poll = schedule.next(true);
         assert_eq!(poll.wait, Micros(0));
-        assert!(call.timeout + OVERDUE_AFTER + Micros(1_000_000) <= NOTIFIED_WITHIN);
-        assert!(call.timeout + poll.timeout <= NOTIFIED_WITHIN);
+        assert!(call.overdue_after + OVERDUE_AFTER + Micros(1_000_000) <= NOTIFIED_WITHIN);
+        assert!(call.overdue_after + poll.overdue_after <= NOTIFIED_WITHIN);
     }
 }
 
