Parse what the last read of a turn has brought before waiting for more

Callers saw: 408 "the request came too slowly" 2.5 s after a sound request of 65 KiB with its head that had arrived whole; the same for longer ones in chunks whose end falls on a multiple of 64 reads.

Cause: read_available parsed before each of its 64 reads and not behind the last one. Bytes of that read stayed in the buffer while the connection waited for its socket to become readable, which was empty.

--- a/router/src/stages/request_reader.rs
+++ b/router/src/stages/request_reader.rs
@@ -168,20 +168,24 @@
         }
     }
 
-    /// Reads bytes that have arrived, up to a bound. Returns whether the request is complete.
+    /// Reads bytes that have arrived, up to a bound, and parses all that it has read: no further bytes may arrive, so
+    /// that the caller would wait in vain for what it has already. Returns whether the request is complete.
     fn read_available(&mut self) -> Result<bool, ReadFailure> {
         for _ in 0..READS_IN_A_ROW {
-            let complete = self
-                .request
-                .read(&mut self.io.input)
-                .map_err(ReadFailure::Http)?;
-            if complete {
+            if self.parse()? {
                 return Ok(true);
             }
             if self.io.receive()? == Received::Nothing {
                 return Ok(false);
             }
         }
-        Ok(false)
+        self.parse()
+    }
+
+    /// Parses the bytes in the input buffer. Returns whether the request is complete.
+    fn parse(&mut self) -> Result<bool, ReadFailure> {
+        self.request
+            .read(&mut self.io.input)
+            .map_err(ReadFailure::Http)
     }
 }
--- a/router/tests/sockets/main.rs
+++ b/router/tests/sockets/main.rs
@@ -4,5 +4,6 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod discovery;
+mod long_requests;
 mod nodes;
 mod process;
