Bound the framing of chunks by the body, not by the limit of the head

A client's sound query in chunks of 4 bytes got 431 "the head is too large".

Cause: the HTTP reader counted size lines, line ends behind chunks and trailers as bytes of the head, 16 KiB in all, whatever the body held. A list that is needed whole failed in the same way at each call.

Change: each part of a message has a limit of its own: one size line 16 KiB (what memory it takes), all framing 64 bytes for each byte of the body that has come and 16 KiB, a trailer 16 KiB. Beyond it 413, for a trailer 431.

--- a/simulation/src/standins/discovery.rs
+++ b/simulation/src/standins/discovery.rs
@@ -16,6 +16,29 @@
 #[derive(Clone, Default)]
 pub struct Discovery(pub Arc<(Mutex<Roster>, Condvar)>);
 
+/// The form in which a body comes in chunks.
+#[derive(Clone, Copy, Debug)]
+pub struct ChunkForm {
+    /// The bytes of each chunk but the last ones.
+    pub bytes: usize,
+    /// What stands behind each size, from its semicolon on.
+    pub extension: &'static str,
+    /// The lines of the trailer, each with its line end.
+    pub trailer: &'static str,
+}
+
+impl ChunkForm {
+    /// Encodes a body.
+    pub fn encode(&self, body: &str) -> String {
+        let mut text = String::new();
+        for chunk in body.as_bytes().chunks(self.bytes) {
+            let chunk = String::from_utf8_lossy(chunk);
+            text += &format!("{:x}{}\r\n{chunk}\r\n", chunk.len(), self.extension);
+        }
+        text + "0\r\n" + self.trailer + "\r\n"
+    }
+}
+
 /// The endpoint list, what is wrong with discovery, and the calls that have come.
 #[derive(Default)]
 pub struct Roster {
@@ -30,6 +53,8 @@
     pub silent: bool,
     /// Calls that are open while this is set end without an answer, and so do new ones.
     pub cut: bool,
+    /// The form of answers that come in chunks; others have a length.
+    pub chunks: Option<ChunkForm>,
     /// Answers have no length and last until their connection ends.
     pub endless: bool,
     /// How much later than otherwise each answer is written. It holds the list as it was before.
@@ -82,10 +107,10 @@
                 format!(r#"{{"index":{version},"snapshot":{complete},"endpoints":[{changes}]}}"#);
             ("200 OK", list)
         };
-        let framing = if self.endless {
-            "Connection: close".to_owned()
-        } else {
-            format!("Content-Length: {}", body.len())
+        let (framing, body) = match self.chunks {
+            _ if self.endless => ("Connection: close".to_owned(), body),
+            Some(form) => ("Transfer-Encoding: chunked".to_owned(), form.encode(&body)),
+            None => (format!("Content-Length: {}", body.len()), body),
         };
         format!("HTTP/1.1 {status}\r\n{framing}\r\n\r\n{body}")
     }
--- a/simulation/src/standins/mod.rs
+++ b/simulation/src/standins/mod.rs
@@ -9,7 +9,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-pub use discovery::{Discovery, Roster};
+pub use discovery::{ChunkForm, Discovery, Roster};
 pub use node::{echoed_value, frame, Act, Alteration, Fault, Node};
 
 /// The longest wait for what must come.
--- a/wire/src/http.rs
+++ b/wire/src/http.rs
@@ -14,9 +14,17 @@
 pub use error::HttpError;
 pub use reader::Reader;
 
-/// The longest head (start line and headers together), in bytes. It includes the size lines and the trailer of a
-/// chunked body.
+/// The longest head (start line and headers together), in bytes.
 pub const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// The longest trailer of a chunked body, in bytes.
+pub const MAX_TRAILER_BYTES: usize = 16 * 1024;
+/// The longest size line of a chunk with its extensions, in bytes. It bounds the memory of an incomplete line.
+pub const MAX_CHUNK_LINE_BYTES: usize = 16 * 1024;
+/// The framing of chunks (size lines, and the line ends behind chunks) that is read for each byte of the body, in bytes.
+/// A chunk of one byte takes up five, and more with an extension.
+pub const CHUNK_FRAMING_PER_BODY_BYTE: usize = 64;
+/// The framing of chunks that is read beyond [`CHUNK_FRAMING_PER_BODY_BYTE`], in bytes.
+pub const CHUNK_FRAMING_BASE_BYTES: usize = 16 * 1024;
 /// The most headers of a message. Short headers take up far more memory than their bytes.
 pub const MAX_HEADERS: usize = 100;
 /// The longest body that a client may send, in bytes.
--- a/wire/src/http/error.rs
+++ b/wire/src/http/error.rs
@@ -12,8 +12,13 @@
     /// The body, or the chunks of a body together, exceed the limit for bodies.
     #[error("the body is too large")]
     BodyTooLarge,
+    /// A chunk's size line is longer than [`MAX_CHUNK_LINE_BYTES`](super::MAX_CHUNK_LINE_BYTES), or the framing of
+    /// chunks is out of proportion to the body.
+    #[error("the framing of the chunks is too large")]
+    FramingTooLarge,
     /// The head is longer than [`MAX_HEAD_BYTES`](super::MAX_HEAD_BYTES), or has more than
-    /// [`MAX_HEADERS`](super::MAX_HEADERS) headers.
+    /// [`MAX_HEADERS`](super::MAX_HEADERS) headers; or the trailer is longer than
+    /// [`MAX_TRAILER_BYTES`](super::MAX_TRAILER_BYTES).
     #[error("the head is too large")]
     HeadTooLarge,
     /// The transfer coding is not `chunked`.
@@ -36,7 +41,7 @@
         match self {
             HttpError::Malformed(_) => 400,
             HttpError::TooSlow => 408,
-            HttpError::BodyTooLarge => 413,
+            HttpError::BodyTooLarge | HttpError::FramingTooLarge => 413,
             HttpError::HeadTooLarge => 431,
             HttpError::UnknownCoding => 501,
             HttpError::NoRoom => 503,
--- a/wire/src/http/reader.rs
+++ b/wire/src/http/reader.rs
@@ -1,6 +1,9 @@
 //! The incremental parser of the messages on one connection.
 
-use crate::http::{HttpError, MAX_BODY_BYTES, MAX_HEADERS, MAX_HEAD_BYTES};
+use crate::http::{
+    HttpError, CHUNK_FRAMING_BASE_BYTES, CHUNK_FRAMING_PER_BODY_BYTE, MAX_BODY_BYTES,
+    MAX_CHUNK_LINE_BYTES, MAX_HEADERS, MAX_HEAD_BYTES, MAX_TRAILER_BYTES,
+};
 use crate::ring::Ring;
 
 /// What the parser expects next.
@@ -49,6 +52,9 @@
     /// The bytes of the incomplete current line.
     line: Vec<u8>,
     head_bytes: usize,
+    trailer_bytes: usize,
+    /// The bytes of size lines and of the line ends behind chunks.
+    framing_bytes: usize,
     max_body_bytes: usize,
     /// The start line, then the names and values of all headers.
     head: String,
@@ -75,6 +81,8 @@
             state: State::StartLine,
             line: Vec::new(),
             head_bytes: 0,
+            trailer_bytes: 0,
+            framing_bytes: 0,
             max_body_bytes,
             head: String::new(),
             start_line_end: 0,
@@ -114,6 +122,7 @@
                 _ => self.read_line(input)?,
             }
         }
+        self.line = Vec::new();
         Ok(true)
     }
 
@@ -142,24 +151,52 @@
         let run = input.filled();
         let end = run.iter().position(|byte| *byte == b'\n');
         let taken = end.map_or(run.len(), |at| at + 1);
-        self.head_bytes += taken;
-        if self.head_bytes > MAX_HEAD_BYTES {
-            return Err(HttpError::HeadTooLarge);
-        }
+        self.count_line_bytes(taken)?;
         self.line.extend_from_slice(&run[..taken]);
         input.consume(taken);
         if end.is_none() {
             return Ok(());
         }
-        let line = std::mem::take(&mut self.line);
-        let line = line
-            .strip_suffix(b"\r\n")
-            .ok_or(HttpError::Malformed("a line does not end in CRLF"))?;
-        let text = std::str::from_utf8(line)
-            .ok()
-            .filter(|text| !text.bytes().any(|b| b < b' ' && b != b'\t'))
-            .ok_or(HttpError::Malformed("a line is not plain text"))?;
-        self.process_line(text)
+        let mut line = std::mem::take(&mut self.line);
+        self.process_line(line_text(&line)?)?;
+        // The memory is used again: a body may have as many lines as bytes.
+        line.clear();
+        self.line = line;
+        Ok(())
+    }
+
+    /// Counts bytes of the current line against the limit of the part of the message that it belongs to.
+    fn count_line_bytes(&mut self, count: usize) -> Result<(), HttpError> {
+        match self.state {
+            State::ChunkSize | State::ChunkEnd => self.count_framing_bytes(count),
+            State::Trailer => {
+                self.trailer_bytes += count;
+                if self.trailer_bytes > MAX_TRAILER_BYTES {
+                    return Err(HttpError::HeadTooLarge);
+                }
+                Ok(())
+            }
+            _ => {
+                self.head_bytes += count;
+                if self.head_bytes > MAX_HEAD_BYTES {
+                    return Err(HttpError::HeadTooLarge);
+                }
+                Ok(())
+            }
+        }
+    }
+
+    /// Counts framing in proportion to the body that has been read. A fixed limit would reject a sound body for the size
+    /// of its chunks, and without a limit a small body could take any time to read.
+    fn count_framing_bytes(&mut self, count: usize) -> Result<(), HttpError> {
+        self.framing_bytes += count;
+        let for_body = CHUNK_FRAMING_PER_BODY_BYTE.saturating_mul(self.body.len());
+        let limit = CHUNK_FRAMING_BASE_BYTES.saturating_add(for_body);
+        let line_bytes = self.line.len() + count;
+        if line_bytes > MAX_CHUNK_LINE_BYTES || self.framing_bytes > limit {
+            return Err(HttpError::FramingTooLarge);
+        }
+        Ok(())
     }
 
     fn process_line(&mut self, text: &str) -> Result<(), HttpError> {
@@ -381,3 +418,14 @@
         has_option("close") || is_http_1_0 && !has_option("keep-alive") || lasts_until_end
     }
 }
+
+/// Returns the text of a complete line without its line end.
+fn line_text(line: &[u8]) -> Result<&str, HttpError> {
+    let line = line
+        .strip_suffix(b"\r\n")
+        .ok_or(HttpError::Malformed("a line does not end in CRLF"))?;
+    std::str::from_utf8(line)
+        .ok()
+        .filter(|text| !text.bytes().any(|b| b < b' ' && b != b'\t'))
+        .ok_or(HttpError::Malformed("a line is not plain text"))
+}
--- a/wire/src/http/tests.rs
+++ b/wire/src/http/tests.rs
@@ -132,6 +132,102 @@
     );
 }
 
+/// A chunk of one byte whose framing takes up `framing_bytes`, of which an extension fills what is not needed.
+fn one_byte_chunk(framing_bytes: usize) -> String {
+    const SIZE_AND_LINE_ENDS: usize = 5;
+    let extension = match framing_bytes - SIZE_AND_LINE_ENDS {
+        0 => String::new(),
+        more => format!(";{}", "e".repeat(more - 1)),
+    };
+    format!("1{extension}\r\nx\r\n")
+}
+
+/// The last chunk and the trailer of a body, of the given lengths.
+fn chunked_end(last_line_bytes: usize, trailer_bytes: usize) -> String {
+    let extension = "e".repeat(last_line_bytes - "0;\r\n".len());
+    let trailer = match trailer_bytes - "\r\n".len() {
+        0 => String::new(),
+        more => format!("T:{}\r\n", "t".repeat(more - "T:\r\n".len())),
+    };
+    format!("0;{extension}\r\n{trailer}\r\n")
+}
+
+/// Reads a request with this chunked body. Returns the length of its body.
+fn read_chunked(body: &str) -> Result<usize, HttpError> {
+    let message = format!("POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n{body}");
+    let mut reader = Reader::for_requests();
+    let pieces: Vec<&[u8]> = message.as_bytes().chunks(1000).collect();
+    let complete = read(&mut reader, &pieces)?;
+    assert!(complete, "the request is complete");
+    // The memory of a long line is released.
+    assert!(reader.memory_bytes() <= 2 * reader.body().len() + 1024);
+    Ok(reader.body().len())
+}
+
+/// Guards against a sound body that is rejected for the form of its chunks: the size lines were counted as bytes of the
+/// head, so that the list of a discovery that writes it in small chunks was never read.
+#[test_case(5; "without extensions")]
+#[test_case(26; "with extensions of twenty bytes")]
+#[test_case(CHUNK_FRAMING_PER_BODY_BYTE; "with the longest extensions")]
+fn reads_the_longest_body_in_chunks_of_one_byte(framing_bytes: usize) {
+    let chunks = one_byte_chunk(framing_bytes).repeat(MAX_BODY_BYTES);
+    let body = format!(
+        "{chunks}{}",
+        chunked_end(CHUNK_FRAMING_BASE_BYTES, MAX_TRAILER_BYTES)
+    );
+    assert_eq!(read_chunked(&body), Ok(MAX_BODY_BYTES));
+    assert_eq!(
+        read_chunked(&format!("{chunks}1\r\nx\r\n")),
+        Err(HttpError::BodyTooLarge)
+    );
+}
+
+#[test]
+fn bounds_the_framing_of_chunks_in_proportion_to_the_body() {
+    let chunks = one_byte_chunk(CHUNK_FRAMING_PER_BODY_BYTE).repeat(100);
+    let end = |more| chunked_end(CHUNK_FRAMING_BASE_BYTES - 10 + more, 2);
+    let at_the_limit = format!("{}{chunks}{}", one_byte_chunk(74), end(0));
+    assert_eq!(read_chunked(&at_the_limit), Ok(101));
+    let beyond = format!("{}{chunks}{}", one_byte_chunk(74), end(1));
+    assert_eq!(read_chunked(&beyond), Err(HttpError::FramingTooLarge));
+}
+
+#[test]
+fn bounds_the_size_line_of_a_chunk() {
+    let large_chunk = format!("400\r\n{}\r\n", "x".repeat(0x400));
+    let at_the_limit = format!("{large_chunk}{}", chunked_end(MAX_CHUNK_LINE_BYTES, 2));
+    assert_eq!(read_chunked(&at_the_limit), Ok(0x400));
+    let beyond = format!("{large_chunk}{}", chunked_end(MAX_CHUNK_LINE_BYTES + 1, 2));
+    assert_eq!(read_chunked(&beyond), Err(HttpError::FramingTooLarge));
+    let endless = format!("{large_chunk}1;{}", "e".repeat(2 * MAX_CHUNK_LINE_BYTES));
+    assert_eq!(read_chunked(&endless), Err(HttpError::FramingTooLarge));
+    assert_eq!(HttpError::FramingTooLarge.status(), 413);
+}
+
+#[test]
+fn bounds_the_trailer_of_a_chunked_body() {
+    assert_eq!(read_chunked(&chunked_end(10, MAX_TRAILER_BYTES)), Ok(0));
+    assert_eq!(
+        read_chunked(&chunked_end(10, MAX_TRAILER_BYTES + 1)),
+        Err(HttpError::HeadTooLarge)
+    );
+}
+
+#[test]
+fn reads_the_longest_head_and_the_longest_body_of_a_given_length() {
+    let start = format!("POST /a HTTP/1.1\r\nContent-Length: {MAX_BODY_BYTES}\r\nA: ");
+    let end = "\r\n\r\n";
+    let filler = "a".repeat(MAX_HEAD_BYTES - start.len() - end.len());
+    let body = "x".repeat(MAX_BODY_BYTES);
+    let mut reader = Reader::for_requests();
+    let message = format!("{start}{filler}{end}{body}");
+    assert_eq!(read(&mut reader, &[message.as_bytes()]), Ok(true));
+    assert_eq!(reader.body().len(), MAX_BODY_BYTES);
+    let message = format!("{start}{filler}a{end}{body}");
+    let result = read(&mut Reader::for_requests(), &[message.as_bytes()]);
+    assert_eq!(result, Err(HttpError::HeadTooLarge));
+}
+
 #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", Ok(Some(200)); "complete")]
 #[test_case("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", Ok(Some(503)); "complete without a body")]
 #[test_case("HTTP/1.1 200 OK\r\n\r\n{}", Ok(None); "a body delimited by the end of the connection")]
