Check in a history that each value was made for its client's own query

Need: the tests of repeated ids compared texts of statements, which cannot tell the late value of an earlier query with the same statement from the query's own. ternpick_history::values judges it: a value that a client is served was made by a node for the client's request id, shard and statement, and its attempt reached the node behind the query's sending.

--- a/history/src/lib.rs
+++ b/history/src/lib.rs
@@ -15,6 +15,7 @@
 mod check;
 mod event;
 pub mod requests;
+pub mod values;
 mod write;
 
 pub use check::{check, Bounds, BrokenRule, Counts, Rule, Verdict};
--- a/router/tests/answers/repeated_ids.rs
+++ b/router/tests/answers/repeated_ids.rs
@@ -4,10 +4,12 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use ternpick_simulation::standins::echoed_value;
+use ternpick_history::values::{check_values, ValueEvent};
 use test_case::test_case;
 
 use crate::common::*;
@@ -45,60 +47,113 @@
         );
         client.write_all(text.as_bytes()).expect("written");
     }
+}
+
+/// A router with nodes that echo statements, and the history of values that clients were served.
+struct Service {
+    router: Router,
+    nodes: Vec<Node>,
+    _discovery: Discovery,
+    began: Instant,
+    last_query: AtomicU64,
+    events: Mutex<Vec<(u64, ValueEvent)>>,
+}
 
-    /// Sends the query on a connection of its own. Returns the status and the body of its answer.
-    fn ask(&self, router: &Router) -> (u16, String) {
-        let mut client = router.connect();
-        self.send(&mut client);
+impl Service {
+    fn record(&self, at: Instant, event: ValueEvent) {
+        let at = at.duration_since(self.began).as_micros() as u64;
+        let mut events = self.events.lock().expect("no thread panicked");
+        events.push((at, event));
+    }
+
+    /// Sends a query on a connection of its own, and records the values of its answer. Returns the status.
+    fn ask(&self, query: &EchoQuery) -> u16 {
+        let number = self.last_query.fetch_add(1, Ordering::Relaxed);
+        let mut client = self.router.connect();
+        let sent = ValueEvent::QuerySent {
+            query: number,
+            request_id: query.id.to_owned(),
+            statement: query.statement.to_owned(),
+        };
+        self.record(Instant::now(), sent);
+        query.send(&mut client);
         let (status, _, body) = answer(&mut client);
-        (status, body)
+        if status == 200 {
+            self.record_values(number, &body);
+        }
+        status
     }
 
-    /// Sends the query until it is not rejected as a copy of a query in flight.
-    fn ask_until_admitted(&self, router: &Router) -> (u16, String) {
+    fn record_values(&self, query: u64, body: &str) {
+        let body: serde_json::Value = serde_json::from_str(body).expect("JSON");
+        let pieces = body["pieces"].as_array().expect("pieces");
+        assert_eq!(pieces.len(), SHARDS, "{body}");
+        for piece in pieces {
+            let served = ValueEvent::ValueServed {
+                query,
+                shard: piece["tablet"].as_u64().expect("a shard") as u32,
+                value: piece["cell"].as_str().expect("a value").to_owned(),
+            };
+            self.record(Instant::now(), served);
+        }
+    }
+
+    /// Sends a query until it is not rejected as a copy of a query in flight. Returns the status.
+    fn ask_until_admitted(&self, query: &EchoQuery) -> u16 {
         let until = Instant::now() + BOUND;
         loop {
-            let (status, body) = self.ask(router);
+            let status = self.ask(query);
             if status != 400 {
-                return (status, body);
+                return status;
             }
-            assert!(Instant::now() < until, "rejected for too long: {body}");
+            assert!(Instant::now() < until, "rejected for too long");
             thread::sleep(REPEAT_PAUSE);
         }
     }
 
-    /// Asserts that an answer has the values that nodes make for this query.
-    fn assert_served(&self, (status, body): &(u16, String)) {
-        assert_eq!(*status, 200, "{body}");
-        let body: serde_json::Value = serde_json::from_str(body).expect("JSON");
-        let pieces = body["pieces"].as_array().expect("pieces");
-        let values: Vec<_> = pieces.iter().map(|piece| piece["cell"].as_str()).collect();
-        let made = [0, 1].map(|shard| echoed_value(self.statement, shard));
-        assert_eq!(values, made.each_ref().map(|value| Some(&value[..])));
+    /// Asserts that each value that a client was served was made for its statement, by an attempt of its own query.
+    fn assert_values(&self) {
+        let values: Vec<_> = self.nodes.iter().flat_map(Node::echoed_values).collect();
+        for made in values {
+            let (request_id, shard) = made.id.rsplit_once('.').expect("a shard request's id");
+            let received = ValueEvent::AttemptReceived {
+                request_id: request_id.to_owned(),
+                shard: shard.parse().expect("a shard"),
+                statement: made.statement,
+                value: made.value,
+            };
+            self.record(made.received_at, received);
+        }
+        let events = self.events.lock().expect("no thread panicked");
+        let is_served = |event: &ValueEvent| matches!(event, ValueEvent::ValueServed { .. });
+        assert!(events.iter().any(|(_, event)| is_served(event)));
+        assert_eq!(check_values(&events), []);
+    }
+
+    /// The number of connections that nodes have accepted.
+    fn connection_count(&self) -> usize {
+        let count = |node: &Node| node.streams.lock().expect("no thread panicked").len();
+        self.nodes.iter().map(count).sum()
     }
 }
 
-/// A router whose attempts last as long as their queries, and nodes that echo the statement after `WORK`.
-fn start(node_count: usize) -> (Router, Vec<Node>, Discovery) {
+/// A router whose attempts last as long as their queries, and a node that echoes the statement after `WORK`. With one
+/// node, each attempt of a shard reaches the node of the earlier one.
+fn start() -> Service {
     let settings = SETTINGS.replace("\"onTime\":600000", "\"onTime\":2500000");
     assert_ne!(settings, SETTINGS);
-    let nodes: Vec<Node> = (0..node_count)
-        .map(|_| Node::start_slow([Act::Echo; SHARDS], WORK).expect("a node"))
-        .collect();
-    let listed: Vec<String> = nodes
-        .iter()
-        .enumerate()
-        .map(|(at, node)| entry(&format!("s{at}"), node.address, "Ready"))
-        .collect();
+    let node = Node::start_slow([Act::Echo; SHARDS], WORK).expect("a node");
+    let listed = entry("s0", node.address, "Ready");
     let discovery = Discovery::default();
     let address = discovery.start();
-    let router = Router::start_with(address, &listed.join(","), 1024, 192, &settings, |_| ());
-    (router, nodes, discovery)
-}
-
-fn connection_count(nodes: &[Node]) -> usize {
-    let count = |node: &Node| node.streams.lock().expect("no thread panicked").len();
-    nodes.iter().map(count).sum()
+    Service {
+        router: Router::start_with(address, &listed, 1024, 192, &settings, |_| ()),
+        nodes: vec![node],
+        _discovery: discovery,
+        began: Instant::now(),
+        last_query: AtomicU64::new(0),
+        events: Mutex::default(),
+    }
 }
 
 /// Guards against a client that is served the values of another client's query, whose client left.
@@ -109,10 +164,10 @@
     first_index: &str,
     second_index: &str,
 ) {
-    let (router, nodes, _discovery) = start(1);
+    let service = start();
     for round in 0..ROUNDS {
         let id = format!("r{round}");
-        let mut client = router.connect();
+        let mut client = service.router.connect();
         let first = EchoQuery {
             index: first_index,
             id: &id,
@@ -127,13 +182,14 @@
             statement: &format!("other{round}"),
             deadline_ms: LONG_DEADLINE_MS,
         };
-        assert_eq!(second.ask(&router).0, 400, "the first query is in flight");
+        assert_eq!(service.ask(&second), 400, "the first query is in flight");
         drop(client);
-        second.assert_served(&second.ask_until_admitted(&router));
+        assert_eq!(service.ask_until_admitted(&second), 200);
     }
+    service.assert_values();
     assert!(
-        connection_count(&nodes) <= 2 * nodes.len(),
-        "more than one further connection a node"
+        service.connection_count() <= 2,
+        "more than one further connection"
     );
 }
 
@@ -142,7 +198,7 @@
 #[test_case("other"; "another statement")]
 #[test_case("first"; "the same statement")]
 fn an_id_sent_again_after_its_query_failed_is_answered_by_its_own_attempts(statement: &str) {
-    let (router, _nodes, _discovery) = start(1);
+    let service = start();
     for round in 0..ROUNDS {
         let id = format!("r{round}");
         let first = EchoQuery {
@@ -151,7 +207,7 @@
             statement: "first",
             deadline_ms: WORK.as_millis() as u64 / 4,
         };
-        assert_ne!(first.ask(&router).0, 200, "the nodes take longer");
+        assert_ne!(service.ask(&first), 200, "the nodes take longer");
         thread::sleep(WORK / 4);
         let second = EchoQuery {
             index: "whole",
@@ -160,17 +216,18 @@
             deadline_ms: LONG_DEADLINE_MS,
         };
         let began = Instant::now();
-        second.assert_served(&second.ask(&router));
+        assert_eq!(service.ask(&second), 200);
         assert!(began.elapsed() >= WORK, "served by an earlier attempt");
     }
+    service.assert_values();
 }
 
 /// Guards against a client that opens connections to nodes without end by sending one id again and again.
 #[test]
 fn an_id_sent_again_and_again_opens_one_further_connection_to_a_node() {
-    let (router, nodes, _discovery) = start(1);
+    let service = start();
     for round in 0..8 {
-        let mut client = router.connect();
+        let mut client = service.router.connect();
         let query = EchoQuery {
             index: "whole",
             id: "again",
@@ -181,7 +238,7 @@
         thread::sleep(WORK / 16);
     }
     thread::sleep(WORK / 16);
-    assert_eq!(connection_count(&nodes), 2);
+    assert_eq!(service.connection_count(), 2);
     thread::sleep(WORK);
     let last = EchoQuery {
         index: "whole",
@@ -189,14 +246,15 @@
         statement: "last",
         deadline_ms: LONG_DEADLINE_MS,
     };
-    last.assert_served(&last.ask_until_admitted(&router));
-    assert_eq!(connection_count(&nodes), 2);
+    assert_eq!(service.ask_until_admitted(&last), 200);
+    assert_eq!(service.connection_count(), 2);
+    service.assert_values();
 }
 
 /// Guards against an id that costs a connection although its earlier attempt was answered.
 #[test]
 fn an_id_sent_again_after_its_answer_uses_the_same_connection() {
-    let (router, nodes, _discovery) = start(1);
+    let service = start();
     for statement in ["a", "b", "c"] {
         let query = EchoQuery {
             index: "whole",
@@ -204,7 +262,8 @@
             statement,
             deadline_ms: LONG_DEADLINE_MS,
         };
-        query.assert_served(&query.ask(&router));
+        assert_eq!(service.ask(&query), 200);
     }
-    assert_eq!(connection_count(&nodes), 1);
+    assert_eq!(service.connection_count(), 1);
+    service.assert_values();
 }
--- a/simulation/src/standins/mod.rs
+++ b/simulation/src/standins/mod.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 pub use discovery::{ChunkForm, Discovery, Roster};
-pub use node::{echoed_value, frame, Act, Alteration, Fault, Node};
+pub use node::{frame, Act, Alteration, EchoedValue, Fault, Node};
 
 /// The longest wait for what must come.
 const BOUND: Duration = Duration::from_secs(10);
--- a/simulation/src/standins/node.rs
+++ b/simulation/src/standins/node.rs
@@ -4,6 +4,7 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -33,7 +34,7 @@
 #[derive(Clone, Copy, PartialEq)]
 pub enum Act {
     Serve,
-    /// Serves a value made of the statement and the shard ([`echoed_value`]).
+    /// Serves a value that names the statement and the shard, and that no other shard request gets.
     Echo,
     Broke,
     Skipped,
@@ -69,6 +70,22 @@
 /// Makes other bytes of an answer; it gets the id of the shard request and the answer's own bytes.
 pub type Alteration = Arc<dyn Fn(&str, Vec<u8>) -> Vec<u8> + Send + Sync>;
 
+/// A value that [`Act::Echo`] makes, and the shard request for which it does.
+#[derive(Clone, Debug)]
+pub struct EchoedValue {
+    /// When the shard request was read.
+    pub received_at: Instant,
+    /// The id of the shard request.
+    pub id: String,
+    /// The statement.
+    pub statement: String,
+    /// The value.
+    pub value: String,
+}
+
+/// The number of values that [`Act::Echo`] has made in this process.
+static ECHOED_VALUES: AtomicU64 = AtomicU64::new(0);
+
 /// What the threads of a node share.
 struct Shared {
     service_time: Duration,
@@ -81,6 +98,7 @@
     /// Changes the bytes of each answer before they are written.
     alteration: Mutex<Option<Alteration>>,
     sends: Mutex<HashMap<String, u64>>,
+    echoed_values: Mutex<Vec<EchoedValue>>,
 }
 
 /// A node that listens on loopback.
@@ -121,6 +139,7 @@
             watcher: Mutex::default(),
             alteration: Mutex::default(),
             sends: Mutex::default(),
+            echoed_values: Mutex::default(),
         });
         let node = Node {
             address: listener.local_addr()?,
@@ -167,6 +186,11 @@
             .collect()
     }
 
+    /// The values that [`Act::Echo`] makes for the shard requests that have come.
+    pub fn echoed_values(&self) -> Vec<EchoedValue> {
+        lock(&self.shared.echoed_values).clone()
+    }
+
     /// Waits for the next frame with a letter.
     ///
     /// # Panics
@@ -217,7 +241,8 @@
     number: u64,
     id: String,
     shard: usize,
-    statement: String,
+    /// The value that [`Act::Echo`] serves.
+    echoed_value: String,
 }
 
 /// The service of one connection ends: the router has closed it, or the node does.
@@ -349,21 +374,34 @@
             let id = words[0].to_owned();
             *lock(&self.shared.sends).entry(id.clone()).or_default() += 1;
             self.last_number += 1;
+            let statement = more.get(..length).unwrap_or_default();
+            let echoed_value = self.make_value(&id, shard, statement);
             self.pending.push(Reverse(Pending {
                 due,
                 number: self.last_number,
                 id,
                 shard,
-                statement: more.get(..length).unwrap_or_default().to_owned(),
+                echoed_value,
             }));
             rest = more.get(length..).unwrap_or_default();
         }
     }
-}
 
-/// The value that [`Act::Echo`] makes for a shard of a statement.
-pub fn echoed_value(statement: &str, shard: usize) -> String {
-    format!("{statement}/{shard}")
+    /// Makes the value that a shard request gets if it is echoed.
+    fn make_value(&self, id: &str, shard: usize, statement: &str) -> String {
+        if lock(&self.shared.acts)[shard.min(1)] != Act::Echo {
+            return String::new();
+        }
+        let number = ECHOED_VALUES.fetch_add(1, Ordering::Relaxed);
+        let value = format!("{statement}/{shard}#{number}");
+        lock(&self.shared.echoed_values).push(EchoedValue {
+            received_at: Instant::now(),
+            id: id.to_owned(),
+            statement: statement.to_owned(),
+            value: value.clone(),
+        });
+        value
+    }
 }
 
 /// The bytes of the answer to a shard request.
@@ -379,7 +417,7 @@
         Act::Silent | Act::Reset => return Vec::new(),
     };
     let value = match (end, act) {
-        ("served", Act::Echo) => echoed_value(&request.statement, shard),
+        ("served", Act::Echo) => request.echoed_value.clone(),
         ("served", _) => format!("v{shard}"),
         _ => String::new(),
     };
