Keep revocations for as long as what they revoke can be accepted

Cause: tokens and certificates are accepted for the skew behind their end, and a revocation was forgotten at its own end, in routers and by `ternpick revoke` in the feed's file. Each module computed its end by itself.

Change: identity/src/validity.rs computes both. A revocation is kept for twice the skew behind its end: once for the acceptance of what has expired, once for tokens of an issuer whose clock is ahead. The command keeps entries for the longest skew that the settings permit, and a test holds that bound and the settings' together.

--- a/identity/src/certificate.rs
+++ b/identity/src/certificate.rs
@@ -12,6 +12,7 @@
 use x509_parser::revocation_list::CertificateRevocationList;
 
 use crate::keys::seconds;
+use crate::validity::{accepted_until, is_early};
 
 /// The maximum size of a certificate.
 pub const MAX_CERTIFICATE_BYTES: usize = 16 * 1024;
@@ -183,8 +184,8 @@
             .get(&certificate.issuer)
             .is_some_and(|list| list.serials.contains(&certificate.serial));
         match () {
-            () if certificate.from > now + skew => Err(CertificateError::NotYet),
-            () if certificate.until + skew <= now => Err(CertificateError::Expired),
+            () if is_early(certificate.from, now, skew) => Err(CertificateError::NotYet),
+            () if accepted_until(certificate.until, skew) <= now => Err(CertificateError::Expired),
             () if listed => Err(CertificateError::Revoked),
             () => Ok(()),
         }
--- a/identity/src/lib.rs
+++ b/identity/src/lib.rs
@@ -16,12 +16,15 @@
 mod rights;
 mod token;
 mod token_cache;
+mod validity;
 mod wall_clock;
 
 use std::rc::Rc;
 
 use ternpick::types::{CustomerNo, Micros};
 
+use validity::accepted_until;
+
 pub use certificate::{
     Certificate, CertificateError, RevocationListError, RevocationLists, MAX_CERTIFICATE_BYTES,
     MAX_REVOCATION_LIST_BYTES,
@@ -39,6 +42,7 @@
 pub use rights::{Allowed, Denied, ExplainedRight, Rights};
 pub use token::{TokenError, TokenRequirements, MAX_TOKEN_BYTES};
 pub use token_cache::TokenCache;
+pub use validity::{revocation_kept_until, MAX_SKEW};
 pub use wall_clock::{ClockStep, WallClock};
 
 /// The parts of a request on which its authorization depends.
@@ -167,9 +171,10 @@
         updated_at: Micros,
         page: Page,
     ) -> Result<usize, FeedError> {
-        self.revocations
-            .as_mut()
-            .map_or(Ok(0), |revocations| revocations.update(updated_at, page))
+        let skew = self.token_requirements.skew;
+        self.revocations.as_mut().map_or(Ok(0), |revocations| {
+            revocations.update(updated_at, page, skew)
+        })
     }
 
     /// Applies a list of revoked certificates; see [`RevocationLists::update`].
@@ -188,7 +193,7 @@
             self.token_cache.remove_keys(&removed);
         }
         if let Some(revocations) = &mut self.revocations {
-            revocations.remove_expired(now);
+            revocations.remove_expired(now, self.token_requirements.skew);
         }
         removed
     }
@@ -240,7 +245,7 @@
             tenant: mapping.tenant.clone(),
             roles: mapping.roles.clone(),
             proof: Proof::Certificate(Rc::clone(&certificate.fingerprint)),
-            until: certificate.until + self.token_requirements.skew,
+            until: accepted_until(certificate.until, self.token_requirements.skew),
         }))
     }
 
--- a/identity/src/revocation.rs
+++ b/identity/src/revocation.rs
@@ -9,6 +9,7 @@
 
 use crate::keys::seconds;
 use crate::names::{Act, Caller, Proof};
+use crate::validity::revocation_kept_until;
 
 /// The maximum number of entries that are held. Pages that would exceed it are refused, so that the trust in the known
 /// revocations ends with their age.
@@ -154,7 +155,8 @@
 
 /// The known revocations.
 pub struct Revocations {
-    /// The latest entry for each item. It is removed at its own end, or [`LIFTED_RETENTION`] after it lifted a revocation.
+    /// The latest entry for each item. It is removed when nothing that it revokes can be accepted any more
+    /// ([`revocation_kept_until`]), or [`LIFTED_RETENTION`] after it lifted a revocation.
     entries: HashMap<RevokedItem, LatestEntry>,
     number: u64,
     /// When the newest page was current; none before the first page.
@@ -204,8 +206,13 @@
 
     /// Applies a page that was current at `updated_at` (now, or the time at which a stored page was saved); returns the
     /// number of entries that were applied. If entries are missing, the whole page is refused: the caller has to request
-    /// the whole list.
-    pub fn update(&mut self, updated_at: Micros, page: Page) -> Result<usize, FeedError> {
+    /// the whole list. `skew` is that of [`Revocations::remove_expired`].
+    pub fn update(
+        &mut self,
+        updated_at: Micros,
+        page: Page,
+        skew: Micros,
+    ) -> Result<usize, FeedError> {
         let mut entries = page.entries;
         entries.sort_by_key(|entry| entry.number);
         if entries
@@ -235,7 +242,7 @@
             }
         }
         if self.entries.len() + entries.len() > MAX_REVOCATIONS {
-            self.remove_expired(updated_at);
+            self.remove_expired(updated_at, skew);
         }
         let new_items = entries
             .iter()
@@ -280,10 +287,17 @@
         Ok(applied)
     }
 
-    /// Removes entries whose end has passed.
-    pub fn remove_expired(&mut self, now: Micros) {
-        self.entries
-            .retain(|_, entry| entry.until.is_none_or(|until| until > now));
+    /// Removes the entries that have no effect any more, where `skew` is permitted for tokens and certificates.
+    pub fn remove_expired(&mut self, now: Micros, skew: Micros) {
+        self.entries.retain(|_, entry| {
+            entry.until.is_none_or(|until| {
+                if entry.lifted {
+                    until > now
+                } else {
+                    revocation_kept_until(until, skew) > now
+                }
+            })
+        });
     }
 
     fn is_revoked(&self, item: &RevokedItem) -> bool {
--- a/identity/src/token.rs
+++ b/identity/src/token.rs
@@ -9,6 +9,7 @@
 
 use crate::keys::{KeyError, KeyRing};
 use crate::names::{Caller, KeyId, Proof, Role, Tenant, TokenId};
+use crate::validity::{accepted_until, is_early};
 
 /// The maximum size of a token. A header line may be twice as long; no valid caller has a longer token.
 pub const MAX_TOKEN_BYTES: usize = 8 * 1024;
@@ -183,7 +184,7 @@
         .iter()
         .chain([&claims.sub, &claims.tenant])
         .chain(&claims.jti);
-    let until = expires + requirements.skew;
+    let until = accepted_until(expires, requirements.skew);
     let checks = [
         (claims.iss != requirements.issuer, TokenError::Issuer),
         (!audience_matches, TokenError::Audience),
@@ -193,7 +194,7 @@
         ),
         (until <= now, TokenError::Expired),
         (
-            from.max(issued) > now + requirements.skew,
+            is_early(from.max(issued), now, requirements.skew),
             TokenError::NotYet,
         ),
         (
--- a/identity/tests/hard_cases.rs
+++ b/identity/tests/hard_cases.rs
@@ -7,8 +7,9 @@
 use ternpick::types::Micros;
 use ternpick_identity::key_manager::{sign, Claims, KeyManager, KeyManagerError};
 use ternpick_identity::{
-    Act, Algorithm, AuthRequest, Certificate, Identity, IdentityConfig, KeySet, KeySetError, Page,
-    Refusal, RefusalKind, RevocationListError, DEFINITIONS,
+    Act, Algorithm, AuthRequest, Certificate, GracePeriods, Identity, IdentityConfig, KeySet,
+    KeySetError, Page, Refusal, RefusalKind, RevocationListError, Revocations, DEFINITIONS,
+    MAX_SKEW,
 };
 use ternpick_settings::Schema;
 use test_case::test_case;
@@ -536,6 +537,11 @@
     );
 }
 
+/// The skew of the settings, in seconds.
+const SKEW: u64 = 5;
+/// The lifetime of the tokens of these tests, in seconds.
+const TOKEN_LIFETIME: u64 = 300;
+
 fn page(text: &str) -> Page {
     Page::parse(text.as_bytes()).expect("a page")
 }
@@ -604,6 +610,82 @@
     );
 }
 
+/// Guards against a revoked caller that is admitted again: its revocation was forgotten at its own end, while the token
+/// had expired and counted as valid for the skew. `ahead` is how far the issuer's clock is ahead, in seconds.
+#[test_case("token", "t-0", "the token is revoked", 0; "a token")]
+#[test_case("subject", "dispatcher-1", "the subject is revoked", 0; "a subject")]
+#[test_case("key", "k1", "the token's key is revoked", 0; "a key")]
+#[test_case("token", "t-0", "the token is revoked", SKEW; "a token of an issuer whose clock is ahead")]
+fn a_revocation_that_ends_with_its_token_holds_until_the_token_is_refused_by_its_age(
+    kind: &str,
+    name: &str,
+    revoked: &str,
+    ahead: u64,
+) {
+    let issued = T0 + ahead;
+    let token = signed(|claims| {
+        claims["iat"] = json!(issued);
+        claims["nbf"] = json!(issued);
+        claims["exp"] = json!(issued + TOKEN_LIFETIME);
+    });
+    let mut identity = MANAGER.with(identity);
+    let end = T0 + TOKEN_LIFETIME;
+    let entry = format!(r#"{{"number":1,"{kind}":"{name}","until":{end}}}"#);
+    let text = format!(r#"{{"after":0,"to":1,"entries":[{entry}]}}"#);
+    let applied = identity.update_revocations(at(0), page(&text));
+    assert_eq!(applied, Ok(1));
+    let expires = TOKEN_LIFETIME + ahead + SKEW;
+    for now in TOKEN_LIFETIME - 2..expires + 2 {
+        // The feed is current, and has no entry any more from the end on.
+        let empty = r#"{"to":1,"whole":true,"entries":[]}"#;
+        assert_eq!(identity.update_revocations(at(now), page(empty)), Ok(0));
+        identity.remove_expired(at(now));
+        let expected = if now < expires {
+            revoked
+        } else {
+            "the token has expired"
+        };
+        let found = why(identity.authorize(at(now), &history(&token)));
+        assert_eq!(found, expected, "{now} s after the revocation");
+    }
+}
+
+/// Guards against a feed's file that is kept for a shorter skew than the settings permit.
+#[test]
+fn the_settings_permit_no_longer_skew_than_the_feed_is_kept_for() {
+    let schema = Schema::new(&[("identity.cue", DEFINITIONS)], "#Identity");
+    let read = |skew_s: u64| {
+        let settings = format!("skew: {skew_s}s\n{SETTINGS}");
+        schema.read::<IdentityConfig>("t.cue", &settings)
+    };
+    let longest = MAX_SKEW.0 / S;
+    assert_eq!(
+        read(longest).map(|read| read.value.skew).ok(),
+        Some(MAX_SKEW.0)
+    );
+    assert!(read(longest + 1).is_err());
+}
+
+/// Guards against revocations that are kept without end, and against a lift that is kept for longer than before.
+#[test]
+fn a_revocation_is_forgotten_once_nothing_that_it_revokes_can_be_accepted() {
+    let grace_periods = GracePeriods {
+        reads: at(0),
+        changes: at(0),
+    };
+    let mut revocations = Revocations::new(grace_periods);
+    let skew = Micros(SKEW * 1_000_000);
+    let end = T0 + 100;
+    let text =
+        format!(r#"{{"to":1,"whole":true,"entries":[{{"number":1,"token":"a","until":{end}}}]}}"#);
+    let applied = revocations.update(at(0), page(&text), skew);
+    assert_eq!(applied, Ok(1));
+    revocations.remove_expired(Micros(at(100 + 2 * SKEW).0 - 1), skew);
+    assert_eq!(revocations.count(), 1);
+    revocations.remove_expired(at(100 + 2 * SKEW), skew);
+    assert_eq!(revocations.count(), 0);
+}
+
 #[test_case(r#"{"to":1}"#; "no entries")]
 #[test_case(r#"{"to":1,"entries":[{"number":1}]}"#; "an entry without an item")]
 #[test_case(r#"{"to":1,"entries":[{"number":1,"token":"a","key":"b"}]}"#; "an entry with two items")]
--- a/router/src/lifecycle/key_commands/revoke.rs
+++ b/router/src/lifecycle/key_commands/revoke.rs
@@ -6,6 +6,8 @@
 
 use clap::Args;
 use serde_json::{json, Value};
+use ternpick::types::Micros;
+use ternpick_identity::{revocation_kept_until, MAX_SKEW};
 
 use super::error::KeyCommandError;
 use super::wall_clock_seconds;
@@ -93,7 +95,7 @@
         entry["until"] = (now + matters.as_secs()).into();
     }
     let entries = feed["entries"].as_array_mut().ok_or_else(not_a_feed)?;
-    entries.retain(|entry| entry["until"].as_u64().is_none_or(|until| until > now));
+    entries.retain(|entry| has_effect(entry, now));
     entries.push(entry.clone());
     feed["to"] = number.into();
     feed["whole"] = true.into();
@@ -107,6 +109,16 @@
     Ok(())
 }
 
+/// Whether a router may still need an entry at `now`, in seconds of Unix time. The skew in the settings of the routers is
+/// not known here.
+fn has_effect(entry: &Value, now: u64) -> bool {
+    let Some(until) = entry["until"].as_u64() else {
+        return true;
+    };
+    let until = Micros(until.saturating_mul(1_000_000));
+    revocation_kept_until(until, MAX_SKEW) > Micros(now.saturating_mul(1_000_000))
+}
+
 /// Loads the feed from a file; it is empty if the file does not exist.
 fn load_feed(path: &Path) -> Result<Value, KeyCommandError> {
     match std::fs::read(path) {
--- a/router/tests/identity/commands.rs
+++ b/router/tests/identity/commands.rs
@@ -101,6 +101,20 @@
         json(&["revoke", "--feed", feed, "--token", "t1", "--lift", "--json"])["lifted"],
         true
     );
+    // A router may need an entry for the permitted skew behind its end.
+    json(&[
+        "revoke",
+        "--feed",
+        feed,
+        "--token",
+        "t2",
+        "--matters",
+        "0s",
+        "--json",
+    ]);
+    json(&["revoke", "--feed", feed, "--token", "t3", "--json"]);
+    let kept = std::fs::read_to_string(feed).expect("a feed");
+    assert!(kept.contains("\"t2\"") && kept.contains("\"t3\""), "{kept}");
     assert!(
         !run(&["revoke", "--feed", feed], "").0
             && !run(
