--- a/router/tests/endings/main.rs
+++ b/router/tests/endings/main.rs
@@ -9,4 +9,5 @@
 mod common;
 mod discovery;
 mod support;
+mod suspended;
 mod time_outs;
