Look at the suspension timer's wake only when it is due; test ids over a hot restart

Cause: each input to the engine looked up whether the timer of suspensions had been woken, with a lock and a reading of the clock.

Change: while the timer is not due, nothing is looked up, and the time of the input is used. A test holds that the new process of a hot restart serves no late answer to the old one's query with the same id.

--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -114,7 +114,8 @@
         let Decisions { engine, effects } = &mut *decisions;
         let now = self.clock.now();
         effects.now = now;
-        if effects.overdue_since(now).is_some() || self.suspensions.may_have_unread() {
+        let may_have_unread = self.suspensions.may_have_unread(self.clock.instant(now));
+        if may_have_unread || effects.overdue_since(now).is_some() {
             // The next turn reads what has arrived before anything is decided.
             engine.defer_decisions();
         }
--- a/router/src/stages/dispatch.rs
+++ b/router/src/stages/dispatch.rs
@@ -184,7 +184,9 @@
         router.turns.record_timer(now.since(due));
     }
     overdue_since.is_some()
-        || router.suspensions.may_have_unread()
+        || router
+            .suspensions
+            .may_have_unread(router.clock.instant(now))
         || decisions.engine.defers_decisions()
 }
 
--- a/router/src/state/suspensions.rs
+++ b/router/src/state/suspensions.rs
@@ -110,18 +110,27 @@
         }
     }
 
+    /// The suspension known at `now`.
+    fn latest(&self, now: Instant) -> Option<Suspension> {
+        let pulse = self.pulse.get();
+        // Nearly always, the timer is not due yet, and its wake need not be looked up.
+        if now <= pulse.due() {
+            return pulse.last;
+        }
+        pulse.latest(self.wake.peek(), now)
+    }
+
     /// The earliest instant at which bytes can have arrived whose arrival was noted at `noted_at`.
     pub(crate) fn earliest_arrival(&self, noted_at: Instant) -> Instant {
-        let latest = self.pulse.get().latest(self.wake.peek(), noted_at);
-        latest
+        self.latest(noted_at)
             .filter(|suspension| suspension.contains(noted_at))
             .map_or(noted_at, |suspension| suspension.since)
     }
 
-    /// Whether the process was suspended, and bytes that arrived then may not have been read.
-    pub(crate) fn may_have_unread(&self) -> bool {
-        let latest = self.pulse.get().latest(self.wake.peek(), Instant::now());
-        latest.is_some_and(|suspension| suspension.until > self.caught_up_at.get())
+    /// Whether the process was suspended, and bytes that arrived then may not have been read at `now`.
+    pub(crate) fn may_have_unread(&self, now: Instant) -> bool {
+        self.latest(now)
+            .is_some_and(|suspension| suspension.until > self.caught_up_at.get())
     }
 
     /// Records that all that has arrived has been read.
--- a/router/tests/upgrade/repeats.rs
+++ b/router/tests/upgrade/repeats.rs
@@ -56,6 +56,46 @@
     served(of.router.address, "other");
 }
 
+/// Guards against an answer to the old process being served by the new one, to a query with the same id.
+#[test]
+fn the_new_process_does_not_serve_a_late_answer_to_the_old_ones_query_with_the_same_id() {
+    let of = Upgradable::start(&[Act::Silent], "");
+    let before = of.pid();
+    let mut first = of.router.connect();
+    let text = request("whole", "same");
+    first.write_all(text.as_bytes()).expect("written");
+    within(|| sends(&of, "same") == 1, "the node has the query");
+    thread::scope(|scope| {
+        let upgrade = scope.spawn(|| of.upgrade(&[]));
+        within(|| of.pid() != before, "the new process serves");
+        let mut second = of.router.connect();
+        second.write_all(text.as_bytes()).expect("written");
+        within(|| sends(&of, "same") == 2, "the node has both queries");
+        {
+            let streams = of.nodes[0].streams.lock().expect("no thread panicked");
+            let answer = |stream: usize, shard: u32, value: &str| {
+                let answer = format!("same.{shard} served 1 -\n{value}");
+                (&streams[stream])
+                    .write_all(&common::frame(b'a', &answer))
+                    .expect("written");
+            };
+            for shard in 0..2 {
+                answer(0, shard, "old");
+            }
+            for shard in 0..2 {
+                answer(streams.len() - 1, shard, "new");
+            }
+        }
+        for (client, value) in [(&mut first, "old"), (&mut second, "new")] {
+            let (status, _, body) = common::answer(client);
+            assert_eq!(status, 200);
+            assert_eq!(body.matches(&format!("\"{value}\"")).count(), 2, "{body}");
+        }
+        let (done, text) = upgrade.join().expect("it ends");
+        assert!(done, "{text}");
+    });
+}
+
 /// Clients send queries, leave, and send them again at once, over the whole of an upgrade.
 #[test]
 fn no_query_runs_twice_while_clients_leave_and_send_it_again_over_an_upgrade() {
