Take the timer of suspensions back: it cannot tell a stop's arrivals from the next ones

Cause: counts what is noted up to 2 ms behind the return of a suspended process from before the stop. The query came in these 2 ms, and its time of 2 s was over. With a shorter tolerance the same stays possible where the poller's thread runs late.

--- a/router/src/lifecycle/build.rs
+++ b/router/src/lifecycle/build.rs
@@ -108,7 +108,6 @@
             listener: ListenerState::default(),
             rejections: LogLimit::default(),
             predecessor_ids: PredecessorIds::default(),
-            suspensions: Rc::default(),
             turns: Rc::new(Turns::new(clock)),
             client_transfer: ClientTransfer::default(),
         })
--- a/router/src/lifecycle/clock.rs
+++ b/router/src/lifecycle/clock.rs
@@ -37,6 +37,11 @@
         self.unix_at_start + micros(instant.saturating_duration_since(self.monotonic_at_start))
     }
 
+    /// Returns the time of an arrival: that of the noted instant, or the current time if none was noted.
+    pub(crate) fn arrival(&self, noted: Option<Instant>) -> Micros {
+        noted.map_or_else(|| self.now(), |instant| self.time_of(instant))
+    }
+
     /// Returns the monotonic instant of a time of this clock, for timers.
     pub(crate) fn instant(&self, time: Micros) -> Instant {
         self.monotonic_at_start + Duration::from_micros(time.since(self.unix_at_start).0)
--- a/router/src/lifecycle/start.rs
+++ b/router/src/lifecycle/start.rs
@@ -177,9 +177,6 @@
         let client_turns = Rc::clone(&self.router.client_turns);
         let grant = async move { client_turns.grant().await };
         self.spawn(Stage::Dispatch, grant);
-        let suspensions = Rc::clone(&self.router.suspensions);
-        let detect = async move { suspensions.detect().await };
-        self.spawn(Stage::Dispatch, detect);
         let dispatch = dispatch::run_turns(Rc::clone(&self.router));
         self.spawn(Stage::Dispatch, dispatch);
         // Lets the tasks register their listeners first: applying an endpoint list may request the watch at once.
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -7,7 +7,7 @@
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -32,7 +32,6 @@
 use crate::state::memory_budget::MemoryBudget;
 use crate::state::predecessor_ids::PredecessorIds;
 use crate::state::shutdown::ShutdownState;
-use crate::state::suspensions::Suspensions;
 use crate::state::turns::{Stage, Turns, LATE_AFTER};
 
 /// The time in which the poller certainly looks at all sockets, unless the process is held up again.
@@ -82,8 +81,6 @@
     pub(crate) rejections: LogLimit,
     /// The wait for the ids that the old process of a hot restart has forwarded.
     pub(crate) predecessor_ids: PredecessorIds,
-    /// Detects times in which this process did not run.
-    pub(crate) suspensions: Rc<Suspensions>,
     /// Measures the turns of tasks and the lateness of timers.
     pub(crate) turns: Rc<Turns>,
     /// Client connections to be passed to a new process.
@@ -114,8 +111,7 @@
         let Decisions { engine, effects } = &mut *decisions;
         let now = self.clock.now();
         effects.now = now;
-        let may_have_unread = self.suspensions.may_have_unread(self.clock.instant(now));
-        if may_have_unread || effects.overdue_since(now).is_some() {
+        if effects.overdue_since(now).is_some() {
             // The next turn reads what has arrived before anything is decided.
             engine.defer_decisions();
         }
@@ -127,14 +123,6 @@
         result
     }
 
-    /// Returns the earliest time at which bytes can have arrived whose arrival was noted at `noted`; without a note, at
-    /// which bytes that are read now can have arrived.
-    pub(crate) fn arrival(&self, noted: Option<Instant>) -> Micros {
-        let noted_at = noted.unwrap_or_else(Instant::now);
-        self.clock
-            .time_of(self.suspensions.earliest_arrival(noted_at))
-    }
-
     /// Returns the output of `operation`, or `None` if `deadline` passes first. Without a deadline, waits for the
     /// output.
     pub(crate) async fn with_deadline<T>(
--- a/router/src/stages/answer_wait.rs
+++ b/router/src/stages/answer_wait.rs
@@ -48,6 +48,6 @@
             io.mark_client_gone();
             return;
         }
-        arrived_at = router.arrival(io.take_readable_since());
+        arrived_at = router.clock.arrival(io.take_readable_since());
     }
 }
--- a/router/src/stages/dispatch.rs
+++ b/router/src/stages/dispatch.rs
@@ -183,11 +183,7 @@
     if let Some(due) = overdue_since {
         router.turns.record_timer(now.since(due));
     }
-    overdue_since.is_some()
-        || router
-            .suspensions
-            .may_have_unread(router.clock.instant(now))
-        || decisions.engine.defers_decisions()
+    overdue_since.is_some() || decisions.engine.defers_decisions()
 }
 
 /// If this process was held up, first lets all that has arrived be read and then has the routing engine decide on it.
@@ -197,7 +193,6 @@
         return;
     }
     router.read_arrived().await;
-    router.suspensions.caught_up();
     router.decisions.borrow_mut().effects.caught_up_at = router.clock.now();
     router.apply(|engine, now, effects| engine.resume_decisions(now, effects));
 }
--- a/router/src/stages/listener.rs
+++ b/router/src/stages/listener.rs
@@ -118,7 +118,7 @@
     /// that.
     fn note_arrival(&mut self) {
         if let Some(instant) = self.connection_arrived.take() {
-            self.backlog_arrived_since = self.router.arrival(Some(instant));
+            self.backlog_arrived_since = self.router.clock.time_of(instant);
         }
     }
 
@@ -136,7 +136,7 @@
     /// Accepts the connections that wait in the backlog of a listener that is about to close. Their number is bounded,
     /// so that clients that connect without end do not delay the stop.
     async fn accept_backlog(&mut self) {
-        self.backlog_arrived_since = self.router.arrival(self.connection_arrived.take());
+        self.backlog_arrived_since = self.router.clock.arrival(self.connection_arrived.take());
         // The backlog has room for as many connections as the process may hold descriptors.
         let mut left = self.router.descriptors.total() + RESERVED_DESCRIPTORS;
         while self.router.listener.is_accepting() && left > 0 {
--- a/router/src/stages/request_reader.rs
+++ b/router/src/stages/request_reader.rs
@@ -78,7 +78,7 @@
             match self.io.receive() {
                 Ok(Received::Bytes) => {
                     let noted = self.io.take_readable_since();
-                    return Ok(self.router.arrival(noted));
+                    return Ok(self.router.clock.arrival(noted));
                 }
                 Ok(Received::Nothing) if stays_open => {}
                 _ => return Err(self.idle_end()),
--- a/router/src/stages/upstream_reader.rs
+++ b/router/src/stages/upstream_reader.rs
@@ -151,7 +151,7 @@
     /// When bytes arrived whose arrival was noted at `noted`. If this process was held up, they may have arrived as early
     /// as that began.
     fn arrival(&self, noted: Option<Instant>) -> Micros {
-        let noted_at = self.router.arrival(noted);
+        let noted_at = self.router.clock.arrival(noted);
         let now = self.router.clock.now();
         let decisions = self.router.decisions.borrow();
         let overdue_since = decisions.effects.overdue_since(now);
--- a/router/src/state/mod.rs
+++ b/router/src/state/mod.rs
@@ -19,6 +19,5 @@
 pub(crate) mod recent_pause;
 pub(crate) mod response_size;
 pub(crate) mod shutdown;
-pub(crate) mod suspensions;
 pub(crate) mod turns;
 pub(crate) mod wake_time;
--- a/router/src/state/wake_time.rs
+++ b/router/src/state/wake_time.rs
@@ -35,8 +35,11 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 
-    fn peek(&self) -> Option<Instant> {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    fn is_set(&self) -> bool {
+        self.0
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .is_some()
     }
 
     fn set_if_unset(&self, woken_at: Instant) {
@@ -76,7 +79,7 @@
         self.woken_at.take();
         let mut future = pin!(future);
         poll_fn(|context| {
-            let is_woken = self.woken_at.peek().is_some();
+            let is_woken = self.woken_at.is_set();
             let waker = self.recording_waker(context.waker());
             match future.as_mut().poll(&mut Context::from_waker(&waker)) {
                 Poll::Ready(output) => Poll::Ready(Some(output)),
@@ -93,11 +96,6 @@
         self.woken_at.take()
     }
 
-    /// The time at which the current wait, or the last one, was first woken, unless it has been taken.
-    pub(crate) fn peek(&self) -> Option<Instant> {
-        self.woken_at.peek()
-    }
-
     fn recording_waker(&self, task: &Waker) -> Waker {
         let mut waker = self.waker.borrow_mut();
         if let Some(known) = waker.as_ref().filter(|known| known.task.will_wake(task)) {
--- a/router/tests/endings/main.rs
+++ b/router/tests/endings/main.rs
@@ -9,5 +9,4 @@
 mod common;
 mod discovery;
 mod support;
-mod suspended;
 mod time_outs;
