Make a stop or a reload reach both processes of an upgrade, whichever is asked

SIGTERM or `drain` to the new one shut the shared listening socket down and left the old one running for good; SIGHUP was read by one process alone.

Cause: signals and commands had no owner while two processes are one router. Each process acted for itself; the new one's end on a stop counted as a failed start; handlers were registered anew as the old process became a parent.

Change: hot_restart/src/requests.rs, a state machine without I/O, says for each phase what a process that is asked does and what it tells the other one (table in docs/design/upgrade.md). The other one is told by the same signal, so a broken link or an earlier release does not matter; signals are received with their sender (signal-hook's extended-siginfo), and one of the other process is not sent back. OldProcess knows of a stop: it does not serve behind its accept period. The first process ends last. The command `upgrade` gets its outcome also where the router stops (found on the way: case 3 printed "closed the connection before the last line of its answer").

--- a/hot_restart/src/effect.rs
+++ b/hot_restart/src/effect.rs
@@ -19,6 +19,8 @@
     Accept(bool),
     /// Start (true) or stop (false) sending idle client connections over the link, one at a time.
     PassClients(bool),
+    /// Shut down the listening sockets: no process accepts on them any more.
+    ShutDownListeners,
     /// Limit this process to this part of the capacity from now on.
     ApplyLease(Lease),
     /// End the other process: the first time with a signal that it can handle, after that with one that it cannot.
--- a/hot_restart/src/injected_bug.rs
+++ b/hot_restart/src/injected_bug.rs
@@ -10,4 +10,16 @@
     StopsAcceptingEarly,
     /// Grants a lease to the new process and continues to use the whole capacity.
     KeepsWholeLease,
+    /// Accepts clients again when the new process has stopped because the router stops.
+    ServesBehindStop,
+}
+
+/// A bug in how one process passes requests to the other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[cfg(test)]
+pub(crate) enum RequestBug {
+    /// Acts on a stop and does not tell the other process.
+    KeepsStops,
+    /// Acts on a reload and does not tell the other process.
+    KeepsReloads,
 }
--- a/hot_restart/src/lib.rs
+++ b/hot_restart/src/lib.rs
@@ -7,7 +7,8 @@
 //!
 //! The steps: hello, offer, checked, descriptors, got, state, ready, commit, took; then the old process drains. Until
 //! the old process has received [`Message::Took`], the old process continues to serve after every failure. From then
-//! on the new one serves. If the new one ends while the old one still drains, the old one serves again.
+//! on the new one serves. If the new one ends while the old one still drains, the old one serves again, unless a stop
+//! was requested. [`Requests`] makes stops and reloads reach both processes, whichever of them receives one.
 
 mod connections;
 mod effect;
@@ -16,6 +17,7 @@
 mod message;
 mod new_process;
 mod old_process;
+mod requests;
 mod timeouts;
 
 #[cfg(test)]
@@ -27,4 +29,5 @@
 pub use message::{decode, encode, DecodeError, Decoded, Message, MAX_BODY_BYTES, VERSION};
 pub use new_process::{NewProcess, OldProcessEvent};
 pub use old_process::{NewProcessEvent, OldProcess};
+pub use requests::{Phase, Request, RequestEffect, Requester, Requests};
 pub use timeouts::StepTimeouts;
--- a/hot_restart/src/new_process.rs
+++ b/hot_restart/src/new_process.rs
@@ -7,7 +7,7 @@
 
 use crate::lease::Lease;
 use crate::message::{Message, VERSION};
-use crate::{Effect, StepTimeouts};
+use crate::{Effect, Phase, StepTimeouts};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Step {
@@ -83,6 +83,17 @@
         self.step == Step::Serving
     }
 
+    /// The part of this process in the router, as long as the old one lives.
+    pub fn phase(&self) -> Phase {
+        match self.step {
+            Step::AwaitingOffer
+            | Step::AwaitingListeners
+            | Step::LoadingState
+            | Step::AwaitingCommit => Phase::TakingOver,
+            Step::Serving | Step::Exiting => Phase::Succeeding,
+        }
+    }
+
     /// Whether the driver has been asked to end this process.
     pub fn is_exiting(&self) -> bool {
         self.step == Step::Exiting
--- a/hot_restart/src/old_process.rs
+++ b/hot_restart/src/old_process.rs
@@ -10,7 +10,7 @@
 use crate::injected_bug::InjectedBug;
 use crate::lease::Lease;
 use crate::message::{Message, VERSION};
-use crate::{Effect, StepTimeouts};
+use crate::{Effect, Phase, StepTimeouts};
 use step::Step;
 
 /// An event that the driver of the old process reports.
@@ -42,6 +42,8 @@
     has_answered_ping: bool,
     /// The digest of the settings that this process runs on.
     settings: u64,
+    /// Until when the router accepts clients; set once a stop was requested.
+    accepts_until: Option<Micros>,
     #[cfg(test)]
     pub(crate) injected_bug: Option<InjectedBug>,
 }
@@ -58,6 +60,7 @@
             awaiting_pong: false,
             has_answered_ping: false,
             settings,
+            accepts_until: None,
             #[cfg(test)]
             injected_bug: None,
         }
@@ -67,14 +70,15 @@
     /// than the whole while this process's own predecessor drains.
     ///
     /// # Errors
-    /// Returns the reason as text if a restart is in progress or finished, or if the predecessor still drains: three
-    /// processes would use more than the capacity.
+    /// Returns the reason as text if a restart is in progress or finished, if a stop was requested, or if the predecessor
+    /// still drains: three processes would use more than the capacity.
     pub fn start(
         &mut self,
         now: Micros,
         current_lease: Lease,
     ) -> Result<Vec<Effect>, &'static str> {
         match self.step {
+            Step::Serving if self.accepts_until.is_some() => Err("this process stops"),
             Step::Serving if current_lease != self.capacity => {
                 Err("the predecessor of this process still has a part of the capacity, ask again when it has exited")
             }
@@ -82,13 +86,33 @@
                 self.enter(Step::AwaitingHello, now + self.timeouts.hello);
                 Ok(vec![Effect::Spawn])
             }
-            Step::Draining | Step::HandedOver => {
+            Step::Draining | Step::Finishing | Step::HandedOver => {
                 Err("this process has handed over, ask the new one")
             }
             _ => Err("an upgrade is under way"),
         }
     }
 
+    /// Notes that a stop of the router was requested; the router accepts clients until `accepts_until`. The new process
+    /// then leaves because it was asked to, and this one does not serve in its place.
+    pub fn note_stop(&mut self, accepts_until: Micros) {
+        self.accepts_until.get_or_insert(accepts_until);
+    }
+
+    /// The part of this process in the router.
+    pub fn phase(&self) -> Phase {
+        match self.step {
+            Step::Serving | Step::Finishing => Phase::Alone,
+            Step::AwaitingHello
+            | Step::CheckingSettings
+            | Step::PassingListeners
+            | Step::PassingState => Phase::Launching,
+            Step::Committing => Phase::Committing,
+            Step::Draining | Step::EndingNewProcess => Phase::Yielding,
+            Step::HandedOver => Phase::Parent,
+        }
+    }
+
     /// When the driver must call [`OldProcess::handle_timeout`]; None if the current step has no deadline.
     pub fn next_timeout(&self) -> Option<Micros> {
         self.deadline
@@ -124,7 +148,7 @@
         match event {
             NewProcessEvent::Received(message) => self.handle_message(now, message, in_use),
             NewProcessEvent::LinkBroken => self.handle_link_broken(now),
-            NewProcessEvent::ProcessDied => self.handle_process_died(),
+            NewProcessEvent::ProcessDied => self.handle_process_died(now),
         }
     }
 
@@ -134,7 +158,7 @@
             return Vec::new();
         }
         match self.step {
-            Step::Serving | Step::HandedOver => {
+            Step::Serving | Step::Finishing | Step::HandedOver => {
                 self.deadline = None;
                 Vec::new()
             }
@@ -154,8 +178,10 @@
 
     /// Handles the end of draining: nothing is in flight in this process, and no client is connected to it.
     pub fn drain_finished(&mut self) -> Vec<Effect> {
-        if self.step != Step::Draining || !self.has_answered_ping {
-            return Vec::new();
+        match self.step {
+            Step::Draining if self.has_answered_ping => {}
+            Step::Finishing => {}
+            _ => return Vec::new(),
         }
         self.step = Step::HandedOver;
         self.deadline = None;
@@ -189,9 +215,14 @@
                 Vec::new()
             }
             // Messages that the new process sent before it learned that the restart was abandoned or finished.
-            (Step::EndingNewProcess | Step::Serving | Step::HandedOver | Step::Draining, _) => {
-                Vec::new()
-            }
+            (
+                Step::EndingNewProcess
+                | Step::Serving
+                | Step::HandedOver
+                | Step::Draining
+                | Step::Finishing,
+                _,
+            ) => Vec::new(),
             (_, message) => {
                 let why = format!(
                     "the new process sent {} while this process {}",
@@ -267,7 +298,9 @@
 
     fn handle_link_broken(&mut self, now: Micros) -> Vec<Effect> {
         match self.step {
-            Step::Serving | Step::EndingNewProcess | Step::HandedOver => Vec::new(),
+            Step::Serving | Step::EndingNewProcess | Step::Finishing | Step::HandedOver => {
+                Vec::new()
+            }
             // The new process already accepts clients and needs no further message from this one.
             Step::Draining => {
                 self.deadline = None;
@@ -277,18 +310,39 @@
         }
     }
 
-    fn handle_process_died(&mut self) -> Vec<Effect> {
+    fn handle_process_died(&mut self, now: Micros) -> Vec<Effect> {
         match self.step {
-            Step::Serving | Step::HandedOver => Vec::new(),
-            _ => self.serve_alone("the new process has ended"),
+            Step::Serving | Step::Finishing | Step::HandedOver => Vec::new(),
+            Step::Draining if !self.may_accept(now) => self.handle_new_process_stopped(),
+            _ => self.serve_alone(now, "the new process has ended"),
         }
     }
 
+    /// Handles the end of a new process that has stopped because the router stops. This process answers what it has
+    /// accepted, and exits.
+    fn handle_new_process_stopped(&mut self) -> Vec<Effect> {
+        self.step = Step::Finishing;
+        self.deadline = None;
+        self.lease = self.capacity;
+        vec![
+            Effect::Log("upgrade: the new process has stopped, as the router does".into()),
+            Effect::PassClients(false),
+            Effect::ApplyLease(self.lease),
+            Effect::ShutDownListeners,
+        ]
+    }
+
+    /// Whether this process may accept clients in place of the new one: not once the accept period of a stop is over.
+    fn may_accept(&self, now: Micros) -> bool {
+        self.accepts_until.is_none_or(|until| now < until)
+            || self.has_bug(InjectedBug::ServesBehindStop)
+    }
+
     /// Serves again and ends the new process. This process regains its lease once it has ended.
     fn abandon(&mut self, now: Micros, why: &str) -> Vec<Effect> {
-        let mut effects = vec![abandoned_line(why)];
+        let mut effects = vec![self.abandoned_line(why)];
         if self.step == Step::Draining {
-            effects.extend(accept_again());
+            effects.extend(self.accept_again(now));
         }
         let why = why.to_owned();
         effects.push(Effect::Send(Message::Abandon { why }));
@@ -298,14 +352,14 @@
     }
 
     /// Serves with the whole capacity after the new process has ended.
-    fn serve_alone(&mut self, why: &str) -> Vec<Effect> {
+    fn serve_alone(&mut self, now: Micros, why: &str) -> Vec<Effect> {
         let mut effects = Vec::new();
         // The line was already logged when the new process was asked to exit.
         if self.step != Step::EndingNewProcess {
-            effects.push(abandoned_line(why));
+            effects.push(self.abandoned_line(why));
         }
         if self.step == Step::Draining && !self.has_bug(InjectedBug::StaysDrained) {
-            effects.extend(accept_again());
+            effects.extend(self.accept_again(now));
         }
         self.step = Step::Serving;
         self.deadline = None;
@@ -314,6 +368,23 @@
         effects
     }
 
+    /// The driver parses the reason out of this line: the text after "given up, ".
+    fn abandoned_line(&self, why: &str) -> Effect {
+        let outcome = match self.accepts_until {
+            None => "continues to serve",
+            Some(_) => "stops",
+        };
+        Effect::Log(format!("upgrade: given up, {why}; this process {outcome}"))
+    }
+
+    fn accept_again(&self, now: Micros) -> Vec<Effect> {
+        let mut effects = vec![Effect::PassClients(false)];
+        if self.may_accept(now) {
+            effects.push(Effect::Accept(true));
+        }
+        effects
+    }
+
     fn enter(&mut self, step: Step, deadline: Micros) {
         self.step = step;
         self.deadline = Some(deadline);
@@ -329,14 +400,3 @@
         false
     }
 }
-
-/// The driver parses the reason out of this line: the text after "given up, ".
-fn abandoned_line(why: &str) -> Effect {
-    Effect::Log(format!(
-        "upgrade: given up, {why}; this process continues to serve"
-    ))
-}
-
-fn accept_again() -> [Effect; 2] {
-    [Effect::PassClients(false), Effect::Accept(true)]
-}
--- a/hot_restart/src/old_process/step.rs
+++ b/hot_restart/src/old_process/step.rs
@@ -14,6 +14,8 @@
     Draining,
     /// The new process has been asked to exit; this one regains its lease when it has ended.
     EndingNewProcess,
+    /// The new process has stopped because the router stops; this one answers the requests that it has accepted.
+    Finishing,
     HandedOver,
 }
 
@@ -27,7 +29,7 @@
             Step::PassingListeners => "passes the listeners",
             Step::PassingState => "passes the state",
             Step::Committing => "commits",
-            Step::Draining => "drains",
+            Step::Draining | Step::Finishing => "drains",
             Step::EndingNewProcess => "ends the new one",
             Step::HandedOver => "is over",
         }
--- a/router/src/lifecycle/build.rs
+++ b/router/src/lifecycle/build.rs
@@ -26,6 +26,7 @@
 use crate::state::log_limit::LogLimit;
 use crate::state::memory_budget::MemoryBudget;
 use crate::state::predecessor_ids::PredecessorIds;
+use crate::state::requests::RequestState;
 use crate::state::shutdown::ShutdownState;
 use crate::state::turns::Turns;
 
@@ -105,6 +106,7 @@
             input_applied: Event::new(),
             discovery: DiscoveryState::new(discovery, self.list_version),
             shutdown: ShutdownState::default(),
+            requests: RequestState::default(),
             listener: ListenerState::default(),
             rejections: LogLimit::default(),
             predecessor_ids: PredecessorIds::default(),
--- a/router/src/lifecycle/control/server.rs
+++ b/router/src/lifecycle/control/server.rs
@@ -18,11 +18,13 @@
 use rustix::process::{geteuid, umask};
 use serde_json::{json, Value};
 use ternpick::types::Micros;
+use ternpick_hot_restart::{Request, Requester};
 
 use super::client::ControlError;
 use super::status::status;
 use super::Control;
 use crate::fleet::commands;
+use crate::lifecycle::requests;
 use crate::lifecycle::socket_io::{uninterrupted, write_all};
 use crate::lifecycle::upgrade::{self, LaunchSpec};
 use crate::router::Router;
@@ -192,7 +194,8 @@
 }
 
 fn drain(router: &Router) -> Value {
-    router.shutdown.request();
+    let now = router.clock.now();
+    requests::handle(router, Request::Stop, Requester::Operator, now);
     json!({"done": true, "ok": true, "line": "this process answers what it has taken, and leaves"})
 }
 
@@ -216,14 +219,20 @@
         config: path("config", &control.launch_spec.config),
         settings: path("settings", &control.launch_spec.settings),
     };
+    // An upgrade that is in progress refuses another one.
+    let is_first = !router.requests.is_upgrading();
+    router.requests.set_upgrading(true);
     match upgrade_with_progress(router, control, stream, &launch_spec).await {
         Ok(()) => {
             let line = json!({"done": true, "ok": true, "line": "upgraded"});
             write_line(stream, &line).await;
-            mark_handed_over(router);
+            router.shutdown.mark_handed_over();
         }
         Err(reason) => write_line(stream, &refused(&reason)).await,
     }
+    if is_first {
+        router.requests.set_upgrading(false);
+    }
 }
 
 /// Runs an upgrade and writes its steps as they happen. The upgrade continues if the client disconnects.
@@ -270,9 +279,3 @@
         write_line(stream, &step).await;
     }
 }
-
-/// Marks that the new process has taken over everything: this process ends, or stays as the new one's parent.
-fn mark_handed_over(router: &Router) {
-    router.shutdown.mark_handed_over();
-    router.shutdown.request();
-}
--- a/router/src/lifecycle/mod.rs
+++ b/router/src/lifecycle/mod.rs
@@ -1,7 +1,7 @@
 //! The life of a router process, from the command line to its exit.
 //!
 //! - starting: [`cli`], [`config`], [`settings`], [`build`], [`start`], [`sockets`], [`logging`], [`clock`];
-//! - serving: [`run`], [`signals`], [`reload`], [`control`], [`watch`], [`discovery_calls`], [`endpoint_list`], [`tls`],
+//! - serving: [`run`], [`signals`], [`requests`], [`reload`], [`control`], [`watch`], [`discovery_calls`], [`endpoint_list`], [`tls`],
 //!   [`key_sources`], [`http_client`], [`socket_io`];
 //! - stopping: [`stop`];
 //! - hot restart: [`upgrade`] (old process), [`takeover`] (new process), [`hot_restart_link`],
@@ -24,6 +24,7 @@
 pub(crate) mod logging;
 pub(crate) mod parent;
 pub(crate) mod reload;
+pub(crate) mod requests;
 pub(crate) mod run;
 pub(crate) mod settings;
 pub(crate) mod signals;
--- a/router/src/lifecycle/signals.rs
+++ b/router/src/lifecycle/signals.rs
@@ -1,17 +1,20 @@
 //! The signals of a router: SIGTERM and SIGINT stop it, SIGHUP reloads its configuration and never ends the process.
 //!
-//! This module only receives signals; [`run`](crate::lifecycle::run) and [`parent`](crate::lifecycle::parent) act on
-//! them.
+//! This module only receives signals, with the process that has sent them; [`requests`](crate::lifecycle::requests)
+//! acts on them.
 
-use std::io::{self, Read};
+use std::collections::VecDeque;
+use std::io;
 use std::os::unix::net::UnixStream;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use futures_lite::future;
+use rustix::process::Pid;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::backend::SignalDelivery;
+use signal_hook::iterator::exfiltrator::origin::{Origin, WithOrigin};
+use ternpick_hot_restart::Request;
 
 use crate::state::wake_time::WakeTime;
 
@@ -24,78 +27,80 @@
 #[error("cannot wait for signals: {0}")]
 pub(crate) struct SignalError(#[from] io::Error);
 
-/// What a signal requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum SignalRequest {
-    /// SIGTERM or SIGINT.
-    Stop,
-    /// SIGHUP.
-    Reload,
-}
-
 /// A received signal.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct ReceivedSignal {
     /// What it requests.
-    pub(crate) request: SignalRequest,
+    pub(crate) request: Request,
+    /// The process that has sent it, if the kernel tells.
+    pub(crate) sender: Option<Pid>,
     /// When it arrived, as far as that is known: the router may have been delayed since.
     pub(crate) received_at: Instant,
 }
 
-/// The received signals. Each kind of request has an atomic flag, and the pipe only wakes the waiting task. Signal
-/// numbers sent through a pipe were not reliable: a signal was lost when the read of its number was partial and then
+/// The received signals. The handler stores each with its sender; the pipe only wakes the waiting task. Signal numbers
+/// sent through a pipe were not reliable: a signal was lost when the read of its number was partial and then
 /// interrupted.
 pub(crate) struct Signals {
-    stop: Arc<AtomicBool>,
-    reload: Arc<AtomicBool>,
-    pipe: Async<UnixStream>,
+    delivery: SignalDelivery<Async<UnixStream>, WithOrigin>,
+    /// Signals taken from the handler and not returned yet.
+    taken: VecDeque<ReceivedSignal>,
     received: WakeTime,
 }
 
 /// Registers the signal handlers. Before that, SIGHUP would end the process.
 pub(crate) fn listen() -> Result<Signals, SignalError> {
-    let stop = Arc::new(AtomicBool::new(false));
-    let reload = Arc::new(AtomicBool::new(false));
     let (read, write) = UnixStream::pair()?;
-    for (signal, flag) in [(SIGTERM, &stop), (SIGINT, &stop), (SIGHUP, &reload)] {
-        // The flag is registered first, so that it is set when the pipe wakes the task.
-        signal_hook::flag::register(signal, Arc::clone(flag))?;
-        signal_hook::low_level::pipe::register(signal, write.try_clone()?)?;
-    }
+    let read = Async::new(read)?;
+    let delivery = SignalDelivery::with_pipe(
+        read,
+        write,
+        WithOrigin::default(),
+        [SIGTERM, SIGINT, SIGHUP],
+    )?;
     Ok(Signals {
-        stop,
-        reload,
-        pipe: Async::new(read)?,
+        delivery,
+        taken: VecDeque::new(),
         received: WakeTime::default(),
     })
 }
 
 impl Signals {
-    /// Takes a signal that was received and not returned yet. A stop takes precedence over a reload.
-    fn take(&self) -> Option<SignalRequest> {
-        if self.stop.swap(false, Ordering::SeqCst) {
-            return Some(SignalRequest::Stop);
+    /// Returns a signal that was received and not returned yet. A stop takes precedence over a reload.
+    pub(crate) fn take(&mut self) -> Option<ReceivedSignal> {
+        // The pipe is drained before the signals are read: one that arrives in between wakes the task again.
+        let pending: Vec<Origin> = self.delivery.pending().collect();
+        let received_at = self.received.take().unwrap_or_else(Instant::now);
+        for origin in pending {
+            self.store(&origin, received_at);
         }
-        if self.reload.swap(false, Ordering::SeqCst) {
-            return Some(SignalRequest::Reload);
+        self.taken.pop_front()
+    }
+
+    fn store(&mut self, origin: &Origin, received_at: Instant) {
+        let sender = origin
+            .process
+            .and_then(|process| Pid::from_raw(process.pid));
+        let signal = |request| ReceivedSignal {
+            request,
+            sender,
+            received_at,
+        };
+        match origin.signal {
+            SIGHUP => self.taken.push_back(signal(Request::Reload)),
+            _ => self.taken.push_front(signal(Request::Stop)),
         }
-        None
     }
 
     /// Waits for the next signal.
-    pub(crate) async fn next(&self) -> ReceivedSignal {
+    pub(crate) async fn next(&mut self) -> ReceivedSignal {
         loop {
-            // The pipe is drained before the flags are read: a signal that arrives in between wakes the task again.
-            while matches!(self.pipe.get_ref().read(&mut [0; 64]), Ok(count) if count > 0) {}
-            if let Some(request) = self.take() {
-                let received_at = self.received.take().unwrap_or_else(Instant::now);
-                return ReceivedSignal {
-                    request,
-                    received_at,
-                };
+            if let Some(signal) = self.take() {
+                return signal;
             }
+            let pipe = self.delivery.get_read();
             let woken = async {
-                if let Some(Err(_)) = self.received.watch(self.pipe.readable()).await {
+                if let Some(Err(_)) = self.received.watch(pipe.readable()).await {
                     future::pending::<()>().await;
                 }
             };
--- a/router/src/lifecycle/start.rs
+++ b/router/src/lifecycle/start.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::process::Child;
 use std::rc::Rc;
 
 use async_executor::Task;
@@ -16,7 +15,7 @@
 use crate::lifecycle::capacity_share::CapacityShare;
 use crate::lifecycle::config::RouterConfig;
 use crate::lifecycle::control::{self, Control};
-use crate::lifecycle::parent::{self, ParentError};
+use crate::lifecycle::parent::{self, Ended, ParentError};
 use crate::lifecycle::reload::StartupFiles;
 use crate::lifecycle::settings::{ControlConfig, Settings};
 use crate::lifecycle::signals::{SignalError, Signals};
@@ -24,7 +23,9 @@
 use crate::lifecycle::takeover::{PreviousProcess, TakeoverError};
 use crate::lifecycle::tls::{self, Tls, TlsError};
 use crate::lifecycle::upgrade::{self, LaunchSpec, Upgrades};
-use crate::lifecycle::{endpoint_list, key_sources, logging, run, signals, takeover, watch};
+use crate::lifecycle::{
+    endpoint_list, key_sources, logging, requests, run, signals, takeover, watch,
+};
 use crate::router::Router;
 use crate::stages::{dispatch, listener};
 use crate::state::turns::Stage;
@@ -74,7 +75,7 @@
     Previous(PreviousProcess),
 }
 
-/// Serves until the router is stopped and all admitted queries are answered, or until a new process has taken over.
+/// Serves until the router has stopped and all admitted queries are answered, or until a new process has taken over.
 pub(crate) fn serve(
     mut config: RouterConfig,
     settings: Settings,
@@ -125,10 +126,8 @@
     // delay the handling of signals.
     let serving = router.spawn(Stage::Signals, 0, serving);
     // The executor is not dropped before the process ends, so the remaining tasks are not dropped either.
-    match future::block_on(executor.run(serving))? {
-        Some(successor) => Ok(parent::stay(successor)?),
-        None => Ok(()),
-    }
+    let ended = future::block_on(executor.run(serving))?;
+    Ok(parent::end(&router, ended)?)
 }
 
 /// Returns the digest of the fixed configuration fields and the settings file. The processes of a hot restart compare
@@ -163,15 +162,14 @@
 }
 
 impl Serving {
-    /// Starts all tasks and waits for the end. Returns the new process of an upgrade if this one has to stay as its
-    /// parent.
+    /// Starts all tasks and waits for the end.
     async fn run(
         self,
         listeners: ListenerSource,
         schedule: WatchSchedule,
         control: Option<ControlConfig>,
-        signals: Signals,
-    ) -> Result<Option<Child>, StartError> {
+        mut signals: Signals,
+    ) -> Result<Ended, StartError> {
         let watch = watch::watch(Rc::clone(&self.router), schedule);
         self.spawn(Stage::Discovery, watch);
         let client_turns = Rc::clone(&self.router.client_turns);
@@ -188,7 +186,8 @@
                 listeners
             }
             ListenerSource::Previous(previous) => {
-                self.take_over(previous, control.as_ref()).await?
+                self.take_over(previous, control.as_ref(), &mut signals)
+                    .await?
             }
         };
         if !self.discovery_is_polled {
@@ -207,11 +206,15 @@
             .map(|settings| self.open_control(settings, &listeners, replaces_process))
             .transpose()?;
         let accepting = self.accept(listeners);
-        run::until_stopped(&self.router, signals, &self.files, accepting).await;
-        let stays = control.filter(|control| {
-            control.config.stays_as_parent && self.router.shutdown.is_handed_over()
-        });
-        Ok(stays.and_then(|control| control.upgrades.successor.take()))
+        run::until_stopped(&self.router, &mut signals, &self.files, accepting).await;
+        let successor = control
+            .as_ref()
+            .and_then(|control| control.upgrades.successor.take());
+        Ok(Ended {
+            successor,
+            stays_as_parent: control.is_some_and(|control| control.config.stays_as_parent),
+            signals,
+        })
     }
 
     fn spawn(&self, stage: Stage, task: impl std::future::Future<Output = ()> + 'static) {
@@ -234,10 +237,16 @@
         &self,
         previous: PreviousProcess,
         control: Option<&ControlConfig>,
+        signals: &mut Signals,
     ) -> Result<Vec<TcpListener>, StartError> {
         let timeouts = control.map(upgrade::step_timeouts).unwrap_or_default();
-        let taken =
-            takeover::take_over(&self.router, &self.share, previous, timeouts, self.digest).await?;
+        let taking_over =
+            takeover::take_over(&self.router, &self.share, previous, timeouts, self.digest);
+        let told_to_exit = async {
+            requests::handle_before_takeover(&self.router, signals).await;
+            Err(TakeoverError::NotTakenOver)
+        };
+        let taken = future::or(taking_over, told_to_exit).await?;
         let listeners = match taken.listeners {
             Some(listeners) => listeners,
             None => sockets::bind_all(&self.addresses, self.descriptor_limit)?,
--- a/router/src/lifecycle/stop.rs
+++ b/router/src/lifecycle/stop.rs
@@ -95,7 +95,7 @@
         let clients = router.descriptors.clients();
         let unanswered_clients = clients.saturating_sub(router.clients.count_without_request());
         // A process that hands over exits after the handover: the client of the control socket waits for the outcome.
-        let handing_over = router.client_transfer.is_active() && !router.shutdown.is_handed_over();
+        let handing_over = router.requests.is_upgrading();
         if schedule.may_exit(now, clients + usize::from(handing_over), unanswered_clients) {
             return;
         }
--- a/router/src/lifecycle/takeover.rs
+++ b/router/src/lifecycle/takeover.rs
@@ -13,11 +13,12 @@
 use async_io::Timer;
 use rustix::process::{getppid, Pid};
 use ternpick::types::Micros;
-use ternpick_hot_restart::{Effect, Message, NewProcess, OldProcessEvent, StepTimeouts};
+use ternpick_hot_restart::{Effect, Message, NewProcess, OldProcessEvent, Phase, StepTimeouts};
 
 use crate::lifecycle::capacity_share::{CapacityShare, Role};
 use crate::lifecycle::forwarded_ids;
 use crate::lifecycle::hot_restart_link::Link;
+use crate::lifecycle::requests;
 use crate::lifecycle::snapshot::Snapshot;
 use crate::router::Router;
 use crate::stages::listener;
@@ -111,12 +112,15 @@
         std::process::id()
     );
     let (machine, effects) = NewProcess::start(timeouts, digest, &program, router.clock.now());
+    // The id is an argument and not from `getppid`, because the old process may have died before this one started.
+    let parent = i32::try_from(previous.id).ok().and_then(Pid::from_raw);
+    router.requests.set_other_process(parent);
+    requests::enter(router, Phase::TakingOver);
     let takeover = Takeover {
         router,
         share,
         link: previous.link,
-        // The id is an argument and not from `getppid`, because the old process may have died before this one started.
-        parent: i32::try_from(previous.id).ok().and_then(Pid::from_raw),
+        parent,
         machine,
         listeners: None,
         snapshot: Vec::new(),
@@ -173,6 +177,7 @@
                 | Effect::PassState
                 | Effect::Accept(_)
                 | Effect::PassClients(_)
+                | Effect::ShutDownListeners
                 | Effect::EndPeer => {}
             }
         }
@@ -202,24 +207,30 @@
         match received {
             None => Ok(self.machine.handle_timeout(now)),
             Some(Err(_)) => Ok(self.handle_lost_link().await),
-            Some(Ok(message)) => self.handle_message(message, now),
+            Some(Ok(message)) => self.handle_message(message),
         }
     }
 
     async fn handle_lost_link(&mut self) -> Vec<Effect> {
         let old_process_runs = old_process_lives(self.router, self.parent).await;
-        self.machine.handle_event(
-            self.router.clock.now(),
-            OldProcessEvent::LinkLost { old_process_runs },
-            self.share.all(),
-        )
+        if !old_process_runs {
+            requests::handle_death_of_old_process(self.router);
+        }
+        self.handle_event(OldProcessEvent::LinkLost { old_process_runs })
     }
 
-    fn handle_message(
-        &mut self,
-        message: Message,
-        now: Micros,
-    ) -> Result<Vec<Effect>, TakeoverError> {
+    /// Passes an event to the protocol. The phase changes before the effects are carried out: a stop that arrives
+    /// meanwhile finds a process that serves.
+    fn handle_event(&mut self, event: OldProcessEvent) -> Vec<Effect> {
+        let now = self.router.clock.now();
+        let effects = self.machine.handle_event(now, event, self.share.all());
+        if self.machine.is_serving() {
+            requests::enter(self.router, self.machine.phase());
+        }
+        effects
+    }
+
+    fn handle_message(&mut self, message: Message) -> Result<Vec<Effect>, TakeoverError> {
         let mut snapshot_complete = false;
         match &message {
             Message::Descriptors { count } => self.take_listeners(*count)?,
@@ -229,14 +240,10 @@
             }
             _ => {}
         }
-        let all = self.share.all();
-        let mut effects = self
-            .machine
-            .handle_event(now, OldProcessEvent::Received(message), all);
+        let mut effects = self.handle_event(OldProcessEvent::Received(message));
         if snapshot_complete {
             let loaded = self.apply_snapshot();
-            let event = OldProcessEvent::SnapshotLoaded(loaded);
-            effects.extend(self.machine.handle_event(now, event, all));
+            effects.extend(self.handle_event(OldProcessEvent::SnapshotLoaded(loaded)));
         }
         Ok(effects)
     }
@@ -271,6 +278,7 @@
     loop {
         let received = old.link.receive().await;
         let link_lost = received.is_err();
+        let has_returned_share = old.machine.lease() == share.all();
         let effects = match received {
             Ok(Message::Client { unread }) => {
                 adopted += u32::from(adopt(&router, old.link.fd(), &unread));
@@ -288,6 +296,13 @@
             Err(_) => old.wait_until_gone(&router, &share).await,
         };
         old.carry_out(&router, &share, effects).await;
+        if link_lost {
+            if !has_returned_share {
+                requests::handle_death_of_old_process(&router);
+            }
+            requests::enter(&router, Phase::Alone);
+            router.requests.set_other_process(None);
+        }
         if link_lost || old.machine.is_exiting() {
             tracing::info!(
                 connections = adopted,
@@ -318,6 +333,7 @@
     /// Waits until the old process has ended, after its link has. Until then it uses the share of the capacity that it
     /// kept.
     async fn wait_until_gone(&mut self, router: &Router, share: &CapacityShare) -> Vec<Effect> {
+        router.requests.note_link_lost();
         while !self.machine.is_exiting()
             && self.machine.lease() != share.all()
             && old_process_lives(router, self.parent).await
@@ -345,12 +361,13 @@
                 Effect::ApplyLease(lease) => share.apply(router, lease, Role::Serving),
                 Effect::Accept(accepts) => router.listener.set_accepting(accepts),
                 Effect::Log(step) => tracing::warn!(step, "hot restart: new process"),
-                Effect::Exit => router.shutdown.request(),
+                Effect::Exit => router.shutdown.request(router.clock.now()),
                 // Effects of the old process, or of a process that does not serve yet.
                 Effect::Spawn
                 | Effect::PassListeners
                 | Effect::PassState
                 | Effect::PassClients(_)
+                | Effect::ShutDownListeners
                 | Effect::EndPeer
                 | Effect::BindListeners => {}
             }
--- a/router/src/lifecycle/upgrade.rs
+++ b/router/src/lifecycle/upgrade.rs
@@ -13,6 +13,7 @@
 
 use async_io::Async;
 use serde::{Serialize, Serializer};
+use ternpick::shutdown::ShutdownSchedule;
 use ternpick::types::Micros;
 use ternpick_hot_restart::{OldProcess, StepTimeouts};
 
@@ -67,7 +68,7 @@
     pub(crate) share: Rc<CapacityShare>,
     /// The listeners that are passed to the new process, the plain one first.
     pub(crate) listeners: Vec<Rc<Async<TcpListener>>>,
-    /// The new process once it has taken over, if this one stays as its parent.
+    /// The new process of the upgrade in progress, or the one that has taken over.
     pub(crate) successor: RefCell<Option<Child>>,
     /// The number of upgrades started so far.
     pub(crate) begun: Cell<u32>,
@@ -100,6 +101,9 @@
     launch_spec: &LaunchSpec,
     on_step: &mut dyn FnMut(&str),
 ) -> Result<(), UpgradeError> {
+    if let Some(requested_at) = router.shutdown.requested_at() {
+        note_stop(router, upgrades, requested_at);
+    }
     let begun = upgrades
         .machine
         .borrow_mut()
@@ -107,7 +111,12 @@
     let effects = begun.map_err(|error| UpgradeError::NotNow(error.to_string()))?;
     upgrades.begun.set(upgrades.begun.get() + 1);
     let driver = driver::Driver::new(router, upgrades, launch_spec, on_step);
-    let new_process = driver.run(effects).await?;
-    upgrades.successor.replace(new_process);
-    Ok(())
+    driver.run(effects).await
+}
+
+/// Tells the protocol that the router stops.
+fn note_stop(router: &Router, upgrades: &Upgrades, requested_at: Micros) {
+    let schedule = ShutdownSchedule::new(requested_at, router.bounds.longest_deadline);
+    let mut machine = upgrades.machine.borrow_mut();
+    machine.note_stop(schedule.accepts_until);
 }
--- a/router/src/lifecycle/upgrade/driver.rs
+++ b/router/src/lifecycle/upgrade/driver.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::os::unix::net::UnixStream;
+use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
@@ -12,12 +13,13 @@
 use futures_lite::future;
 use rustix::process::{kill_process, Pid, Signal};
 use ternpick::types::Micros;
-use ternpick_hot_restart::{Effect, Lease, Message, NewProcessEvent};
+use ternpick_hot_restart::{Effect, Lease, Message, NewProcessEvent, Phase, Request, Requester};
 
 use super::{LaunchSpec, UpgradeError, Upgrades};
 use crate::lifecycle::capacity_share::Role;
 use crate::lifecycle::forwarded_ids;
 use crate::lifecycle::hot_restart_link::Link;
+use crate::lifecycle::requests;
 use crate::lifecycle::snapshot::Snapshot;
 use crate::router::Router;
 use crate::stages::listener;
@@ -50,6 +52,13 @@
     Nothing,
 }
 
+/// How the new process has ended.
+#[derive(Clone, Copy, Debug)]
+struct NewProcessEnd {
+    /// The signal that has ended it.
+    signal: Option<Signal>,
+}
+
 /// An upgrade in progress.
 pub(super) struct Driver<'a> {
     router: &'a Rc<Router>,
@@ -57,7 +66,6 @@
     launch_spec: &'a LaunchSpec,
     on_step: &'a mut dyn FnMut(&str),
     link: Option<Link>,
-    child: Option<Child>,
     /// Whether SIGTERM has been sent to the new process; the next attempt to end it kills it.
     termination_requested: bool,
     /// When the link was first found broken.
@@ -83,7 +91,6 @@
             launch_spec,
             on_step,
             link: None,
-            child: None,
             termination_requested: false,
             link_broken_at: None,
             link_broken_handled: false,
@@ -92,12 +99,12 @@
         }
     }
 
-    /// Runs the upgrade to its end and returns the process that has taken over.
-    pub(super) async fn run(mut self, first: Vec<Effect>) -> Result<Option<Child>, UpgradeError> {
+    /// Runs the upgrade to its end. After a success `Upgrades::successor` is the process that has taken over.
+    pub(super) async fn run(mut self, first: Vec<Effect>) -> Result<(), UpgradeError> {
         self.carry_out(first).await;
         loop {
             let received = self.wait().await;
-            self.kill_if_stopping();
+            self.note_stop();
             let now = self.router.clock.now();
             self.handle(received, now).await;
             let effects = self.upgrades.machine.borrow_mut().handle_timeout(now);
@@ -106,6 +113,8 @@
                 self.take_clients_back();
             }
             if self.upgrades.machine.borrow().is_serving() {
+                self.upgrades.successor.take();
+                self.router.requests.set_other_process(None);
                 return Err(UpgradeError::Abandoned {
                     reason: self.failure,
                 });
@@ -113,7 +122,7 @@
             self.pass_clients().await;
             self.finish_if_drained().await;
             if self.finished {
-                return Ok(self.child);
+                return Ok(());
             }
         }
     }
@@ -144,15 +153,10 @@
         future::or(message, future::or(client, check)).await
     }
 
-    /// Kills the new process if this one is stopping and does not drain yet: after a stop was requested, no new process
-    /// must serve.
-    fn kill_if_stopping(&mut self) {
-        if !self.router.is_stopping() || self.upgrades.machine.borrow().is_draining() {
-            return;
-        }
-        if let Some(child) = &mut self.child {
-            let _ = child.kill();
-            let _ = child.wait();
+    /// Tells the protocol that the router stops, before it learns that the new process has.
+    fn note_stop(&self) {
+        if let Some(requested_at) = self.router.shutdown.requested_at() {
+            super::note_stop(self.router, self.upgrades, requested_at);
         }
     }
 
@@ -182,11 +186,8 @@
             Received::LinkBroken => self.note_broken_link(),
             Received::Nothing => {}
         }
-        let has_ended = match &mut self.child {
-            Some(child) => child.try_wait().ok().flatten().is_some(),
-            None => true,
-        };
-        if has_ended {
+        if let Some(ended_by) = self.new_process_end() {
+            self.act_on_signal(ended_by);
             return Some(NewProcessEvent::ProcessDied);
         }
         let now = self.router.clock.now();
@@ -194,6 +195,32 @@
         (now.since(broken_since) >= DEATH_DETECTION_WINDOW).then_some(NewProcessEvent::LinkBroken)
     }
 
+    /// Returns how the new process has ended; `None` while it runs.
+    fn new_process_end(&self) -> Option<NewProcessEnd> {
+        let mut successor = self.upgrades.successor.borrow_mut();
+        let Some(child) = successor.as_mut() else {
+            return Some(NewProcessEnd { signal: None });
+        };
+        let status = child.try_wait().ok().flatten()?;
+        let signal = status.signal().and_then(Signal::from_named_raw);
+        Some(NewProcessEnd { signal })
+    }
+
+    /// Acts on a signal that has ended the new process before it had handlers: the operator has sent it to the router.
+    fn act_on_signal(&self, end: NewProcessEnd) {
+        if self.router.requests.phase() != Phase::Launching {
+            return;
+        }
+        let request = match end.signal {
+            Some(Signal::TERM | Signal::INT) => Request::Stop,
+            Some(Signal::HUP) => Request::Reload,
+            _ => return,
+        };
+        let now = self.router.clock.now();
+        requests::handle(self.router, request, Requester::Operator, now);
+        self.note_stop();
+    }
+
     fn note_broken_link(&mut self) {
         if self.link_broken_at.is_none() {
             self.link_broken_at = Some(self.router.clock.now());
@@ -201,6 +228,9 @@
     }
 
     async fn carry_out(&mut self, effects: Vec<Effect>) {
+        // First: a request that arrives during the effects finds what the new process may own by then.
+        let phase = self.upgrades.machine.borrow().phase();
+        requests::enter(self.router, phase);
         for effect in effects {
             match effect {
                 Effect::Spawn => self.spawn(),
@@ -215,6 +245,7 @@
                 Effect::PassClients(false) => self.router.client_transfer.end(),
                 Effect::ApplyLease(lease) => self.apply_share(lease),
                 Effect::EndPeer => self.end_new_process(),
+                Effect::ShutDownListeners => self.shut_down_listeners(),
                 Effect::Exit => self.finished = true,
                 Effect::Log(step) => self.log(&step),
                 // An effect of the new process only.
@@ -226,13 +257,15 @@
     fn spawn(&mut self) {
         match start_process(self.launch_spec) {
             Ok((child, link)) => {
-                self.child = Some(child);
+                let process = Pid::from_child(&child);
+                self.router.requests.set_other_process(Some(process));
+                self.upgrades.successor.replace(Some(child));
                 self.link = Some(link);
             }
             Err(error) => {
                 self.failure = error.to_string();
                 (self.on_step)(&self.failure);
-                self.child = None;
+                self.upgrades.successor.take();
             }
         }
     }
@@ -280,6 +313,12 @@
         }
     }
 
+    fn shut_down_listeners(&self) {
+        for listener in &self.upgrades.listeners {
+            listener::shut_down(listener.get_ref());
+        }
+    }
+
     fn apply_share(&self, lease: Lease) {
         let role = if self.upgrades.machine.borrow().is_serving() {
             Role::Serving
@@ -291,7 +330,8 @@
 
     /// Ends the new process: sends SIGTERM the first time, and kills it the second time.
     fn end_new_process(&mut self) {
-        let Some(child) = &mut self.child else {
+        let mut successor = self.upgrades.successor.borrow_mut();
+        let Some(child) = successor.as_mut() else {
             return;
         };
         let ended = if self.termination_requested {
--- a/router/src/router.rs
+++ b/router/src/router.rs
@@ -31,6 +31,7 @@
 use crate::state::log_limit::LogLimit;
 use crate::state::memory_budget::MemoryBudget;
 use crate::state::predecessor_ids::PredecessorIds;
+use crate::state::requests::RequestState;
 use crate::state::shutdown::ShutdownState;
 use crate::state::turns::{Stage, Turns, LATE_AFTER};
 
@@ -75,6 +76,8 @@
     pub(crate) discovery: DiscoveryState,
     /// Whether this process is stopping, and the schedule of its shutdown.
     pub(crate) shutdown: ShutdownState,
+    /// Stops and reloads, and the other process of a hot restart.
+    pub(crate) requests: RequestState,
     /// Whether this process accepts client connections.
     pub(crate) listener: ListenerState,
     /// Counts queries rejected at admission, and limits how often they are logged.
--- a/router/src/stages/listener.rs
+++ b/router/src/stages/listener.rs
@@ -190,12 +190,9 @@
     /// The control socket also holds the listener, to pass it on. Without the shutdown, the kernel would keep
     /// completing connections that no process serves while this process answers its remaining requests.
     fn shut_down(&self) {
-        if !self.router.listener.is_accepting() {
-            return;
-        }
-        let listener = self.listener.get_ref();
-        if let Err(error) = rustix::net::shutdown(listener, rustix::net::Shutdown::Both) {
-            tracing::debug!(%error, "cannot shut down the listener");
+        let router = &self.router;
+        if router.listener.is_accepting() && router.requests.may_shut_down_listeners() {
+            shut_down(self.listener.get_ref());
         }
     }
 
@@ -237,6 +234,13 @@
     }
 }
 
+/// Shuts down a listening socket for all processes that hold it.
+pub(crate) fn shut_down(listener: &TcpListener) {
+    if let Err(error) = rustix::net::shutdown(listener, rustix::net::Shutdown::Both) {
+        tracing::debug!(%error, "cannot shut down the listener");
+    }
+}
+
 /// Waits for a descriptor for a client. Until one is free, asks the connections to close that [`Clients`] selects, so
 /// that clients that send nothing or half a request, or do not read, do not block others.
 ///
--- a/router/src/state/mod.rs
+++ b/router/src/state/mod.rs
@@ -17,6 +17,7 @@
 pub(crate) mod nodes;
 pub(crate) mod predecessor_ids;
 pub(crate) mod recent_pause;
+pub(crate) mod requests;
 pub(crate) mod response_size;
 pub(crate) mod shutdown;
 pub(crate) mod turns;
--- a/router/tests/upgrade/main.rs
+++ b/router/tests/upgrade/main.rs
@@ -9,6 +9,7 @@
 mod measures;
 mod overlap;
 mod repeats;
+mod requests;
 mod sent_ahead;
 mod state;
 mod support;
