Take the control socket and the pid file back when a new process that served has died

What operators saw: the new process of an upgrade was killed while the old one drained; the old one served again, but `status`, `drain` and `upgrade` found nobody, and the pid file named a process that was gone.

Cause: the new process binds the socket at the same path and writes the pid file as it begins to serve; nothing gave them back.

Change: a process remembers which file it has bound. When an upgrade is given up and another file stands at the path, it writes its id and binds the socket again.

--- a/router/src/lifecycle/control.rs
+++ b/router/src/lifecycle/control.rs
@@ -11,6 +11,8 @@
 
 use std::cell::Cell;
 
+use event_listener::Event;
+
 use crate::lifecycle::settings::ControlConfig;
 use crate::lifecycle::upgrade::{LaunchSpec, Upgrades};
 
@@ -18,6 +20,13 @@
 pub(crate) use command::{run, ControlCommand};
 pub(crate) use server::{open, open_later, serve};
 
+/// Identifies a socket file: another process of a hot restart binds its own at the same path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct SocketFile {
+    device: u64,
+    inode: u64,
+}
+
 /// The state from which the control socket of a router answers.
 pub(crate) struct Control {
     /// The settings under `control`.
@@ -28,6 +37,10 @@
     pub(crate) upgrades: Upgrades,
     /// The number of connections that are being answered.
     open_connections: Cell<usize>,
+    /// The socket file that this process has bound.
+    bound: Cell<Option<SocketFile>>,
+    /// Notified when this process binds the socket anew.
+    bound_anew: Event,
     /// The router's name in its configuration.
     pub(crate) name: String,
 }
@@ -45,6 +58,8 @@
             launch_spec,
             upgrades,
             open_connections: Cell::new(0),
+            bound: Cell::new(None),
+            bound_anew: Event::new(),
             name: name.to_owned(),
         }
     }
--- a/router/src/lifecycle/control/server.rs
+++ b/router/src/lifecycle/control/server.rs
@@ -4,7 +4,7 @@
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::io::{ErrorKind, Read};
-use std::os::unix::fs::FileTypeExt;
+use std::os::unix::fs::{FileTypeExt, MetadataExt};
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -22,7 +22,7 @@
 
 use super::client::ControlError;
 use super::status::status;
-use super::Control;
+use super::{Control, SocketFile};
 use crate::fleet::commands;
 use crate::lifecycle::requests;
 use crate::lifecycle::socket_io::{uninterrupted, write_all};
@@ -52,7 +52,42 @@
         let text = format!("{}\n", std::process::id());
         ternpick_store::replace_file(path.as_ref(), text.as_bytes())?;
     }
-    bind(control.config.socket.as_ref())
+    let path = control.config.socket.as_ref();
+    let listener = bind(path)?;
+    control.bound.set(socket_file(path));
+    Ok(listener)
+}
+
+/// Identifies the file at a path; `None` if there is none.
+fn socket_file(path: &Path) -> Option<SocketFile> {
+    let found = std::fs::symlink_metadata(path).ok()?;
+    Some(SocketFile {
+        device: found.dev(),
+        inode: found.ino(),
+    })
+}
+
+/// Writes the pid file and binds the socket again if a new process that has ended had done so. Commands found nobody
+/// otherwise, although this process serves.
+fn take_back(router: &Rc<Router>, control: &Rc<Control>) {
+    let path: &Path = control.config.socket.as_ref();
+    if socket_file(path) == control.bound.get() {
+        return;
+    }
+    tracing::info!("control: opening the socket again, the new process has ended");
+    control.bound_anew.notify(usize::MAX);
+    let task = open_again(Rc::clone(router), Rc::clone(control));
+    router.spawn(Stage::Control, 0, task).detach();
+}
+
+async fn open_again(router: Rc<Router>, control: Rc<Control>) {
+    match open(&control) {
+        Ok(listener) => serve(router, control, listener).await,
+        Err(error) => {
+            tracing::warn!(%error, "control: cannot be opened yet");
+            open_later(router, control).await;
+        }
+    }
 }
 
 /// Retries until the socket can be opened, then serves on it.
@@ -89,12 +124,22 @@
     Async::new(bound.map_err(at_path)?).map_err(at_path)
 }
 
-/// Accepts connections until the future is dropped, and answers each in its own task.
+/// Accepts connections until this process binds the socket anew, and answers each in its own task.
 pub(crate) async fn serve(router: Rc<Router>, control: Rc<Control>, listener: Async<UnixListener>) {
+    let bound_anew = control.bound_anew.listen();
+    let accepting = accept_connections(&router, &control, &listener);
+    future::or(accepting, bound_anew).await;
+}
+
+async fn accept_connections(
+    router: &Rc<Router>,
+    control: &Rc<Control>,
+    listener: &Async<UnixListener>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                accept(&router, &control, stream);
+                accept(router, control, stream);
                 // Accepting does not wait while connections are pending.
                 future::yield_now().await;
             }
@@ -162,7 +207,7 @@
     let _ = write_all(stream, format!("{line}\n").as_bytes()).await;
 }
 
-async fn answer(router: &Rc<Router>, control: &Control, stream: Async<UnixStream>) {
+async fn answer(router: &Rc<Router>, control: &Rc<Control>, stream: Async<UnixStream>) {
     let deadline = router.clock.now() + REQUEST_TIMEOUT;
     let Some(request) = router
         .with_deadline(Some(deadline), read_request(&stream))
@@ -201,7 +246,7 @@
 
 async fn answer_upgrade(
     router: &Rc<Router>,
-    control: &Control,
+    control: &Rc<Control>,
     stream: &Async<UnixStream>,
     request: &Value,
 ) {
@@ -228,7 +273,13 @@
             write_line(stream, &line).await;
             router.shutdown.mark_handed_over();
         }
-        Err(reason) => write_line(stream, &refused(&reason)).await,
+        Err(reason) => {
+            // Not while another upgrade is in progress: its new process may have bound them.
+            if is_first {
+                take_back(router, control);
+            }
+            write_line(stream, &refused(&reason)).await;
+        }
     }
     if is_first {
         router.requests.set_upgrading(false);
--- a/router/tests/upgrade/requests.rs
+++ b/router/tests/upgrade/requests.rs
@@ -246,6 +246,38 @@
     });
 }
 
+/// Guards against commands that find nobody: a new process that had come to serve was killed while the old one drained.
+/// The old one served again, but the socket file and the pid file stayed those of the new one.
+#[test_case(STAYS; "which stays")]
+#[test_case(""; "which does not stay")]
+fn commands_reach_the_old_process_once_the_new_one_was_killed(more: &str) {
+    let of = Upgradable::start(&[Act::Silent], more);
+    let mut slow = of.router.connect();
+    slow.write_all(request("once", "slow").as_bytes())
+        .expect("written");
+    of.nodes[0].frame('q');
+    let old = of.pid();
+    let mut upgrade = of.start_upgrade();
+    within(|| of.pid() != old, "the new process serves");
+    *of.nodes[0]
+        .acts
+        .lock()
+        .expect("no test thread panicked with the lock held") = [Act::Serve; 2];
+    within(|| of.status()["process"] == of.pid(), "its control socket");
+    signal(of.pid(), "-KILL");
+    let status = upgrade.wait().expect("the command ends");
+    assert!(!status.success(), "the command learns that it failed");
+    served(of.router.address, "after");
+    within(|| of.pid() == old, "the old process's id");
+    within(
+        || of.command(&["status"]).status.success() && of.status()["process"] == old,
+        "the old process answers commands",
+    );
+    assert_eq!(common::answer(&mut slow).0, 502, "by its own rules");
+    assert!(of.upgrade(&[]).0, "the next upgrade succeeds");
+    of.settled();
+}
+
 /// A new process that has no handlers yet: a signal ends it.
 #[test_case("-TERM"; "by sigterm")]
 #[test_case("-INT"; "by sigint")]
