--- a/router/tests/upgrade/requests.rs
+++ b/router/tests/upgrade/requests.rs
@@ -224,6 +224,34 @@
     });
 }
 
+/// The first process stays as the parent of the second, which drains: a stop of any of the three ends them all.
+#[test_case(0; "of the first")]
+#[test_case(1; "of the second")]
+#[test_case(2; "of the third")]
+fn a_stop_in_a_chain_of_three_processes_ends_the_router(position: usize) {
+    let mut of = Upgradable::start(&[Act::Serve], STAYS);
+    let first = of.router.child.id();
+    assert!(of.upgrade(&[]).0);
+    of.settled();
+    let second = of.pid();
+    *of.nodes[0]
+        .acts
+        .lock()
+        .expect("no test thread panicked with the lock held") = [Act::Silent; 2];
+    let mut slow = of.router.connect();
+    slow.write_all(request("once", "slow").as_bytes())
+        .expect("written");
+    of.nodes[0].frame('q');
+    let mut upgrade = of.start_upgrade();
+    within(|| of.pid() != second, "the third process serves");
+    let chain = [first, second, of.pid()];
+    let asked_at = Instant::now();
+    signal(chain[position], "-TERM");
+    assert_ends(&mut of, asked_at);
+    assert_eq!(common::answer(&mut slow).0, 502, "by its own rules");
+    assert!(upgrade.wait().expect("the command ends").success());
+}
+
 #[test_case(Asked::Old("-HUP"), STAYS; "the old one, which stays")]
 #[test_case(Asked::New("-HUP"), STAYS; "the new one, whose parent stays")]
 #[test_case(Asked::Old("-HUP"), ""; "the old one")]
